--- a/cranespindle/balance.py
+++ b/cranespindle/balance.py
@@ -170,8 +170,9 @@
         self.peak, self.flying = 0.0, 0
         self.dirty = True
         self.asking: dict[bytes, list[int]] = {}  # requests that wait for a probe's answer
-        # Where sidecars share what they see, and so shed in time, asking costs more than it brings.
-        self.asks = settings.probes and not settings.peers
+        # Where sidecars share what they see, and so shed in time, asking costs more than it brings. Where no
+        # server reports its load, a probe may be answered beside the queue: the quickest is then the nearest.
+        self.asks = settings.probes and not settings.peers and bool(settings.report_fields)
         self.hop = [0, 0]  # the quickest answer to a probe, in this zone and from others
         # health
         self.latency = [[0.0, 0.0] for _ in self.classes]  # summed over the aim, and count; shared with peers
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -379,7 +379,7 @@
             assert not any(isinstance(a, api.Send) for a in again)
 
 
-ASKING = dict(probes=True, zones=2)
+ASKING = dict(probes=True, zones=2, report_fields=("rif",))
 
 
 def probes(actions: list[api.Action]) -> list[bytes]:
@@ -445,7 +445,7 @@
 
 
 def test_nobody_is_asked_where_peers_share_or_probes_are_not_allowed() -> None:
-    for changes in ({"peers": True}, {"probes": False}):
+    for changes in ({"peers": True}, {"probes": False}, {"report_fields": ()}):
         assert asking(**changes)[1] == []
 
 
