--- a/cranespindle/balance.py
+++ b/cranespindle/balance.py
@@ -55,6 +55,7 @@
 STUCK = 0.5  # share of the slack after which what is overtaken is stuck; in calm one answer in a hundred
 HANGS, HANGS_SMOOTH = 0.5, 0.1  # share of the stuck that must come to nothing before any is given up
 HANGS_TRIED = 0.9  # share of them that is: the others tell whether it still is so
+HASTY = 2.0  # no-wait latencies within which a time-out says nothing: one answer in ten takes longer in calm
 FAILS_USUAL = 0.3  # share of failures that says nothing yet of a member: a single one among answers
 UNSAFE_FAILS = 4.0  # a failure weighs so much more for what can't be tried again
 EJECT_FIRST, EJECT_MOST = 2 * SECOND, 20 * SECOND  # first time out of the subset, doubled each time
@@ -460,6 +461,9 @@
             self.evidence[member.zone][SENT] -= 1
             return
         failed = outcome != Outcome.OK
+        if outcome == Outcome.TIMEOUT and self.hasty(request, event.took):
+            self.evidence[member.zone][SENT] -= 1
+            return  # the client had no time for any server's answer
         if request is not None:
             self.learn_class(member, request, failed, now)
             if outcome == Outcome.TIMEOUT and self.overtaken(request):
@@ -524,6 +528,14 @@
         """
         return request.member is not None and request.member.passed > request.sent + CYCLE
 
+    def hasty(self, request: Pending | None, took: int) -> bool:
+        """Whether a client gave it less time than answers of its class, or of any, may take with no queue.
+
+        Counted like other time-outs, clients in a hurry ejected sound members and shed everybody else.
+        """
+        usual = [base or cls.aim * BASE_GUESS for base, cls in zip(self.base, self.classes, strict=True)]
+        return took < HASTY * (usual[request.cls] if request is not None else min(usual))
+
     def eject(self, member: Member, now: int) -> None:
         away = min(EJECT_FIRST << min(member.ejections, 8), EJECT_MOST)
         member.out_until = now + int(away * (0.75 + self.rand() / 2))
--- a/tests/test_cut.py
+++ b/tests/test_cut.py
@@ -126,6 +126,28 @@
         assert b.balancer.cut == 0, outcome
 
 
+def test_time_outs_of_clients_in_a_hurry_are_no_evidence_and_eject_nobody() -> None:
+    """Tries of 30 ms, where answers take as long with no queue, once shed half of all other requests."""
+    for left, gone in ((False, False), (False, True), (True, False)):
+        b = bench(max_attempts=1)
+        feed(b, 0, 40)
+        b.tick()
+        took = 400 * MS if left else int(b.balancer.base[0])
+        b.now += SECOND  # past any proof that the members serve
+        sends = [b.sent(left=took) for _ in range(60)]
+        for send in sends:
+            if gone:  # its client has left before
+                b.give(api.Gone(send.id))
+            b.answer(send, api.Outcome.TIMEOUT, took=took)
+        out = [m for m in b.balancer.members.values() if m.out_until > b.now]
+        b.tick()
+        if left:  # with time enough they are what they seem
+            assert b.balancer.cut > 0 and out
+        else:
+            assert b.balancer.cut == 0 and not out
+            assert all(m.fails == 0 for m in b.balancer.members.values())
+
+
 def test_one_late_answer_moves_nobody() -> None:
     b = bench()
     feed(b, 0, 20)
