--- a/cranespindle/node/host.py
+++ b/cranespindle/node/host.py
@@ -22,8 +22,8 @@
 log = logging.getLogger(__name__)
 
 MS = 1_000_000
-# The client's time ends this much earlier here: for loop lag and the way back. Of a short time only a part, or
-# little would be left for the answer.
+# The client's time ends this much earlier here: for loop lag and the way back. Of a short time only a part,
+# or little would be left for the answer.
 DEADLINE_MARGIN, MARGIN_SHARE = 10 * MS, 0.1
 
 
