Weigh the waits of near and far servers by where the sends went

The pressure took far servers in by the chance to cross; what spills to less busy far servers was left out, and the cut stayed at 0 while they held 30 requests each and the near ones waited 0.4 of the slack. The test fails without the mend.

--- a/cranespindle/balance.py
+++ b/cranespindle/balance.py
@@ -191,6 +191,7 @@
         # Evidence by the zone of the servers, shared with peers: waits over slack, how many, sends, answers.
         self.evidence = [[0.0] * 4 for _ in range(settings.zones)]
         self.sends = self.cycles = self.calm = 0
+        self.went = [0.0, 0.0]  # this sidecar's own sends and those that crossed; kept as evidence is
         self.hangs = 0.0  # share of the attempts that were stuck which came to nothing
         self.pressure, self.over = 0.0, OVER_LEAST + OVER_SERVICES * SERVICE_MOST
         self.cycle_from = 0
@@ -702,6 +703,7 @@
             self.over = OVER_LEAST + OVER_SERVICES * min(SERVICE_MOST, sum(shares) / len(shares))
         keep = min(POOL_KEEP_MOST, max(POOL_KEEP, 1 - seen / EVIDENCE_FULL))
         self.evidence = [[x * keep for x in e] for e in self.evidence]
+        self.went = [x * keep for x in self.went]
         self.tell()
         self.sends, self.cycle_from = 0, now
         self.cycles += 1
@@ -715,8 +717,11 @@
 
     def steer(self, now: int) -> None:
         """Move the cut, and before it the share that crosses zones where that has a price."""
-        (local, rate), (remote, _) = self.view(True), self.view(False)
-        self.pressure = local + (remote - local) * self.crossing
+        (local, rate), (remote, rate_far) = self.view(True), self.view(False)
+        # By where the sends went: by the chance to cross alone, what spills to far servers waited unseen.
+        went = self.went[1] / self.went[0] if self.went[0] > 0.5 else 0.0
+        self.pressure = local + (remote - local) * went
+        rate += (rate_far - rate) * went
         # Where other zones wait less, traffic crosses before any is shed: the more the waits differ, beyond
         # what a price is worth, and home as they even out. By the time passed, as sparse cycles are long.
         if self.order[1]:
@@ -826,6 +831,8 @@
         self.sends += 1
         self.crowd()
         self.evidence[member.zone][SENT] += 1
+        self.went[0] += 1
+        self.went[1] += member.zone != self.settings.zone
         self.out.append(api.Send(request.id, member.id, self.patience(request, now)))
         if self.sends % CYCLE_COUNT == 0:
             self.cycle(now)
--- a/tests/test_cut.py
+++ b/tests/test_cut.py
@@ -5,7 +5,7 @@
 import pytest
 
 from cranespindle import api, balance
-from tests.helpers import MS, SECOND, Bench, request_class, settings
+from tests.helpers import MS, SECOND, Bench, endpoint, request_class, settings
 
 LOW, HIGH = request_class(worth=1.0), request_class(worth=5.0)
 
@@ -170,6 +170,24 @@
     assert b.balancer.pressure > b.balancer.over and b.balancer.cut > 0
 
 
+def test_waits_count_by_where_the_sends_went() -> None:
+    """Far servers once held thirty requests each and nothing was shed: they did not count."""
+    for far, cut in ((30, True), (0, False)):
+        b = Bench(settings(zones=2), servers=0)
+        b.list_of(*(endpoint(n, zone=int(n > 2)) for n in range(1, 10)))
+        for _ in range(40):
+            b.sent()
+        b.balancer.went = [40.0, float(far)]
+        b.balancer.evidence = [[1.0, 10.0, 10.0, 10.0], [30.0, 30.0, 30.0, 10.0]]
+        b.balancer.crossing = 0.0
+        b.balancer.steer(b.now)
+        assert (b.balancer.cut > 0) is cut
+    spilled = Bench(settings(zones=2), servers=0)
+    spilled.list_of(*(endpoint(n, zone=int(n > 2)) for n in range(1, 10)))
+    sends = [spilled.sent() for _ in range(45)]
+    assert spilled.balancer.went == [45, sum(send.endpoint[0] > 2 for send in sends)]
+
+
 def test_answers_that_outrun_sends_do_not_raise_the_cut_again() -> None:
     """While queues drain, answers to old sends are late; each once raised the cut further."""
     b = bench()
