Let the attempt of a hurried request live on for its connection until the aim

At the deadline the connection was closed. Ruled out: failing connects, as the log shows none. The module is untouched. The test fails without the mend.

--- a/cranespindle/node/host.py
+++ b/cranespindle/node/host.py
@@ -66,7 +66,7 @@
 
     __slots__ = (
         "answered", "attempt", "attempts", "client", "deadline", "endpoint", "expires", "id", "incoming",
-        "last", "patience", "sent", "until",
+        "last", "outlived", "patience", "sent", "until",
     )  # fmt: skip
 
     def __init__(self, rid: int, client: Client, incoming: Incoming, expires: int) -> None:
@@ -76,6 +76,7 @@
         self.attempt: Attempt | None = None
         self.endpoint: api.EndpointId = b""
         self.last = -1  # the outcome of the last attempt
+        self.outlived = False  # by that attempt, which is still out
         self.deadline: asyncio.TimerHandle | None = None
         self.patience: asyncio.TimerHandle | None = None
 
@@ -189,16 +190,24 @@
     def _at_deadline(self, request: Open) -> None:
         request.deadline = None
         if request.attempt is not None:
-            request.attempt.abandon(Outcome.TIMEOUT)
+            # Of a client in a hurry an answer is still likely; beyond the aim the endpoint is behind, and an
+            # end may spare it the work.
+            aim = self._settings.classes[request.incoming.cls].aim
+            request.outlived = True
+            request.attempt.outlive((request.sent + aim - self.now()) / SECOND, partial(self._freed, request))
         if not request.answered:
             # The decisions answer each request by now; whatever keeps them from it, none is lost.
             log.error("request %d was left unanswered until its deadline", request.id)
             self._fail(api.Fail(request.id))
             self.post(api.Gone(request.id))
 
+    def _freed(self, request: Open) -> None:
+        request.outlived = False
+        self._settle(request)
+
     def _settle(self, request: Open) -> None:
         """Drop what is answered and has no attempt out."""
-        if request.answered and request.attempt is None:
+        if request.answered and request.attempt is None and not request.outlived:
             if self._open.pop(request.id, None) is not None:
                 self._names.discard(request.incoming.name)
             if request.deadline is not None:
--- a/cranespindle/node/upstream.py
+++ b/cranespindle/node/upstream.py
@@ -219,7 +219,10 @@
 class Attempt:
     """A request on its way to an endpoint. It ends exactly once."""
 
-    __slots__ = ("__weakref__", "_connect", "_connection", "_done", "_payload", "_pool", "_upstream")
+    __slots__ = (
+        "__weakref__", "_connect", "_connection", "_cut_off", "_done", "_freed", "_payload", "_pool",
+        "_upstream",
+    )  # fmt: skip
 
     def __init__(
         self,
@@ -232,6 +235,10 @@
         self._done: Callable[[int, Answer | None], None] | None = done
         self._connection: Connection | None = None
         self._connect: asyncio.Task[None] | None = None
+        self._freed: Callable[[], None] | None = (
+            None  # told when an attempt that outlived its request is over
+        )
+        self._cut_off: asyncio.TimerHandle | None = None
 
     def start(self) -> None:
         connection = self._upstream.take(self._pool)
@@ -250,6 +257,31 @@
             self._connection.close()
         self._end(outcome, None)
 
+    def outlive(self, seconds: float, freed: Callable[[], None]) -> None:
+        """Stop waiting as its request is over, but let the connection live if the answer comes in this time.
+
+        Closed, it would cost the endpoint a handshake, about the work of a request, and the next request the
+        time of it. `freed` is called once nothing of the attempt is out any more.
+        """
+        if self._connection is not None and seconds <= 0:
+            self._connection.close()
+        elif self._connection is not None:
+            self._freed = freed
+            self._cut_off = self._upstream.loop.call_later(seconds, self._give_up)
+            self._upstream.outlived.add(self)
+        elif self._connect is not None:  # the pool gets what comes up; nothing has been written
+            self._upstream.outlived.add(self)
+        done, self._done = self._done, None
+        if done is not None:
+            done(Outcome.TIMEOUT, None)
+        if self._freed is None:
+            freed()
+
+    def _give_up(self) -> None:
+        if self._connection is not None:
+            self._connection.close()
+        self._end(Outcome.TIMEOUT, None)
+
     async def _open(self) -> None:
         ours = False
         try:
@@ -259,6 +291,7 @@
             ours = problem.errno in OWN_LACK
         self._connect = None
         if self._done is None:
+            self._upstream.outlived.discard(self)
             if connection is not None:
                 self._upstream.give(self._pool, connection)
         elif connection is None:
@@ -282,9 +315,16 @@
 
     def _end(self, outcome: int, answer: Answer | None) -> None:
         done, self._done = self._done, None
+        freed, self._freed = self._freed, None
         self._connection = self._connect = None
+        self._upstream.outlived.discard(self)
+        if self._cut_off is not None:
+            self._cut_off.cancel()
+            self._cut_off = None
         if done is not None:
             done(outcome, answer)
+        if freed is not None:
+            freed()
 
 
 def outcome_of(answer: Answer | None) -> int:
@@ -311,6 +351,7 @@
         self._open = 0
         self._pools: dict[EndpointId, Pool] = {}
         self._probes: set[Attempt] = set()
+        self.outlived: set[Attempt] = set()  # those whose request is over
 
     # ---- the list
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -295,6 +295,49 @@
     run(test())
 
 
+def test_an_attempt_that_outlives_a_hurried_request_keeps_its_connection_for_the_next() -> None:
+    """Closed at the deadline, each cost a handshake that the next hurried client had no time for."""
+
+    async def test() -> None:
+        go_on = asyncio.Event()
+
+        async def held(seen: Seen) -> bytes:
+            await go_on.wait()
+            return ok(b"late" if seen is served.seen[0] else b"next")
+
+        async with endpoint(held) as served, sidecar(served.dial) as node:
+            client = await node.client()
+            assert (await client.ask(request(deadline="0.2", rid="9b1f")))[0] == 503
+            assert len(served.seen) == 1 and not served.seen[0].left.is_set()
+            assert node.host.knows(b"9b1f")  # no second copy of what is still out
+            assert len(node.host.upstream.outlived) == 1
+            go_on.set()
+            while node.host.upstream.outlived:
+                await asyncio.sleep(0)
+            assert not node.host.knows(b"9b1f") and not node.host._open
+            assert (await client.ask(request()))[::2] == (200, b"next")
+            assert served.connections == 1 and len(served.seen) == 2
+
+    run(test())
+
+
+@pytest.mark.parametrize("outlive", [True, False])
+def test_an_attempt_outlives_its_request_no_longer_than_the_aim(outlive: bool) -> None:
+    async def test() -> None:
+        aim = {"AimNs": 300_000_000 if outlive else 100_000_000}
+        told: Any = SETTINGS["Categories"]
+        settings = SETTINGS | {"Categories": [told[0] | aim, told[1]]}
+        async with endpoint(never) as served, sidecar(served.dial, settings=settings) as node:
+            client = await node.client()
+            assert (await client.ask(request(deadline="0.2")))[0] == 503
+            if not outlive:
+                assert not node.host.upstream.outlived and not node.host._open
+            await served.seen[0].left.wait()  # its connection ends in either case
+            assert not node.host.upstream.outlived and not node.host._open
+
+    run(test())
+
+
 def test_an_endpoint_that_drains_while_its_connection_comes_up_gets_no_request() -> None:
     async def test() -> None:
         async with endpoint(always_ok) as served, sidecar(served.dial) as node:
