Count no handshake as waiting in the evidence of the cut

At a start all connections are new. Ruled out: real overload at the start, as later waits are below zero at the same load. A start in overload still sheds at once, by a test of its own. The first new test fails without the mend.

--- a/cranespindle/api.py
+++ b/cranespindle/api.py
@@ -86,6 +86,7 @@
     cold_for: int = 0  # and is warm after this time
     fall_multiple: float = 2.0
     max_attempts: int = 3
+    streams: int = 1  # attempts that a connection carries at once
     can_cancel: bool = False
     parallel_tries: bool = False
     peers: bool = False
--- a/cranespindle/balance.py
+++ b/cranespindle/balance.py
@@ -36,6 +36,7 @@
 BASE_DRIFT = 1.0025  # the no-wait latency of a class may rise this much a cycle, to forget an old minimum
 BASE_MOST = 0.5  # and is never taken for more than this share of the aim
 BASE_GUESS = 0.25  # before any answer it counts as this share: a start in overload must show at once
+HANDSHAKE = 0.25  # what a new connection may add to that: where all are new, at a start, it is no queue
 SMOOTH = 0.25  # weight of a new sample in an endpoint's estimates
 SMOOTH_LEAST, SMOOTH_TIME = (
     0.03,
@@ -94,8 +95,8 @@
 
     __slots__ = (
         "base", "cell", "ejections", "fails", "fails_of", "good", "health", "heard", "heard_of", "id",
-        "inflight", "out_until", "pace", "passed", "probing", "quiet", "rank", "share", "started", "streak",
-        "zone",
+        "inflight", "opened", "out_until", "pace", "passed", "probing", "quiet", "rank", "share", "started",
+        "streak", "zone",
     )  # fmt: skip
 
     def __init__(self, entry: api.Endpoint, rank: int, classes: int) -> None:
@@ -116,6 +117,7 @@
         self.heard = 0  # when it last answered; 0: not yet, so it counts as the mean of the others
         self.streak = self.ejections = self.out_until = 0
         self.good = -HOUR  # when it last served
+        self.opened = 0  # connections that our attempts have needed at once so far
         self.passed = 0  # when the youngest of the requests that it served had been sent
         self.quiet = 0  # since when it owes answers and has given none
         self.probing = False  # it is out, and a probe asks whether it may come back
@@ -125,8 +127,8 @@
     """A request that is owed its final answer."""
 
     __slots__ = (
-        "arrived", "asked", "attempts", "best", "best_far", "best_took", "cls", "counted", "expires", "id",
-        "key", "member", "open", "ran", "ran_at", "sent", "steps",
+        "arrived", "asked", "attempts", "best", "best_far", "best_took", "cls", "connects", "counted",
+        "expires", "id", "key", "member", "open", "ran", "ran_at", "sent", "steps",
         "stuck",
     )  # fmt: skip
 
@@ -137,6 +139,7 @@
         self.member: Member | None = None  # where its last attempt went
         self.ran: Member | None = None  # where it first may have run
         self.counted = 0.0  # how much of its wait is in the evidence already
+        self.connects = False  # its attempt had no connection to go on
         self.stuck = False  # its attempt is late though the member serves what came after; noted once
         self.asked: list[Member] = []  # members asked by a probe whether they are idle
         self.steps = self.open = 0
@@ -578,13 +581,21 @@
         else:
             self.latency[cls][0] += took / aim
             self.latency[cls][1] += 1
-            base = self.base[cls] or aim * BASE_GUESS
             pace = took / (self.mean[cls] or took)
             member.pace = member.pace + SMOOTH * (pace - member.pace) if member.heard else pace
-            wait = min(2.0, (took - base) / (aim - base))
+            wait = min(2.0, self.wait(request, took))
         self.witness(member, request, wait)
         self.evidence[member.zone][DONE] += outcome == Outcome.OK
 
+    def wait(self, request: Pending, took: int) -> float:
+        """What an attempt has waited, as a share of the class slack.
+
+        Without the part for the connection, three first answers of a start shed half of all for some seconds.
+        """
+        aim = self.classes[request.cls].aim
+        base = self.base[request.cls] or aim * BASE_GUESS
+        return (took - base - request.connects * HANDSHAKE * aim) / (aim - base)
+
     def witness(self, member: Member, request: Pending, wait: float) -> None:
         """Add what is new of an attempt's wait to the evidence."""
         evidence = self.evidence[member.zone]
@@ -670,10 +681,9 @@
     def cycle(self, now: int) -> None:
         # A wait is evidence while it lasts: queues that build at once show before their first late answer.
         for request in self.pending.values():
-            member, aim = request.member, self.classes[request.cls].aim
+            member = request.member
             if member and member.out_until <= now:  # one that is out says nothing of the others' load
-                base = self.base[request.cls] or aim * BASE_GUESS
-                wait = min(1.0, (now - request.sent - base) / (aim - base))
+                wait = min(1.0, self.wait(request, now - request.sent))
                 if wait <= self.over:
                     continue
                 if not self.overtaken(request):
@@ -827,6 +837,9 @@
         if not member.inflight:
             member.quiet = now
         member.inflight += 1
+        if connects := member.inflight > member.opened * self.settings.streams:
+            member.opened += 1
+        request.connects = connects
         self.flying += 1
         self.sends += 1
         self.crowd()
--- a/cranespindle/node/config.py
+++ b/cranespindle/node/config.py
@@ -7,7 +7,7 @@
 import math
 import resource
 from collections.abc import Iterator, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from hashlib import blake2b
 from pathlib import Path
 from typing import Any, TypeAlias
@@ -126,7 +126,9 @@
         peer_listen=_address(top, "peer_listen") if top.get("peer_listen") else None,
         peers=tuple(_parse_address(peer, "peers") for peer in peers),
         peers_all=_address(top, "peers_all") if top.get("peers_all") else None,
-        settings=settings,
+        settings=replace(
+            settings, streams=1
+        ),  # whatever the simulator's carry, HTTP/1.1 carries one at a time
         names=names,
         reports=bool(settings.report_fields),
         connect_timeout=connect_timeout,
--- a/cranespindle/wire.py
+++ b/cranespindle/wire.py
@@ -223,6 +223,7 @@
         cold_for=int(number(rules, "ColdNs", 0)),
         fall_multiple=number(rules, "FallMultiple", 2),
         max_attempts=int(number(limits, "MaxAttempts", 1, low=1)),
+        streams=int(number(limits, "StreamsPerConn", 1, low=1)),
         can_cancel=bool(limits.get("Cancel")),
         parallel_tries=bool(limits.get("ParallelTries")),
         peers=bool(limits.get("Peers")),
--- a/tests/test_cut.py
+++ b/tests/test_cut.py
@@ -170,6 +170,38 @@
     assert b.balancer.pressure > b.balancer.over and b.balancer.cut > 0
 
 
+def test_what_a_new_connection_takes_is_no_queue() -> None:
+    """At a start all connections are new: the first answers over them once shed half for some seconds."""
+    for streams in (1, 100):
+        b = bench(streams=streams)
+        first = [b.sent() for _ in range(18)]
+        pending = b.balancer.pending
+        assert sum(pending[send.id].connects for send in first) == (18 if streams == 1 else 6)
+        for send in first[:6]:
+            b.answer(send, took=350 * MS)
+        b.tick(0.3)
+        assert b.balancer.cut == 0
+    used = bench()
+    for send in [used.sent() for _ in range(18)]:
+        used.answer(send, took=100 * MS)
+    for _ in range(9):
+        used.tick()
+    again = [used.sent() for _ in range(18)]
+    assert not any(used.balancer.pending[send.id].connects for send in again)
+    for send in again:
+        used.answer(send, took=450 * MS)
+    used.tick()
+    assert used.balancer.cut > 0
+
+
+def test_a_start_in_overload_shows_at_once_all_the_same() -> None:
+    b = bench()
+    for send in [b.sent() for _ in range(18)]:
+        b.answer(send, took=600 * MS)
+    b.tick()
+    assert b.balancer.cut > 0
+
+
 def test_waits_count_by_where_the_sends_went() -> None:
     """Far servers once held thirty requests each and nothing was shed: they did not count."""
     for far, cut in ((30, True), (0, False)):
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -423,6 +423,11 @@
     run(test())
 
 
+def test_a_real_connection_carries_one_request_at_a_time_whatever_the_settings_say() -> None:
+    limits = {"Limits": {"StreamsPerConn": 100}}
+    assert config.parse(configuration(dead_dial(), settings=SETTINGS | limits)).settings.streams == 1
+
+
 def test_up_tells_whether_any_endpoint_is_known() -> None:
     async def test() -> None:
         up = b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n"
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -100,6 +100,8 @@
     parsed = wire.settings(json.dumps(GOOD | {"Novel": [1]}).encode())
     [cls] = parsed.classes
     assert (cls.effect, cls.scope, cls.worth, cls.late_worth) == (api.Effect.KEYED, api.Scope.CELL, 2, 0)
+    assert parsed.streams == 1
+    assert wire.settings(json.dumps(GOOD | {"Limits": {"StreamsPerConn": 100}}).encode()).streams == 100
 
 
 @pytest.mark.parametrize(
@@ -112,6 +114,7 @@
         ({"Rules": 7}, "Rules"),
         ({"Rules": {"ColdNs": -1}}, "ColdNs"),
         ({"NInstances": 0}, "NInstances"),
+        ({"Limits": {"StreamsPerConn": 0}}, "StreamsPerConn"),
     ],
 )
 def test_settings_that_make_no_sense_name_the_key(change: dict[str, object], named: str) -> None:
