End a request's time at its deadline call, so no second copy goes out

Each id in the traced play had its first attempt kept for the connection at the deadline (`Attempt.outlive`) and a second one sent with 0.0 to 0.3 ms left, beside it.

At fault: `Host._at_deadline`. uvloop rounds a timer to milliseconds and may call before `expires`; the decisions then took the time-out for one with time left, and `_send` saw neither an attempt nor the end.

Ruled out: a time-out of the attempt (`abandon` shuts the connection first), the end at SIGTERM (`_end` was None in each), a copy by the client (one Req-Id taken once).

Guarded by tests/test_crossings.py, which holds the decisions' clock before the deadline.

--- a/cranespindle/node/host.py
+++ b/cranespindle/node/host.py
@@ -189,6 +189,9 @@
 
     def _at_deadline(self, request: Open) -> None:
         request.deadline = None
+        # The loop rounds its timers to milliseconds and may call before the time: it is over all the same, or
+        # a further attempt would go out beside the one that outlives its request.
+        request.expires = min(request.expires, self.now())
         if request.attempt is not None:
             # Of a client in a hurry an answer is still likely; beyond the aim the endpoint is behind, and an
             # end may spare it the work.
