Write nothing for a client that left while its connection came up

At fault: `Host.gone` concluded the request and left its attempt alone, rightly so where it is written; one that still waited for its connection was then written by `Attempt._open`, which looked only whether the attempt had been given up, up to the connect time-out later. Now `gone` withdraws what is unwritten: the outcome is "never sent", the pool gets the connection that comes up.

Ruled out by a test of its own: a further attempt after the client left while an earlier one was out.

--- a/cranespindle/node/host.py
+++ b/cranespindle/node/host.py
@@ -182,10 +182,13 @@
                 self._at_deadline(request)
 
     def gone(self, rid: int) -> None:
-        """The client left. An attempt that is out goes on: ending it would only cost a connection."""
+        """The client left. An attempt that is out goes on: ending it would only cost a connection. One that
+        still waits for its connection must not begin: nobody wants it any more."""
         if (request := self._conclude(rid)) is not None:
             self._settle(request)
             self.post(api.Gone(rid))
+            if request.attempt is not None:
+                request.attempt.withdraw()
 
     def _at_deadline(self, request: Open) -> None:
         request.deadline = None
--- a/cranespindle/node/upstream.py
+++ b/cranespindle/node/upstream.py
@@ -257,6 +257,14 @@
             self._connection.close()
         self._end(outcome, None)
 
+    def withdraw(self) -> None:
+        """End it if nothing of it has been written. The pool gets the connection that comes up."""
+        if self._connect is not None:
+            self._upstream.outlived.add(self)
+            done, self._done = self._done, None
+            if done is not None:
+                done(Outcome.MOOT, None)
+
     def outlive(self, seconds: float, freed: Callable[[], None]) -> None:
         """Stop waiting as its request is over, but let the connection live if the answer comes in this time.
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import Any
 
 from cranespindle import api
-from tests.sidecar import SETTINGS, endpoint, never, request, run, sidecar
+from cranespindle.node.upstream import Connection, Pool
+from tests.sidecar import SETTINGS, Seen, Sidecar, always_ok, endpoint, never, request, run, sidecar
 
 
 def settings(*changes: dict[str, Any], **others: Any) -> dict[str, Any]:
@@ -15,6 +17,26 @@
     return SETTINGS | {"Categories": classes} | others
 
 
+def completed(event: api.Event) -> bool:
+    return isinstance(event, api.Completed)
+
+
+class Gate:
+    """Lets the connections of a sidecar to its endpoints come up only once it is opened."""
+
+    def __init__(self, node: Sidecar) -> None:
+        self.opened, self.reached, self.waiting = asyncio.Event(), asyncio.Event(), 0
+        self._connect = node.host.upstream.connect
+        node.host.upstream.connect = self._late  # type: ignore[method-assign]
+
+    async def _late(self, pool: Pool) -> Connection:
+        self.waiting += 1
+        self.reached.set()
+        await self.opened.wait()
+        self.waiting -= 1
+        return await self._connect(pool)
+
+
 def test_a_deadline_that_the_loop_calls_early_lets_no_second_copy_out() -> None:
     """The first attempt was kept for its connection, and a further one went out in the last moment."""
 
@@ -30,9 +52,59 @@
             client = await node.client()
             assert (await client.ask(request(deadline="0.2")))[0] == 503
             assert len(node.host.upstream.outlived) == 1
-            assert (await node.event(lambda e: isinstance(e, api.Completed))).outcome == api.Outcome.TIMEOUT
+            assert (await node.event(completed)).outcome == api.Outcome.TIMEOUT
             moot = await node.event(lambda e: isinstance(e, api.Completed) and e.attempt == 1)
             assert moot.outcome == api.Outcome.MOOT
             assert one.connections + other.connections == 1
 
     run(test())
+
+
+def test_a_client_that_left_while_its_connection_came_up_late_gets_nothing_sent() -> None:
+    """Its request was written as soon as the connection was there, however long nobody had waited for it."""
+
+    async def test() -> None:
+        async with endpoint(always_ok) as served, sidecar(served.dial) as node:
+            gate = Gate(node)
+            client = await node.client()
+            client.writer.write(request("post", rid="9b1f"))
+            await gate.reached.wait()
+            client.writer.close()
+            await node.event(lambda e: isinstance(e, api.Gone))
+            assert (await node.event(completed)).outcome == api.Outcome.MOOT
+            assert not node.host.knows(b"9b1f") and not node.host._open
+            gate.opened.set()
+            other = await node.client()
+            assert (await other.ask(request("post", rid="77")))[0] == 200
+            # The connection was not in vain: the next request has it.
+            assert [seen.headers[b"req-id"] for seen in served.seen] == [b"77"]
+            assert not node.host.upstream.outlived
+
+    run(test())
+
+
+def test_a_client_that_left_while_an_attempt_was_out_gets_no_further_one() -> None:
+    async def test() -> None:
+        left = asyncio.Event()
+
+        async def decline(seen: Seen) -> bytes:
+            await left.wait()
+            return b"HTTP/1.1 503 X\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n"
+
+        async with (
+            endpoint(decline) as one,
+            endpoint(decline) as other,
+            sidecar(one.dial, other.dial) as node,
+        ):
+            client = await node.client()
+            client.writer.write(request())
+            while not one.seen and not other.seen:
+                await asyncio.sleep(0)
+            client.writer.close()
+            await node.event(lambda e: isinstance(e, api.Gone))
+            left.set()
+            ended = await node.event(completed)
+            assert (ended.outcome, ended.over) == (api.Outcome.FULL, True)
+            assert not node.host._open and len(one.seen) + len(other.seen) == 1
+
+    run(test())
