Notice that a client left also while nothing is read from it

At fault: `ClientConnection._pace` paused reading after a last request (`Connection: close`, HTTP/1.0) and behind a full pipeline, and a paused transport tells of no end: `gone` was not called, and what waited went out.

Ruled out: a half-close that waits for its answer, which counted as leaving before as well (`eof_received`).

--- a/cranespindle/node/frontend.py
+++ b/cranespindle/node/frontend.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import select
 from collections import deque
 from http import HTTPStatus
 from typing import cast
@@ -10,7 +11,7 @@
 from cranespindle.node.config import SECOND, Config
 from cranespindle.node.host import Host
 from cranespindle.node.request import BadRequest, Checker, Head, begins_badly, parse_head
-from cranespindle.node.upstream import Answer, Headers
+from cranespindle.node.upstream import BODY_MOST, Answer, Headers
 
 PIPELINE_MOST = 16  # requests taken ahead of their turn on one connection
 # What concerns one connection only, is written anew, or is meant for sidecars.
@@ -42,6 +43,13 @@
     return b"\r\n".join(lines) + b"\r\n\r\n" + body
 
 
+def has_left(transport: asyncio.Transport) -> bool:
+    """Whether the peer has ended its side, asked of the socket: where nothing is read, no event tells."""
+    ended = select.poll()
+    ended.register(transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
+    return bool(ended.poll(0))  # errors and hang-ups are always told
+
+
 class Exchange:
     """A request of a connection and its answer, which goes out in its turn."""
 
@@ -79,6 +87,7 @@
         self._ended = False  # nothing more is read
         self._clogged = False  # the client does not read its answers
         self._paused = False  # nothing is read for now
+        self._dropped = 0  # bytes that came after the last request to be taken here
         self._since = 0.0  # when the wait began that goes on now
         self.proven = False  # it has sent a whole request that makes sense
 
@@ -110,6 +119,8 @@
 
     def data_received(self, data: bytes) -> None:
         if self._ended:
+            self._dropped += len(data)
+            self._pace()
             return
         if self.idle:
             self._wait_anew()
@@ -224,11 +235,12 @@
         return self._ended or self._clogged or len(self._exchanges) >= PIPELINE_MOST
 
     def _pace(self) -> None:
-        """Read on, unless nothing more is wanted or requests or answers pile up."""
+        """Read on, unless requests or answers pile up. After the last request too, for the client's leaving
+        shows only there; but not whatever it sends."""
         transport = self._transport
         if transport is None or transport.is_closing():
             return
-        paused = self._full()
+        paused = self._dropped > BODY_MOST if self._ended else self._full()
         if paused != self._paused:
             self._paused = paused
             (transport.pause_reading if paused else transport.resume_reading)()
@@ -246,7 +258,9 @@
         transport, waited = self._transport, self.waited(now)
         if transport is None:
             return
-        if transport.is_closing():
+        if self._paused and not transport.is_closing() and has_left(transport):
+            transport.abort()
+        elif transport.is_closing():
             if waited > LINGER:
                 transport.abort()
         elif self._clogged:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -5,7 +5,10 @@
 import asyncio
 from typing import Any
 
+import pytest
+
 from cranespindle import api
+from cranespindle.node.frontend import PIPELINE_MOST
 from cranespindle.node.upstream import Connection, Pool
 from tests.sidecar import SETTINGS, Seen, Sidecar, always_ok, endpoint, never, request, run, sidecar
 
@@ -108,3 +111,37 @@
             assert not node.host._open and len(one.seen) + len(other.seen) == 1
 
     run(test())
+
+
+@pytest.mark.parametrize("ending", ["last", "pipelined", "flooded"])
+def test_a_client_that_leaves_while_nothing_is_read_from_it_is_noticed(ending: str) -> None:
+    """Reading was paused after a last request and a full pipeline: the requests went out all the same."""
+
+    async def test() -> None:
+        async with endpoint(always_ok) as served, sidecar(served.dial) as node:
+            gate = Gate(node)
+            client = await node.client()
+            if ending == "pipelined":
+                asked = PIPELINE_MOST
+                client.writer.write(b"".join(request() for _ in range(asked + 3)))
+            else:
+                asked = 1
+                client.writer.write(request(extra=b"Connection: close\r\n"))
+            while gate.waiting < asked:
+                await asyncio.sleep(0)
+            if ending == "flooded":
+                client.writer.write(b"x" * 200_000)
+            [connection] = [*node.frontend._others, *node.frontend._proven]
+            while connection._paused != (ending != "last"):
+                await asyncio.sleep(0)
+            client.writer.transport.abort() if ending == "flooded" else client.writer.close()
+            for _ in range(asked):
+                gone = await node.event(lambda e: isinstance(e, api.Gone))
+                node.events.remove(gone)
+            assert not node.host._open
+            gate.opened.set()
+            other = await node.client()
+            assert (await other.ask(request(rid="77")))[0] == 200
+            assert [seen.headers[b"req-id"] for seen in served.seen] == [b"77"]
+
+    run(test())
