Write no keyed resend after its window has closed

At fault: `Balancer.worth_resending` looks at the window when the resend is decided, `Attempt._open` wrote it when its connection was up, later by up to the connect time-out (150 ms here, of a window of 750 ms): a repeat that the servers no longer drop. `Send` now carries the clock from which it must not begin, and an attempt whose connection comes up later ends as never sent; the request is answered as failed, as it may have run.

Ruled out: a resend on a kept connection, written in the turn that decides it.

--- a/cranespindle/api.py
+++ b/cranespindle/api.py
@@ -176,6 +176,7 @@
     id: int
     endpoint: EndpointId
     timeout: int  # 0: until the client gives up
+    latest: int = 0  # clock from which it must not begin any more, should its connection be late; 0: none
 
 
 class Refuse(NamedTuple):
--- a/cranespindle/balance.py
+++ b/cranespindle/balance.py
@@ -846,7 +846,10 @@
         self.evidence[member.zone][SENT] += 1
         self.went[0] += 1
         self.went[1] += member.zone != self.settings.zone
-        self.out.append(api.Send(request.id, member.id, self.patience(request, now)))
+        latest = 0  # a connection may come up late, and repeats are dropped for so long only
+        if request.ran is not None and self.classes[request.cls].effect == Effect.KEYED:
+            latest = request.ran_at + self.classes[request.cls].window
+        self.out.append(api.Send(request.id, member.id, self.patience(request, now), latest))
         if self.sends % CYCLE_COUNT == 0:
             self.cycle(now)
 
--- a/cranespindle/node/host.py
+++ b/cranespindle/node/host.py
@@ -241,7 +241,8 @@
         number, request.attempts = request.attempts, request.attempts + 1
         request.sent, request.endpoint, request.until = now, action.endpoint, request.expires
         done = partial(self._completed, request, number)
-        attempt = self.upstream.attempt(action.endpoint, partial(request.payload, self.now), done)
+        payload = partial(request.payload, self.now)
+        attempt = self.upstream.attempt(action.endpoint, payload, done, action.latest)
         if attempt is None:
             done(Outcome.CONNECT_FAILED, None)
             return
--- a/cranespindle/node/upstream.py
+++ b/cranespindle/node/upstream.py
@@ -220,8 +220,8 @@
     """A request on its way to an endpoint. It ends exactly once."""
 
     __slots__ = (
-        "__weakref__", "_connect", "_connection", "_cut_off", "_done", "_freed", "_payload", "_pool",
-        "_upstream",
+        "__weakref__", "_connect", "_connection", "_cut_off", "_done", "_freed", "_latest", "_payload",
+        "_pool", "_upstream",
     )  # fmt: skip
 
     def __init__(
@@ -230,8 +230,9 @@
         pool: Pool,
         payload: Callable[[], bytes],
         done: Callable[[int, Answer | None], None],
+        latest: int,
     ) -> None:
-        self._upstream, self._pool, self._payload = upstream, pool, payload
+        self._upstream, self._pool, self._payload, self._latest = upstream, pool, payload, latest
         self._done: Callable[[int, Answer | None], None] | None = done
         self._connection: Connection | None = None
         self._connect: asyncio.Task[None] | None = None
@@ -308,6 +309,9 @@
             # It began to drain or went while the connection came up: nothing new may go to it.
             connection.close()
             self._end(Outcome.CONNECT_FAILED, None)
+        elif self._latest and self._upstream.now() >= self._latest:
+            self._upstream.give(self._pool, connection)
+            self._end(Outcome.MOOT, None)
         else:
             self._write(connection)
 
@@ -348,7 +352,7 @@
 
 class Upstream:
     def __init__(self, config: Config, loop: asyncio.AbstractEventLoop, now: Callable[[], int]) -> None:
-        self.loop, self._now = loop, now
+        self.loop, self.now = loop, now
         self._idle_most = int(config.idle_limit * IDLE_SHARE)
         self._connect_timeout = config.connect_timeout / SECOND
         self._fields = config.settings.report_fields
@@ -400,22 +404,24 @@
         endpoint: EndpointId,
         payload: Callable[[], bytes],
         done: Callable[[int, Answer | None], None],
+        latest: int = 0,
     ) -> Attempt | None:
-        """A new attempt, not yet started; None where the endpoint wants nothing new."""
+        """A new attempt, not yet started; None where the endpoint wants nothing new. With its connection up
+        only at the clock `latest` (0: none) or after it, it is not written."""
         pool = self._pools.get(endpoint)
         if pool is None or pool.health != Health.READY:
             return None
-        return Attempt(self, pool, payload, done)
+        return Attempt(self, pool, payload, done, latest)
 
     def probe(self, endpoint: EndpointId, done: Callable[[int, int, tuple[float, ...]], None]) -> None:
-        began = self._now()
+        began = self.now()
 
         def ended(outcome: int, answer: Answer | None) -> None:
             timer.cancel()
             self._probes.discard(attempt)
             if answer is not None and answer.status == 503:
                 outcome = Outcome.FULL
-            done(outcome, self._now() - began, self.report(answer, body=True))
+            done(outcome, self.now() - began, self.report(answer, body=True))
 
         attempt = self.attempt(endpoint, lambda: self._probe, ended)
         if attempt is None:
@@ -447,7 +453,7 @@
 
     def take(self, pool: Pool) -> Connection | None:
         """The most recently used idle connection that is still good; the others grow old and close."""
-        oldest = self._now() - self._idle_most
+        oldest = self.now() - self._idle_most
         while pool.idle:
             connection = pool.idle.pop()
             if connection.idle_since > oldest and connection.usable():
@@ -457,7 +463,7 @@
 
     def give(self, pool: Pool, connection: Connection) -> None:
         if pool.health == Health.READY and connection.usable():
-            connection.idle_since = now = self._now()
+            connection.idle_since = now = self.now()
             pool.idle.append(connection)
             # The newest is used first, so the surplus gathers at the old end; the last one stays.
             while pool.idle[0].idle_since < now - SURPLUS_IDLE:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -8,9 +8,10 @@
 import pytest
 
 from cranespindle import api
+from cranespindle.node.config import SECOND
 from cranespindle.node.frontend import PIPELINE_MOST
 from cranespindle.node.upstream import Connection, Pool
-from tests.sidecar import SETTINGS, Seen, Sidecar, always_ok, endpoint, never, request, run, sidecar
+from tests.sidecar import SETTINGS, Seen, Sidecar, always_ok, endpoint, never, ok, request, run, sidecar
 
 
 def settings(*changes: dict[str, Any], **others: Any) -> dict[str, Any]:
@@ -145,3 +146,49 @@
             assert [seen.headers[b"req-id"] for seen in served.seen] == [b"77"]
 
     run(test())
+
+
+KEYED = {"Effect": "dedup", "KeyScope": "all", "WindowNs": 2_000_000_000}
+KEY = b"Idempotency-Key: 5c0f\r\n"
+
+
+@pytest.mark.parametrize("late", [False, True])
+def test_a_keyed_resend_is_written_within_the_window_or_not_at_all(late: bool) -> None:
+    """It was decided within the window and written when its connection was up, by then a repeat that runs."""
+
+    async def test() -> None:
+        go_on = asyncio.Event()
+
+        async def break_once(seen: Seen) -> bytes | None:
+            if len(one.seen) + len(other.seen) > 1:
+                return ok()
+            await go_on.wait()
+            return None
+
+        async with (
+            endpoint(break_once) as one,
+            endpoint(break_once) as other,
+            sidecar(one.dial, other.dial, settings=settings({}, KEYED)) as node,
+        ):
+            gate, clock = Gate(node), node.host.now
+            gate.opened.set()
+            client = await node.client()
+            client.writer.write(request("post", extra=KEY))
+            while not one.seen and not other.seen:
+                await asyncio.sleep(0)
+            gate.opened.clear()
+            gate.reached.clear()
+            go_on.set()
+            await gate.reached.wait()  # the resend is decided, and has no connection yet
+            if late:
+                node.host.now = node.host.upstream.now = lambda: clock() + 2 * SECOND
+            gate.opened.set()
+            code, _, _ = await client.answer()
+            again = await node.event(lambda e: completed(e) and e.attempt == 1)
+            if late:
+                assert (code, again.outcome) == (502, api.Outcome.MOOT)
+            else:
+                assert (code, again.outcome) == (200, api.Outcome.OK)
+            assert len(one.seen) + len(other.seen) == (1 if late else 2)
+
+    run(test())
