Open a watch of asked-for lists anew at once where it may have told

At fault: `Discovery._watch` reported a silent watch as failed, after its wait of 20 s and 1 s more, and `Balancer.on_list` then puts the next call off by 1 to 4 s, to spare a service that fails; a silence counts as told 2 s after the wait. Sibling: an answer that was cut, junk or malformed had told something as well. Both are now asked for again at once, the spoilt one once.

Ruled out: the module's pause itself (after a refusal four times the time to ask in is granted), the wait of 20 s (its end plus 1 s leaves 1 s), lists that are pushed (called again every half second).

Guarded by tests/test_crossings.py.

--- a/cranespindle/node/discovery.py
+++ b/cranespindle/node/discovery.py
@@ -29,6 +29,14 @@
     """A call to discovery brought no list."""
 
 
+class CallSilent(CallFailed):
+    """It was open, and nothing came in its time: what it missed counts as told soon after."""
+
+
+class CallSpoilt(CallFailed):
+    """Something came that cannot be read: what it said counts as told already."""
+
+
 class Discovery:
     def __init__(self, config: Config, host: Host, loop: asyncio.AbstractEventLoop) -> None:
         self._address, self._names, self._host, self._loop = config.discovery, config.names, host, loop
@@ -74,14 +82,20 @@
             self._fetcher = self._loop.create_task(self._fetch())
 
     async def _watch(self) -> None:
-        """One watch after the other. Where discovery is asked, a failed one is the last: the decisions
-        ask anew."""
+        """One watch after the other. Where discovery is asked, a failed one is the last, and the decisions
+        ask anew, later, to spare it. Not so where the time runs for what counts as told: after a silence, and
+        after an answer that was spoilt (once: again and again it must not be asked without a pause)."""
+        spoilt = False
         while True:
             try:
                 told = await self._next()
+                spoilt = False
             except CallFailed as problem:
                 log.debug("discovery: %s", problem)
                 if not self._pushed:
+                    if isinstance(problem, CallSilent) or (isinstance(problem, CallSpoilt) and not spoilt):
+                        spoilt = isinstance(problem, CallSpoilt)
+                        continue
                     self._watcher = None
                     self._host.post(api.EndpointList(api.ListKind.FAILED, ()))
                     return
@@ -129,18 +143,23 @@
             async with asyncio.timeout(timeout):
                 answer = await self._exchange(request)
         except (OSError, TimeoutError) as problem:
+            kind = CallFailed if self._connection is None else CallSilent
             self._drop()
-            raise CallFailed(f"{type(problem).__name__} {problem}") from None
+            raise kind(f"{type(problem).__name__} {problem}") from None
         except asyncio.CancelledError:
             self._drop()
             raise
-        if answer is None or answer.status != 200:
+        if answer is None:
+            kind = CallSpoilt if self._connection is not None and self._connection.begun else CallFailed
+            self._drop()
+            raise kind("no whole answer")
+        if answer.status != 200:
             self._drop()
-            raise CallFailed("no answer" if answer is None else f"status {answer.status}")
+            raise CallFailed(f"status {answer.status}")
         try:
             return host_list(json.loads(answer.body), self._names)
         except (ValueError, RecursionError) as problem:
-            raise CallFailed(f"malformed list: {problem}") from None
+            raise CallSpoilt(f"malformed list: {problem}") from None
 
     async def _exchange(self, request: bytes) -> Answer | None:
         connection, self._connection = self._connection, None
--- a/cranespindle/node/upstream.py
+++ b/cranespindle/node/upstream.py
@@ -69,6 +69,7 @@
         self._poll = select.poll()
         self._answer: Answer | None = None
         self._junk = False
+        self._raw = 0  # bytes of the answer so far
         self.idle_since = 0
         self.body_most = ANSWER_MOST
 
@@ -88,6 +89,11 @@
         transport = self._transport
         return transport is not None and not transport.is_closing() and not self._poll.poll(0)
 
+    @property
+    def begun(self) -> bool:
+        """Whether anything of the answer to the last request has come."""
+        return self._raw > 0
+
     def send(self, data: bytes, done: Callable[[Answer | None], None]) -> bool:
         """Write a request. False: its last byte surely did not go out. Else `done` gets the answer, once, or
         None if the connection broke.
@@ -127,10 +133,10 @@
         if self._done is None:
             self.close()  # an answer that nobody asked for
             return
+        # The parser keeps an unfinished header and skips chunk extensions unseen: raw bytes are counted.
+        self._raw += len(data)
         try:
             self._parser.feed_data(data)
-            # The parser keeps an unfinished header and skips chunk extensions unseen: raw bytes are counted.
-            self._raw += len(data)
             self._junk |= self._raw > (HEAD_MOST if self._in_head else HEAD_MOST + 2 * self.body_most)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._junk = True
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import json
+from collections.abc import Callable
 from typing import Any
 
 import pytest
@@ -11,7 +13,20 @@
 from cranespindle.node.config import SECOND
 from cranespindle.node.frontend import PIPELINE_MOST
 from cranespindle.node.upstream import Connection, Pool
-from tests.sidecar import SETTINGS, Seen, Sidecar, always_ok, endpoint, never, ok, request, run, sidecar
+from tests.sidecar import (
+    SETTINGS,
+    WAIT,
+    Seen,
+    Sidecar,
+    always_ok,
+    endpoint,
+    entry,
+    never,
+    ok,
+    request,
+    run,
+    sidecar,
+)
 
 
 def settings(*changes: dict[str, Any], **others: Any) -> dict[str, Any]:
@@ -192,3 +207,75 @@
             assert len(one.seen) + len(other.seen) == (1 if late else 2)
 
     run(test())
+
+
+# ---- discovery that has to be asked
+
+
+ASKED = settings(Discovery="on_request")
+
+
+def listed(kind: int) -> Callable[[api.Event], bool]:
+    return lambda event: isinstance(event, api.EndpointList) and event.kind == kind
+
+
+SPOILT = [
+    None,  # the watch falls silent
+    ok(b'{"seq":2,"whole":false,"hosts":[{"host":"s-0","hea'),
+    b"HTTP/1.1 200 OK\r\nContent-Length: 400\r\n\r\n" + b'{"seq":2,"whole":false,"hosts":[',
+    b"HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n",
+]
+
+
+@pytest.mark.parametrize("first", SPOILT, ids=["silent", "malformed", "cut", "junk"])
+def test_where_lists_are_asked_for_a_watch_that_may_have_told_is_opened_anew_at_once(
+    first: bytes | None,
+) -> None:
+    """The decisions put the next call off by up to 4 s: a server that drained meanwhile got requests."""
+    calls: list[bytes] = []
+    first_comes: list[Callable[[], None]] = []
+
+    async def script(seen: Seen) -> bytes | None:
+        calls.append(seen.line.split()[1])
+        if len(calls) == 1:
+            first_comes[0]()
+        if len(calls) > 2:
+            return await never(seen)
+        if len(calls) == 2:
+            drained = {"seq": 2, "whole": False, "hosts": [entry("s-0", "127.0.0.1:9", "draining")]}
+            return ok(json.dumps(drained, indent=2).encode())
+        return first if first is not None else await never(seen)
+
+    async def test() -> None:
+        async with (
+            endpoint(script) as served,
+            sidecar("127.0.0.1:9", discovery=served.dial, settings=ASKED) as node,
+        ):
+            node.discovery._hold, node.discovery._grace = 1.0, 0.0
+            first_comes.append(lambda: setattr(node.discovery, "_hold", WAIT))  # the others may be slow
+            node.discovery.watch(True)
+            told = await node.event(listed(api.ListKind.DELTA))
+            assert told.endpoints[0].health == api.Health.DRAINING
+            assert not [e for e in node.events if listed(api.ListKind.FAILED)(e)]
+            assert [call.split(b"&")[0] for call in calls[:2]] == [b"/discovery/hosts?from=1"] * 2
+
+    run(test())
+
+
+@pytest.mark.parametrize("answer", [None, b"HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n", SPOILT[1]])
+def test_where_lists_are_asked_for_one_that_fails_again_is_left_to_the_decisions(
+    answer: bytes | None,
+) -> None:
+    async def script(seen: Seen) -> bytes | None:
+        return answer
+
+    async def test() -> None:
+        async with (
+            endpoint(script) as served,
+            sidecar("127.0.0.1:9", discovery=served.dial, settings=ASKED) as node,
+        ):
+            node.discovery.watch(True)
+            await node.event(listed(api.ListKind.FAILED))
+            assert len(served.seen) == (2 if answer == SPOILT[1] else 1)
+
+    run(test())
