Send a request that a server calls wrong to no other server

At fault: `outcome_of` took every status but 200 and a plain decline for an error of the server, so `worth_resending` tried the next one, and `Balancer.learn` put each down as that server's failure. Such an answer (4xx but 408, 425, 429) is now an outcome of its own: tried nowhere else, no failure, no evidence of load.

--- a/cranespindle/api.py
+++ b/cranespindle/api.py
@@ -47,6 +47,7 @@
     RESET = 5  # the connection broke while the attempt was out
     CANCELLED = 6  # called off; it may have run
     MOOT = 7  # never sent: the request was over, out of time or out of attempts
+    WRONG = 8  # the endpoint answered that the request itself is wrong: so would any other
 
 
 NEVER_RAN = frozenset((Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT))
--- a/cranespindle/balance.py
+++ b/cranespindle/balance.py
@@ -461,8 +461,10 @@
 
     def learn(self, member: Member, event: api.Completed, request: Pending | None, now: int) -> None:
         outcome = event.outcome
-        if outcome in (Outcome.CANCELLED, Outcome.MOOT):
+        if outcome in (Outcome.CANCELLED, Outcome.MOOT, Outcome.WRONG):
             self.evidence[member.zone][SENT] -= 1
+            if outcome == Outcome.WRONG:
+                member.quiet = now  # it answers; the fault is the request's
             return
         failed = outcome != Outcome.OK
         if outcome == Outcome.TIMEOUT and self.hasty(request, event.took):
@@ -883,7 +885,9 @@
             return
         if request.ran is None and event.outcome not in api.NEVER_RAN:
             request.ran, request.ran_at = request.member, request.sent
-        if event.outcome != Outcome.MOOT and self.worth_resending(request, event.outcome, now):
+        # One that is wrong fails anywhere: six servers refused each, and seemed to fail.
+        hopeless = event.outcome in (Outcome.MOOT, Outcome.WRONG)
+        if not hopeless and self.worth_resending(request, event.outcome, now):
             self.budget -= 1
             self.send(request, now)
         else:
--- a/cranespindle/node/upstream.py
+++ b/cranespindle/node/upstream.py
@@ -30,6 +30,8 @@
 
 _NUMBER = re.compile(r"[0-9]{1,15}(?:\.[0-9]{1,15})?(?:e-[0-9]{1,2})?", re.ASCII)
 
+NOT_THE_REQUEST = frozenset((408, 425, 429))  # answers of this range that speak of the moment
+
 # What a failure to connect says of this machine, not of the endpoint.
 OWN_LACK = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL))
 
@@ -353,6 +355,8 @@
         return Outcome.OK
     if answer.status in (503, 504) and answer.header(b"srv-declined") == b"1":
         return Outcome.FULL
+    if 400 <= answer.status < 500 and answer.status not in NOT_THE_REQUEST:
+        return Outcome.WRONG
     return Outcome.ERROR
 
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -163,6 +163,28 @@
     run(test())
 
 
+def test_a_request_that_is_wrong_goes_to_one_server_and_is_no_failure_of_it() -> None:
+    """Answered with 400, one went to six servers in a row, and each then looked as if it failed."""
+
+    async def wrong(seen: Seen) -> bytes:
+        return b"HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n"
+
+    async def test() -> None:
+        async with (
+            endpoint(wrong) as one,
+            endpoint(wrong) as other,
+            sidecar(one.dial, other.dial) as node,
+        ):
+            client = await node.client()
+            for n in range(1, 5):
+                assert (await client.ask(request()))[0] == 503
+                assert len(one.seen) + len(other.seen) == n
+            members = node.host._balancer.members.values()
+            assert [(m.fails, m.streak, m.inflight) for m in members] == [(0.0, 0, 0)] * 2
+
+    run(test())
+
+
 KEYED = {"Effect": "dedup", "KeyScope": "all", "WindowNs": 2_000_000_000}
 KEY = b"Idempotency-Key: 5c0f\r\n"
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -265,6 +265,8 @@
     [action] = b.answer(send, outcome, 50 * MS)
     if outcome == Outcome.MOOT:
         assert isinstance(action, api.Refuse)
+    elif outcome == Outcome.WRONG:  # no other server would take it; a refusal says that a repeat is harmless
+        assert isinstance(action, api.Refuse if effect == Effect.SAFE else api.Fail)
     elif effect == Effect.UNSAFE and outcome not in NEVER_RAN:
         assert isinstance(action, api.Fail)
     else:
