Let a connection rest before its next request, as second answers come late

At fault: `Upstream.give` and `take`: the poll of the socket sees only what has come by then, and what comes after the next request was written is its answer to the parser: it is served, or says that the request never ran. Now a connection rests 8 ms, twice the longest seen; a request that finds only resting ones waits for the first, as a handshake costs more.

Ruled out: bytes that came with the first answer (closed at once, tests/test_node.py); telling such an answer by what it says, for which the protocol gives no mark.

--- a/cranespindle/node/upstream.py
+++ b/cranespindle/node/upstream.py
@@ -28,6 +28,10 @@
 # capacity; a new handshake costs as much work as holding one for two to six seconds.
 SURPLUS_IDLE = 4 * SECOND
 
+# A second answer may come some milliseconds after the first: taken for that of a request written meanwhile,
+# it would be served, or say that the request never ran. So a connection rests before its next request.
+REST = SECOND // 125
+
 _NUMBER = re.compile(r"[0-9]{1,15}(?:\.[0-9]{1,15})?(?:e-[0-9]{1,2})?", re.ASCII)
 
 NOT_THE_REQUEST = frozenset((408, 425, 429))  # answers of this range that speak of the moment
@@ -251,10 +255,11 @@
 
     def start(self) -> None:
         connection = self._upstream.take(self._pool)
+        rest = 0.0 if connection is not None else self._upstream.rest(self._pool)
         if connection is not None:
             self._write(connection)
-        elif self._upstream.room():
-            self._connect = self._upstream.loop.create_task(self._open())
+        elif rest > 0 or self._upstream.room():
+            self._connect = self._upstream.loop.create_task(self._open(rest))
         else:
             self._end(Outcome.MOOT, None)  # the lack of room is ours: it says nothing of the endpoint
 
@@ -299,13 +304,18 @@
             self._connection.close()
         self._end(Outcome.TIMEOUT, None)
 
-    async def _open(self) -> None:
-        ours = False
-        try:
-            connection = await self._upstream.connect(self._pool)
-        except OSError as problem:  # a time-out is one too
-            connection = None
-            ours = problem.errno in OWN_LACK
+    async def _open(self, rest: float) -> None:
+        """Wait for a connection: one that rests, which is cheaper than a handshake, else a new one."""
+        ours, connection = False, None
+        if rest > 0:
+            await asyncio.sleep(rest + 0.001)  # the loop rounds to milliseconds
+            connection = self._upstream.take(self._pool)
+        if connection is None:
+            try:
+                ours = not self._upstream.room()
+                connection = None if ours else await self._upstream.connect(self._pool)
+            except OSError as problem:  # a time-out is one too
+                ours = problem.errno in OWN_LACK
         self._connect = None
         if self._done is None:
             self._upstream.outlived.discard(self)
@@ -462,15 +472,22 @@
         return True
 
     def take(self, pool: Pool) -> Connection | None:
-        """The most recently used idle connection that is still good; the others grow old and close."""
-        oldest = self.now() - self._idle_most
-        while pool.idle:
-            connection = pool.idle.pop()
-            if connection.idle_since > oldest and connection.usable():
+        """The most recently used idle connection that has rested and is still good; the others grow old and
+        close."""
+        now = self.now()
+        for at in range(len(pool.idle) - 1, -1, -1):
+            if pool.idle[at].idle_since > now - REST:
+                continue
+            connection = pool.idle.pop(at)
+            if connection.idle_since > now - self._idle_most and connection.usable():
                 return connection
             connection.close()
         return None
 
+    def rest(self, pool: Pool) -> float:
+        """In how many seconds the first idle connection will have rested; 0: none is idle."""
+        return min((c.idle_since + REST - self.now() for c in pool.idle), default=0) / SECOND
+
     def give(self, pool: Pool, connection: Connection) -> None:
         if pool.health == Health.READY and connection.usable():
             connection.idle_since = now = self.now()
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -12,7 +12,7 @@
 from cranespindle import api
 from cranespindle.node.config import SECOND
 from cranespindle.node.frontend import PIPELINE_MOST
-from cranespindle.node.upstream import Connection, Pool
+from cranespindle.node.upstream import REST, Connection, Pool
 from tests.sidecar import (
     SETTINGS,
     WAIT,
@@ -163,6 +163,44 @@
     run(test())
 
 
+@pytest.mark.parametrize("second", [ok(b"again"), b"HTTP/1.1 503 X\r\nSrv-Declined: 1\r\n\r\n"])
+def test_a_second_answer_that_comes_late_is_no_answer_to_the_next_request(second: bytes) -> None:
+    """The next request was out by then: it was served with another's answer, or taken for never run."""
+    told = asyncio.Event()
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        served.append(writer)
+        body = b"%d" % len(served)
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(ok(body))
+        await told.wait()
+        writer.write(second)
+
+    served: list[asyncio.StreamWriter] = []
+
+    async def test() -> None:
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()
+        async with sidecar(f"{host}:{port}") as node:
+            upstream = node.host.upstream
+            stopped = upstream.now()
+            upstream.now = lambda: stopped  # not a moment later
+            client = await node.client()
+            assert (await client.ask(request("post")))[::2] == (200, b"1")
+            [pool] = upstream._pools.values()
+            assert len(pool.idle) == 1 and upstream.rest(pool) == REST / SECOND
+            client.writer.write(request("post"))
+            await node.event(lambda e: isinstance(e, api.Request) and e.id == 2)
+            told.set()
+            assert (await client.answer())[::2] == (200, b"2")  # on a connection of its own
+            assert len(served) == 2
+        for writer in served:
+            writer.close()
+        server.close()
+
+    run(test())
+
+
 def test_a_request_that_is_wrong_goes_to_one_server_and_is_no_failure_of_it() -> None:
     """Answered with 400, one went to six servers in a row, and each then looked as if it failed."""
 
