Remember the ids of what may have run and must not run again

By review: an answer that is lost with its connection, as our close resets one with unread bytes, lets an honest client send the same id again.

At fault: `Host._settle` forgot an id with its request. Ids of classes that are not safe to repeat, of requests whose attempt may have run, are now known until the longest time that a client waits has passed, and get 409.

Ruled out: ids that never ran, which come again after a close that crossed them (a test of its own), and classes that are safe to repeat.

--- a/cranespindle/node/frontend.py
+++ b/cranespindle/node/frontend.py
@@ -176,8 +176,8 @@
             return
         incoming = self.frontend.checker.check(head, body)
         if self.frontend.host.knows(incoming.name):
-            # Two copies of one request must not meet at an endpoint: the one that is out stays.
-            raise BadRequest(409, "a request with this Req-Id is open")
+            # Two copies of one request must not meet at an endpoint, nor one run after the other.
+            raise BadRequest(409, "a request with this Req-Id was taken already")
         self.frontend.taken(self)
         exchange = self._exchange(head)
         exchange.id = self.frontend.host.request(exchange, incoming)
--- a/cranespindle/node/host.py
+++ b/cranespindle/node/host.py
@@ -14,7 +14,7 @@
 from typing import Any, NamedTuple, Protocol
 
 from cranespindle import api
-from cranespindle.api import Outcome
+from cranespindle.api import Effect, Outcome
 from cranespindle.balance import Balancer
 from cranespindle.node.config import SECOND, Config, HostList
 from cranespindle.node.upstream import Answer, Attempt, Upstream
@@ -66,7 +66,7 @@
 
     __slots__ = (
         "answered", "attempt", "attempts", "client", "deadline", "endpoint", "expires", "id", "incoming",
-        "last", "outlived", "patience", "sent", "until",
+        "last", "may_have_run", "outlived", "patience", "sent", "until",
     )  # fmt: skip
 
     def __init__(self, rid: int, client: Client, incoming: Incoming, expires: int) -> None:
@@ -76,6 +76,7 @@
         self.attempt: Attempt | None = None
         self.endpoint: api.EndpointId = b""
         self.last = -1  # the outcome of the last attempt
+        self.may_have_run = False
         self.outlived = False  # by that attempt, which is still out
         self.deadline: asyncio.TimerHandle | None = None
         self.patience: asyncio.TimerHandle | None = None
@@ -88,11 +89,14 @@
 class Host:
     def __init__(self, config: Config, loop: asyncio.AbstractEventLoop, clock: Clock) -> None:
         self._settings = config.settings
+        self._longest = max(cls.limit for cls in config.settings.classes)
         self._loop, self.now = loop, clock.now
         self._balancer = Balancer(config.settings, config.seed)
         self.upstream = Upstream(config, loop, clock.now)
         self._open: dict[int, Open] = {}
         self._names: set[bytes] = set()  # the ids of those
+        # Ids that are over and whose second run would do harm, by when their clients have given up.
+        self._spent: dict[bytes, int] = {}
         self._last_id = 0
         self._end: int | None = None  # by when this sidecar has ended, once it was told to
         self._events: deque[api.Event] = deque()
@@ -146,8 +150,11 @@
     # ---- requests
 
     def knows(self, name: bytes) -> bool:
-        """Whether a request with this id is owed its answer or has an attempt out."""
-        return name in self._names
+        """Whether a request with this id is owed its answer or has an attempt out, or has run perhaps and
+        must not run again: a client whose answer is lost with its connection may send it once more."""
+        while self._spent and next(iter(self._spent.values())) <= self.now():
+            del self._spent[next(iter(self._spent))]
+        return name in self._names or name in self._spent
 
     def request(self, client: Client, incoming: Incoming) -> int:
         """Take a request; the client is answered once, unless `gone` tells that it left."""
@@ -216,6 +223,11 @@
         if request.answered and request.attempt is None and not request.outlived:
             if self._open.pop(request.id, None) is not None:
                 self._names.discard(request.incoming.name)
+                if (
+                    request.may_have_run
+                    and self._settings.classes[request.incoming.cls].effect != Effect.SAFE
+                ):
+                    self._spent[request.incoming.name] = self.now() + self._longest
             if request.deadline is not None:
                 request.deadline.cancel()
                 request.deadline = None
@@ -261,6 +273,7 @@
 
     def _completed(self, request: Open, number: int, outcome: int, answer: Answer | None) -> None:
         request.attempt, request.last = None, outcome
+        request.may_have_run |= outcome not in api.NEVER_RAN
         if request.patience is not None:
             request.patience.cancel()
             request.patience = None
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -10,6 +10,7 @@
 import pytest
 
 from cranespindle import api
+from cranespindle.node import config
 from cranespindle.node.config import SECOND
 from cranespindle.node.frontend import PIPELINE_MOST
 from cranespindle.node.upstream import REST, Connection, Pool
@@ -19,6 +20,7 @@
     Seen,
     Sidecar,
     always_ok,
+    dead_dial,
     endpoint,
     entry,
     never,
@@ -269,6 +271,40 @@
     run(test())
 
 
+@pytest.mark.parametrize("cls", ["post", "read"])
+def test_an_id_that_has_run_is_not_sent_again_once_its_request_is_over(cls: str) -> None:
+    """Forgotten with the answer, the same id ran again for a client whose answer was lost on the way."""
+
+    async def test() -> None:
+        async with endpoint(always_ok) as served, sidecar(served.dial) as node:
+            first, again = await node.client(), await node.client()
+            assert (await first.ask(request(cls, rid="9b1f")))[0] == 200
+            assert not node.host._open
+            code, _, _ = await again.ask(request(cls, rid="9b1f"))
+            assert code == (409 if cls == "post" else 200)  # what is safe to repeat may come again
+            clock = node.host.now
+            node.host.now = lambda: clock() + 9 * SECOND  # its client has given up by now
+            last = await node.client()
+            assert (await last.ask(request("post", rid="77")))[0] == 200
+            assert list(node.host._spent) == ([b"77"])
+
+    run(test())
+
+
+def test_an_id_that_never_ran_may_come_again() -> None:
+    """The client sends a request once more if our close crossed it, or to be served after a refusal."""
+
+    async def test() -> None:
+        async with endpoint(always_ok) as served, sidecar(dead_dial()) as node:
+            client = await node.client()
+            assert (await client.ask(request("post", rid="9b1f")))[0] == 503
+            told = {"seq": 2, "whole": True, "hosts": [entry("s-1", served.dial)]}
+            node.host.learn(config.host_list(told, node.config.names), api.ListKind.FULL)
+            assert (await client.ask(request("post", rid="9b1f")))[0] == 200
+
+    run(test())
+
+
 # ---- discovery that has to be asked
 
 
