Ask a new address of discovery until it tells, where lists are asked for

At fault: `Discovery.move` asked the new address once, for up to 5 s, and a failure went to the decisions, which ask again 1 to 4 s later; what it has counts as told 4 s after SIGHUP. Now the call is given 1 s and is made anew after a quarter of a second until the whole list has come; and what moves is a watch also where only a list had been asked for.

Ruled out: pushed lists (asked every 0.55 s already).

--- a/cranespindle/node/discovery.py
+++ b/cranespindle/node/discovery.py
@@ -23,6 +23,8 @@
 PAUSE = 0.05  # between watches that brought nothing new: well under the 200 ms that end a watch
 RETRY = 0.05  # after a failed call to the agent
 FIRST_TIMEOUT = 0.5  # for the first call to a new address of the agent
+# After a change of address all counts as told 4 s later, asked for or not: three calls and pauses fit in.
+FIRST_ASKED, RETRY_ASKED = 1.0, 0.25
 
 
 class CallFailed(Exception):
@@ -68,7 +70,7 @@
         if watching:
             self.watch(True)
         elif fetching or not self._pushed:
-            self.fetch()
+            self.watch(True)  # which begins with the whole list
 
     def watch(self, on: bool) -> None:
         if self._watcher is not None and not on:
@@ -93,6 +95,9 @@
             except CallFailed as problem:
                 log.debug("discovery: %s", problem)
                 if not self._pushed:
+                    if self._anew:
+                        await asyncio.sleep(RETRY_ASKED)
+                        continue
                     if isinstance(problem, CallSilent) or (isinstance(problem, CallSpoilt) and not spoilt):
                         spoilt = isinstance(problem, CallSpoilt)
                         continue
@@ -109,7 +114,7 @@
             query = f"?from={self._seq}&hold_ms={self._hold * 1000:.0f}"
             return await self._call(query, self._hold + self._grace)
         # The whole list is there at once where it is pushed: a call that hangs must end in time for the next.
-        told = await self._call("", FIRST_TIMEOUT if self._pushed else CALL_TIMEOUT)
+        told = await self._call("", FIRST_TIMEOUT if self._pushed else FIRST_ASKED)
         if not told.whole:
             raise CallFailed("changes only, where the whole list was asked for")
         return told
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -28,6 +28,7 @@
     request,
     run,
     sidecar,
+    status,
 )
 
 
@@ -375,3 +376,37 @@
             assert len(served.seen) == (2 if answer == SPOILT[1] else 1)
 
     run(test())
+
+
+def test_where_lists_are_asked_for_a_new_address_is_asked_until_it_tells() -> None:
+    """A call that failed there was left to the decisions: later than what it has to tell counts as told."""
+    old = asyncio.Event()
+    answers = [None, SPOILT[1], status(503)]
+
+    async def silent(seen: Seen) -> bytes:
+        old.set()
+        return await never(seen)
+
+    async def stumbling(seen: Seen) -> bytes | None:
+        if answers:
+            return answers.pop(0)
+        hosts = [entry("s-2", "127.0.0.1:9")]
+        return ok(json.dumps({"seq": 1, "whole": True, "hosts": hosts}).encode())
+
+    async def test() -> None:
+        async with (
+            endpoint(silent) as before,
+            endpoint(stumbling) as after,
+            sidecar("127.0.0.1:9", discovery=before.dial, settings=ASKED) as node,
+        ):
+            node.discovery.watch(True)
+            await old.wait()
+            host, _, port = after.dial.rpartition(":")
+            node.discovery.move((host, int(port)))
+            told = await node.event(listed(api.ListKind.FULL))
+            assert told.endpoints[0].id == config.endpoint_id("s-2")
+            assert not [e for e in node.events if listed(api.ListKind.FAILED)(e)]
+            assert [seen.line.split()[1] for seen in after.seen[:4]] == [b"/discovery/hosts"] * 4
+            assert len(before.seen) == 1
+
+    run(test())
