--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -124,6 +124,38 @@
     run(test())
 
 
+def test_a_stopping_sidecar_takes_further_signals_and_the_rest_of_a_request(tmp_path: Path) -> None:
+    async def test() -> None:
+        async def script(seen: Seen) -> bytes:
+            return ok(seen.body)
+
+        async with endpoint(script) as served:
+            listen, file = dead_dial(), tmp_path / "config.json"
+            file.write_text(json.dumps(configuration(served.dial, listen=listen)))
+            process = await start(file, stderr=asyncio.subprocess.PIPE)
+            kept, partial = [await connect(listen) for _ in range(2)]
+            assert (await kept.ask(request("post", body=b"first")))[2] == b"first"
+            raw = request("post", body=b"x" * 3000)
+            partial.writer.write(raw[:-2000])
+            await partial.writer.drain()
+            process.send_signal(signal.SIGTERM)
+            await refused(listen)
+            file.write_text("{")
+            assert process.stderr is not None
+            for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+                process.send_signal(number)
+            assert b"the old configuration stays" in await process.stderr.readline()
+            partial.writer.write(raw[-2000:])
+            assert (await partial.answer())[2] == b"x" * 3000
+            assert (await kept.ask(request("post", body=b"last")))[2] == b"last"
+            for client in (kept, partial):
+                client.writer.close()
+            assert await process.wait() == 0
+            assert await process.stderr.read() == b"" and len(served.seen) == 3
+
+    run(test())
+
+
 def test_on_sighup_a_bad_file_leaves_the_old_one_and_a_good_one_moves_discovery(tmp_path: Path) -> None:
     async def test() -> None:
         async def script(seen: Seen) -> bytes:
