Ask no member by probe that already holds a request of ours

At fault: `Balancer.ask` took `idle()` as it came, which is all members where none is idle: the quickest to answer got the request, a near one mostly, whatever it held, and the ask path compares no far member. The near ones filled up, their waits raised the cut. Members that hold a request of ours are not asked now; where all do, the request goes the ordinary way, to the one that holds least, far ones included.

--- a/cranespindle/balance.py
+++ b/cranespindle/balance.py
@@ -410,7 +410,9 @@
             self.launch(request, cold, now)
             return True
         for side in (0, 1) if far and request.steps else (int(far),):
-            members = self.idle(side, request, now)
+            # What holds a request of ours is known to be busy, and a probe may be answered beside its queue:
+            # asked all the same, two near servers filled up and the cut shed, with the far ones idle.
+            members = [m for m in self.idle(side, request, now) if not m.inflight]
             drawn = self.sample(members, min(2 * ASK, len(members)))
             for member in sorted(drawn, key=lambda m: self.expected(m, request.cls, now))[:ASK]:
                 if member.id not in self.asking:
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -461,6 +461,23 @@
     assert not any(isinstance(a, api.Send) and a.endpoint in asked for a in actions)
 
 
+def test_members_that_hold_a_request_are_not_asked_and_the_one_that_holds_least_gets_it() -> None:
+    """The quickest to answer of the near ones got it, whatever they held, with the far ones idle."""
+    b, _ = asking()
+    b.list_of(*(endpoint(n, zone=n % 2) for n in range(1, 5)))  # two near, two far
+    b.balancer.crossing = 0.0
+    sends: list[api.Send] = []
+    for rid in range(2, 12):
+        actions = b.give(api.Request(rid, 0, 0, 0, b.now + 3 * SECOND, 0, False))
+        while asked := probes(actions):
+            b.now += 2 * MS
+            actions = [a for e in asked for a in b.give(api.Probed(e, api.Outcome.OK, 2 * MS, ()))]
+            actions += b.give(api.Timer(rid + 1))
+        sends += [a for a in actions if isinstance(a, api.Send)]
+    held = Counter(send.endpoint for send in sends)
+    assert held.total() == 10 and len(held) == 4 and max(held.values()) <= 4, held
+
+
 def test_nobody_is_asked_where_peers_share_or_probes_are_not_allowed() -> None:
     for changes in ({"peers": True}, {"probes": False}, {"report_fields": ()}):
         assert asking(**changes)[1] == []
