Open no connection for a request whose client left while one rested

At fault: `Attempt._open` went on after its rest for an attempt that had been withdrawn, took the connection from the pool or opened one that nobody had a request for. It also asked for room twice for a new connection, which could close a second idle one; the room is asked for anew only after a rest.

Ruled out: an attempt that is given up (its task is cancelled).

--- a/cranespindle/node/upstream.py
+++ b/cranespindle/node/upstream.py
@@ -309,11 +309,15 @@
         ours, connection = False, None
         if rest > 0:
             await asyncio.sleep(rest + 0.001)  # the loop rounds to milliseconds
+            if self._done is None:  # nobody waits any more: neither taken nor opened
+                self._connect = None
+                self._upstream.outlived.discard(self)
+                return
             connection = self._upstream.take(self._pool)
-        if connection is None:
+            ours = connection is None and not self._upstream.room()
+        if connection is None and not ours:
             try:
-                ours = not self._upstream.room()
-                connection = None if ours else await self._upstream.connect(self._pool)
+                connection = await self._upstream.connect(self._pool)
             except OSError as problem:  # a time-out is one too
                 ours = problem.errno in OWN_LACK
         self._connect = None
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -204,6 +204,37 @@
     run(test())
 
 
+def test_a_client_that_leaves_while_its_connection_rests_costs_no_further_one(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """What came after the rest was a new connection that nobody had a request for."""
+
+    async def test() -> None:
+        sleep, go_on = asyncio.sleep, asyncio.Event()
+
+        async def held(seconds: float) -> None:
+            await (go_on.wait() if seconds else sleep(0))
+
+        monkeypatch.setattr(asyncio, "sleep", held)
+        async with endpoint(always_ok) as served, sidecar(served.dial) as node:
+            upstream = node.host.upstream
+            stopped = upstream.now()
+            upstream.now = lambda: stopped  # what rests goes on resting
+            client, other = await node.client(), await node.client()
+            assert (await client.ask(request()))[0] == 200
+            client.writer.write(request())
+            await node.event(lambda e: isinstance(e, api.Request) and e.id == 2)
+            client.writer.close()
+            await node.event(lambda e: isinstance(e, api.Gone))
+            go_on.set()
+            while upstream.outlived:
+                await asyncio.sleep(0)
+            assert served.connections == 1 and len(served.seen) == 1
+            assert (await other.ask(request()))[0] == 200
+
+    run(test())
+
+
 def test_a_request_that_is_wrong_goes_to_one_server_and_is_no_failure_of_it() -> None:
     """Answered with 400, one went to six servers in a row, and each then looked as if it failed."""
 
