Bound by a learnt fan-in what members a sidecar of many holds connections to

Cause: Balancer.idle drew warm keys from all servers there are, so each of 200 sidecars reached each of 122 servers; and the subset grows with requests in flight as if a sidecar were alone.

Change: members of the subset, and those that warm keys are taken from, keep to this sidecar's share of what all servers accept: fan-in x servers / sidecars. The fan-in is learnt by additive increase and multiplicative decrease at refused connects, as no setting tells the cap. What is held to members that left is closed on the tick, which refills the subset for that; the trickle to cold members, which hung on refills, goes by the tick.

--- a/cranespindle/balance.py
+++ b/cranespindle/balance.py
@@ -48,6 +48,12 @@
 SUBSET_FREE = 8  # and where they are not
 SUBSET_GROWTH = 1.5  # further members for each request in flight, so that one is idle
 SUBSET_CROWDED = 2  # requests a member, in flight, at which the subset grows at once
+# The fan-in of a server: so many sidecars are taken to hold connections to it. A server accepts only so many
+# (how many is told nowhere), and a full table takes work from it: learnt by additive increase and
+# multiplicative decrease, from a number that any server holds.
+FAN_IN, FAN_IN_LEAST = 16.0, 6.0
+FAN_IN_GROWTH = 0.02  # a cycle: five a minute
+FAN_IN_CUT = 0.8  # at a connect that is refused, once a second at most: one full table refuses several
 SUBSET_SHRINK = 0.99  # the in-flight peak is forgotten this slowly a cycle, as connections cost
 FAILS_TO_EJECT, FULL_TO_EJECT = 3, 8  # failures in a row that eject a member, and answers that it is full
 PROVEN = SECOND // 2  # a member that served so lately is not ejected
@@ -172,6 +178,8 @@
         self.warm, self.gain = [0, 0], [0.0, 0.0]  # warm members of each, and the credit for an answer of one
         self.credit = [0.0, 0.0]  # sends to cold members that the answers of warm ones have earned
         self.peak, self.flying = 0.0, 0
+        self.linked: dict[bytes, Member] = {}  # members that hold connections of ours
+        self.fan_in, self.fan_in_cut_at = FAN_IN, -HOUR
         self.dirty = True
         self.asking: dict[bytes, list[int]] = {}  # requests that wait for a probe's answer
         # Where sidecars share what they see, and so shed in time, asking costs more than it brings. Where no
@@ -257,9 +265,19 @@
         self.order = [[m for m in ready if m.zone == zone], [m for m in ready if m.zone != zone]]
         self.dirty = True
 
+    def share(self) -> int:
+        """How many members of a side may hold connections of ours: our share of what all servers accept."""
+        sides = sum(map(bool, self.order)) or 1
+        return int(self.fan_in * sum(map(len, self.order)) / self.settings.instances / sides)
+
     def size(self) -> int:
+        """How many members a subset has: more as requests pile up, within our share of connections.
+
+        Harmless in one sidecar, a few more in each of hundreds filled the tables of all servers.
+        """
         priced = self.settings.connection_price + self.settings.handshake_price > 0
-        return (SUBSET_LEAST if priced else SUBSET_FREE) + int(SUBSET_GROWTH * self.peak)
+        least = SUBSET_LEAST if priced else SUBSET_FREE
+        return max(least, min(least + int(SUBSET_GROWTH * self.peak), self.share()))
 
     def refill(self, now: int) -> None:
         self.dirty = False
@@ -282,9 +300,28 @@
             self.gain[side] = (filled - warm) / max(1, warm)
             if warm == len(subset):
                 self.credit[side] = 0.0  # nothing saved up: a bulk restart would get it all at once
-            elif not warm:  # from all sidecars together a request a second each, should none answer
-                trickle = len(self.order[side]) / self.settings.instances * CYCLE / SECOND
-                self.credit[side] = min(1.0, self.credit[side] + trickle)
+
+    def reach(self, side: int) -> list[Member]:
+        """The members that warm keys are taken from."""
+        return self.order[side][: max(self.share(), len(self.subset[side]))]
+
+    def trickle(self) -> None:
+        """With no warm member a cold one gets, of all sidecars together, a request a second."""
+        for side in (0, 1):
+            if self.subset[side] and not self.warm[side]:
+                share = len(self.order[side]) / self.settings.instances * CYCLE / SECOND
+                self.credit[side] = min(1.0, self.credit[side] + share)
+
+    def trim(self) -> None:
+        """Close what is held to members that get nothing any more: kept, it would fill their tables."""
+        kept = {m.id for subset in self.subset for m in subset}
+        if self.settings.warm_keys:
+            kept.update(m.id for side in (0, 1) for m in self.reach(side))
+        for member in [m for m in self.linked.values() if m.id not in kept and not m.inflight]:
+            del self.linked[member.id]
+            member.opened = 0
+            if member.health == Health.READY:  # else the network code has closed it
+                self.out.append(api.Disconnect(member.id))
 
     def warmth(self, member: Member, now: int) -> float:
         """The share of its work that an endpoint can do at least, by the time since its start."""
@@ -312,15 +349,17 @@
     def idle(self, side: int, request: Pending, now: int) -> list[Member]:
         """The warm members that may have the request: those with none of ours in flight, else all.
 
-        Where keys are warm on servers that met them, all sidecars take the same few members for a key. Harm:
-        a very popular one crowds them.
+        Where keys are warm on servers that met them, sidecars take for a key the first few in an order that
+        all share, of those within reach. Of all there are, hundreds of sidecars filled each server's table. A
+        repeat that is bound to a group may go further, as few of it are near. Harm: a very popular key crowds
+        its members.
         """
         cls, key = self.classes[request.cls], request.key if self.settings.warm_keys else 0
         within = request.ran if cls.effect == Effect.KEYED else None
         members = [
-            m for m in (self.order if key else self.subset)[side]
+            m for m in (self.order[side] if within else self.reach(side) if key else self.subset[side])
             if m is not request.member and m not in request.asked and self.warmth(m, now) >= 1
-            and (within is None or same(m, within, cls.scope)) and (not key or m.out_until <= now)
+            and (within is None or same(m, within, cls.scope)) and (not (key or within) or m.out_until <= now)
         ]  # fmt: skip
         if key:
             members = nsmallest(KEY_MEMBERS, members, key=lambda m: mix(m.base ^ key))
@@ -468,6 +507,8 @@
             if outcome == Outcome.WRONG:
                 member.quiet = now  # it answers; the fault is the request's
             return
+        if outcome == Outcome.CONNECT_FAILED and now - self.fan_in_cut_at >= SECOND:
+            self.fan_in, self.fan_in_cut_at = max(FAN_IN_LEAST, self.fan_in * FAN_IN_CUT), now
         failed = outcome != Outcome.OK
         if outcome == Outcome.TIMEOUT and self.hasty(request, event.took):
             self.evidence[member.zone][SENT] -= 1
@@ -677,7 +718,9 @@
         self.peak *= SUBSET_SHRINK
         if self.pressure <= self.over:  # in overload requests pile up: new connections would cost more yet
             self.peak = max(self.flying, self.peak)
-        self.dirty = True
+        self.refill(now)
+        self.trickle()
+        self.trim()
         self.examine(now)
         self.subscribe(now)
         self.cycle(now)
@@ -703,6 +746,7 @@
             self.tell()
             return
         self.steer(now)
+        self.fan_in += FAN_IN_GROWTH
         self.histogram = {lv: mass * HISTOGRAM_KEEP for lv, mass in self.histogram.items() if mass > 0.02}
         self.spread = [mass * HISTOGRAM_KEEP for mass in self.spread]
         for i, (total, count) in enumerate(self.latency):
@@ -843,6 +887,7 @@
         member.inflight += 1
         if connects := member.inflight > member.opened * self.settings.streams:
             member.opened += 1
+            self.linked[member.id] = member
         request.connects = connects
         self.flying += 1
         self.sends += 1
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -4,6 +4,8 @@
 
 from collections import Counter
 
+import pytest
+
 from cranespindle import api, balance
 from cranespindle.balance import HOUR
 from tests.helpers import MS, SECOND, START, Bench, endpoint, request_class, settings
@@ -508,6 +510,43 @@
     assert len(set.union(*met.values())) > balance.KEY_MEMBERS
 
 
+def test_of_hundreds_of_sidecars_each_keeps_to_its_share_of_what_servers_accept() -> None:
+    """Keys and a grown subset took each to all servers: every table of connections was full."""
+    b = Bench(settings(warm_keys=True, instances=100), servers=50)
+    share = int(balance.FAN_IN * 50 / 100)
+    met = {b.sent(key=key).endpoint for key in range(1, 200)}
+    assert len(met) == share == len(b.balancer.linked)
+
+
+def test_a_refused_connect_makes_the_share_smaller_for_a_while() -> None:
+    b = Bench(settings(warm_keys=True, instances=100), servers=50)
+    for _ in range(5):  # in one second: one full table refuses several
+        b.answer(b.sent(), api.Outcome.CONNECT_FAILED, MS)
+    assert b.balancer.fan_in == pytest.approx(balance.FAN_IN * balance.FAN_IN_CUT)
+    for _ in range(20):
+        b.now += SECOND
+        b.answer(b.sent(), api.Outcome.CONNECT_FAILED, MS)
+    assert b.balancer.fan_in == balance.FAN_IN_LEAST
+    for _ in range(10):
+        b.tick(2)
+    assert b.balancer.fan_in == pytest.approx(balance.FAN_IN_LEAST + 10 * balance.FAN_IN_GROWTH)
+
+
+def test_what_is_held_to_members_that_left_the_subset_is_closed() -> None:
+    """Left after a burst, it stood in the tables of their servers until it had been idle for a minute."""
+    b = Bench(settings(), servers=30)
+    sends = [b.sent() for _ in range(60)]
+    held = len(b.balancer.linked)
+    for send in sends[1:]:
+        b.answer(send)
+    closed = []
+    for _ in range(400):
+        closed += [a.endpoint for a in b.tick(0.25) if isinstance(a, api.Disconnect)]
+    assert held > 20 and len(b.balancer.linked) <= balance.SUBSET_FREE + 2
+    assert len(set(closed)) == len(closed) == held - len(b.balancer.linked)
+    assert sends[0].endpoint not in closed  # its attempt is out
+
+
 def test_a_started_stream_is_the_clients() -> None:
     """It has no deadline: it is no wait, and its break is not answered with another attempt."""
     b = Bench(settings(request_class(late_worth=0.5)), servers=8)
