Ask a new address of discovery that stays down less and less often

Cause: after SIGHUP a sidecar that asks for lists called the new address every 0.25 s until it told, all sidecars in step after one signal to all: of 200, 800 calls a second to a service that is down or refuses.

Change: the pauses double from 0.25 to 1.5 s and each is shortened by up to a half, by the seed. Three calls and two pauses still fit in the 4 s after which what the new address has counts as told.

--- a/cranespindle/node/discovery.py
+++ b/cranespindle/node/discovery.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import logging
+import random
 
 from cranespindle import api
 from cranespindle.node.config import Address, Config, HostList, host_list
@@ -22,8 +23,9 @@
 PAUSE = 0.05  # between watches that brought nothing new: well under the 200 ms that end a watch
 RETRY = 0.05  # after a failed call to the agent
 FIRST_TIMEOUT = 0.5  # for the first call to a new address of the agent
-# After a change of address all counts as told 4 s later, asked for or not: three calls and pauses fit in.
-FIRST_ASKED, RETRY_ASKED = 1.0, 0.25
+# After a change of address all counts as told 4 s later, asked for or not: three calls and pauses fit in. The
+# pauses double up to the most, should the new address be down.
+FIRST_ASKED, RETRY_ASKED, RETRY_ASKED_MOST = 1.0, 0.25, 1.5
 
 
 class CallFailed(Exception):
@@ -44,6 +46,7 @@
         self._pushed = not config.settings.discovery_on_request
         self._hold, self._grace = (HOLD_PUSHED, GRACE_PUSHED) if self._pushed else (HOLD, GRACE)
         self._connect_timeout = self._grace  # a call whose connection came up late still has its whole hold
+        self._rand = random.Random(config.seed).random
         self._seq = config.known.seq
         self._anew = False  # the address is new: its numbering may be another, so the whole list is due
         self._connection: Connection | None = None  # idle, kept for the next call
@@ -87,7 +90,7 @@
         """One watch after the other. Where discovery is asked, a failed one is the last, and the decisions
         ask anew, later, to spare it. Not so where the time runs for what counts as told: after a silence, and
         after an answer that was spoilt (once: again and again it must not be asked without a pause)."""
-        spoilt = False
+        spoilt, retry = False, RETRY_ASKED
         while True:
             try:
                 told = await self._next()
@@ -96,7 +99,8 @@
                 log.debug("discovery: %s", problem)
                 if not self._pushed:
                     if self._anew:
-                        await asyncio.sleep(RETRY_ASKED)
+                        await asyncio.sleep(retry * (1 - self._rand() / 2))
+                        retry = min(RETRY_ASKED_MOST, 2 * retry)
                         continue
                     if isinstance(problem, CallSilent) or (isinstance(problem, CallSpoilt) and not spoilt):
                         spoilt = isinstance(problem, CallSpoilt)
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -15,8 +15,9 @@
 from cranespindle import api
 from cranespindle.node import config, discovery
 from cranespindle.node.discovery import CallFailed, CallSilent, CallSpoilt, Discovery
-from tests.sidecar import SETTINGS, WAIT, Sidecar, entry, ok, run, sidecar, status
+from tests.sidecar import SETTINGS, WAIT, Sidecar, dead_dial, entry, ok, run, sidecar, status
 
+AFTER_SIGHUP = 4.0  # s: what a new address has counts as told then
 SHORT = 0.05  # s, in place of the bound that ends the call of a test; no other bound may end it
 
 DRAINS = json.dumps(
@@ -29,6 +30,13 @@
     return SETTINGS | {"Discovery": "on_request" if asked else "pushed"}
 
 
+def test_three_calls_to_a_new_address_fit_in_the_time_after_sighup() -> None:
+    pauses = [discovery.RETRY_ASKED * 2**n for n in range(2)]
+    assert max(pauses) <= discovery.RETRY_ASKED_MOST
+    assert 3 * discovery.FIRST_ASKED + sum(pauses) < AFTER_SIGHUP
+    assert 3 * discovery.FIRST_TIMEOUT + 2 * discovery.RETRY < AFTER_SIGHUP
+
+
 @pytest.mark.parametrize("asked", [False, True], ids=["pushed", "asked"])
 def test_a_connection_that_comes_up_late_leaves_the_call_its_whole_hold(asked: bool) -> None:
     async def test() -> None:
@@ -237,6 +245,33 @@
     run(test())
 
 
+def test_an_address_that_stays_down_is_asked_less_and_less_often(monkeypatch: pytest.MonkeyPatch) -> None:
+    """It was asked four times a second by every sidecar, in step after one signal to all."""
+    slept: list[float] = []
+    enough = asyncio.Event()
+    sleep = asyncio.sleep
+    calls = Calls(monkeypatch, None)
+
+    async def noted(seconds: float) -> None:
+        slept.append(seconds)
+        if len(slept) == 6:
+            enough.set()
+        await sleep(0)
+
+    async def test() -> None:
+        async with sidecar("127.0.0.1:9", discovery=dead_dial(), settings=site(True)) as node:
+            monkeypatch.setattr(asyncio, "sleep", noted)
+            host, _, port = dead_dial().rpartition(":")
+            node.discovery.move((host, int(port)))
+            await enough.wait()
+
+    run(test())
+    assert set(calls.failed) == {CallFailed}
+    pauses = [min(discovery.RETRY_ASKED * 2**n, discovery.RETRY_ASKED_MOST) for n in range(len(slept[:6]))]
+    assert all(pause / 2 <= had <= pause for pause, had in zip(pauses, slept, strict=False))
+    assert len({had / pause for pause, had in zip(pauses, slept, strict=False)}) > 1
+
+
 def test_a_whole_list_asked_for_while_a_watch_is_held_disturbs_it_not(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
