Hear asked-for lists within six seconds of discovery's return

Cause: a change counts as told 6 s after discovery had it and could be reached. Where lists are asked for, a watch was held for 20 s and given up 1 s later, and after a failed call the decisions waited for 1 to 4 s, more where the settings let a sidecar ask less often.

Change: a watch is held for 2.0 to 2.5 s (by the seed, so that sidecars do not call in step) and given up 0.5 s later; the decisions call again 0.375 to 1.5 s after a failure, and first 0 to 1.5 s after the start, plus a cycle of 0.25 s. Where the time to ask in is 3.75 s or less they ask as before. Lists that are pushed are as they were.

More calls that bring nothing: eight to ten times as many, with no lines.

Tests: the arithmetic of each ending, the bounds and the spread of what the decisions put off, the spread of the waits.

--- a/cranespindle/balance.py
+++ b/cranespindle/balance.py
@@ -70,7 +70,9 @@
 RETRY_SHARE, RETRY_SAVED = 0.2, 10.0  # retry budget: share of sends, and how much of it may be saved up
 SPILL_STEP = 0.025  # change of the chance to cross zones, a cycle, for a difference that counts as overload
 STAY_AWAY = SECOND  # advice to a refused client, where clients take any: some cycles
-ASK_SPREAD = 0.4  # part of the time to ask in over which sidecars restarted in bulk spread their first call
+ASK_SPREAD = 0.4  # part of the time to ask in over which sidecars spread their first and further calls
+ASK_MOST = 1.5 * SECOND  # at most: a change counts as told 6 s after discovery had it and could be reached
+ASK_LEAST = 0.25  # share of that which passes before a call that follows a failed one
 POOL_KEEP = 0.6  # share of the pooled evidence kept from cycle to cycle: about a second's worth
 POOL_KEEP_MOST = 0.85  # where it is thin, some seconds' worth
 EVIDENCE_FULL = 8.0  # outcomes in the pool from which it is thick enough for the shorter memory
@@ -172,6 +174,7 @@
         self.members: dict[bytes, Member] = {}
         self.subscribed = not settings.discovery_on_request
         self.ask_at = 0
+        self.ask_spread = min(ASK_MOST, ASK_SPREAD * settings.ask_within)
         # subset
         self.order: list[list[Member]] = [[], []]  # ready endpoints by rank: of this zone, of others
         self.subset: list[list[Member]] = [[], []]
@@ -222,13 +225,13 @@
 
     def on_attached(self, now: int, event: api.Attached) -> None:
         self.cycle_from = now
-        self.ask_at = now + int(self.rand() * ASK_SPREAD * self.settings.ask_within)
+        self.ask_at = now + int(self.rand() * self.ask_spread)
         self.out.append(api.SetTimer(1 + int(self.rand() * CYCLE), TICK))
 
     def on_list(self, now: int, event: api.EndpointList) -> None:
         if event.kind == ListKind.FAILED:
             self.subscribed = not self.settings.discovery_on_request
-            self.ask_at = now + int((0.1 + 0.3 * self.rand()) * self.settings.ask_within)
+            self.ask_at = now + int((ASK_LEAST + (1 - ASK_LEAST) * self.rand()) * self.ask_spread)
             return
         self.subscribed |= event.kind != ListKind.CACHED
         named = set()
--- a/cranespindle/node/discovery.py
+++ b/cranespindle/node/discovery.py
@@ -15,8 +15,12 @@
 log = logging.getLogger(__name__)
 
 LIST_MOST = 4 * 1024 * 1024
-HOLD = 20.0  # how long a watch of the shared service may wait: each call costs it work
-GRACE = 1.0  # an answer is late by so much before its call is given up; a connection comes up within it
+# A change counts as told 6 s after discovery could be reached. Where it is asked, a call may hang or fail at
+# its very end, after HOLD + GRACE = 3 s; the decisions put the next off by up to 1.75 s (their ASK_MOST and a
+# CYCLE), and half a second is left for its answer. One with nothing new has no lines, so it has no price.
+HOLD = 2.5  # how long a watch of the shared service may wait
+HOLD_JITTER = 0.2  # less up to this share: sidecars that were told at once call in step no longer
+GRACE = 0.5  # an answer is late by so much before its call is given up; a connection comes up within it
 # What the agent has counts as told, also while a call to it hangs: a hung one must end, and the next begin,
 # within the grace that a drain leaves. Calls to it cost nothing.
 HOLD_PUSHED, GRACE_PUSHED = 0.25, 0.2
@@ -115,8 +119,8 @@
 
     async def _next(self) -> HostList:
         if not self._anew:
-            query = f"?from={self._seq}&hold_ms={self._hold * 1000:.0f}"
-            return await self._call(query, self._hold + self._grace)
+            hold = self._hold if self._pushed else self._hold * (1 - HOLD_JITTER * self._rand())
+            return await self._call(f"?from={self._seq}&hold_ms={hold * 1000:.0f}", hold + self._grace)
         # The whole list is there at once where it is pushed: a call that hangs must end in time for the next.
         told = await self._call("", FIRST_TIMEOUT if self._pushed else FIRST_ASKED)
         if not told.whole:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -1,4 +1,4 @@
-"""Each way that a call to discovery can end, and what follows."""
+"""How long a change may stay unheard once discovery can be reached: each way that a call can end."""
 
 from __future__ import annotations
 
@@ -12,12 +12,16 @@
 
 import pytest
 
-from cranespindle import api
+from cranespindle import api, balance
 from cranespindle.node import config, discovery
 from cranespindle.node.discovery import CallFailed, CallSilent, CallSpoilt, Discovery
+from tests.helpers import SECOND, Bench
+from tests.helpers import settings as rules
 from tests.sidecar import SETTINGS, WAIT, Sidecar, dead_dial, entry, ok, run, sidecar, status
 
-AFTER_SIGHUP = 4.0  # s: what a new address has counts as told then
+TOLD_AFTER, MARGIN = 6.0, 0.5  # s: a change counts as told then; and what is to be left of it
+AFTER_SIGHUP = 4.0
+ANSWERED = 0.5  # s for a call that goes well: its connection, the answer, and what the loop is late
 SHORT = 0.05  # s, in place of the bound that ends the call of a test; no other bound may end it
 
 DRAINS = json.dumps(
@@ -30,6 +34,46 @@
     return SETTINGS | {"Discovery": "on_request" if asked else "pushed"}
 
 
+# ---- the longest path of each ending, from the constants
+
+
+def paths(asked: bool, ask_within: int) -> dict[str, float]:
+    """Seconds from when discovery can be reached to when a change is heard. At the worst the call that ends
+    so was begun just before; the one that follows goes well."""
+    module = balance.Balancer(rules(discovery_on_request=asked, ask_within=ask_within), 1)
+    if asked:
+        call, connect = discovery.HOLD + discovery.GRACE, discovery.GRACE
+        first, again = discovery.FIRST_ASKED, discovery.RETRY_ASKED_MOST
+        pause, at_once = (module.ask_spread + balance.CYCLE) / SECOND, 0.0
+    else:
+        call, connect = discovery.HOLD_PUSHED + discovery.GRACE_PUSHED, discovery.GRACE_PUSHED
+        first, again = discovery.FIRST_TIMEOUT, discovery.RETRY
+        pause = at_once = discovery.RETRY
+    before = {
+        "refused": pause,
+        "connect hangs": connect + pause,
+        "another status": call + pause,
+        "cut or reset before the answer": call + pause,
+        "cut in the answer, junk, malformed": call + at_once,
+        "the same, and the next call fails at once": call + pause,
+        "silent, before the answer or in it": call + at_once,
+        "silent, and the next call fails at once": call + pause,
+        "trickles without end": call + at_once,
+        "nothing new": discovery.PAUSE,
+        "the first call of a process, silent": (pause if asked else 0.0) + call + at_once,
+        "the new address fails": first + again,
+        "the whole list, asked once, fails": discovery.FIRST_ASKED + pause,
+    }
+    return {ending: seconds + ANSWERED for ending, seconds in before.items()}
+
+
+@pytest.mark.parametrize("asked", [False, True], ids=["pushed", "asked"])
+@pytest.mark.parametrize("ask_within", [SECOND, 10 * SECOND, 60 * SECOND])
+def test_every_ending_leaves_time_before_a_change_counts_as_told(asked: bool, ask_within: int) -> None:
+    late = {k: s for k, s in paths(asked, ask_within).items() if s > TOLD_AFTER - MARGIN}
+    assert not late
+
+
 def test_three_calls_to_a_new_address_fit_in_the_time_after_sighup() -> None:
     pauses = [discovery.RETRY_ASKED * 2**n for n in range(2)]
     assert max(pauses) <= discovery.RETRY_ASKED_MOST
@@ -46,6 +90,26 @@
     run(test())
 
 
+# ---- what the decisions put off
+
+
+@pytest.mark.parametrize("ask_within", [10 * SECOND, 60 * SECOND])
+def test_calls_are_put_off_for_a_bounded_time_and_not_in_step(ask_within: int) -> None:
+    first: set[int] = set()
+    again: set[int] = set()
+    for seed in range(40):
+        b = Bench(rules(discovery_on_request=True, ask_within=ask_within), seed=seed)
+        for waits in (first, again):
+            if waits is again:
+                b.give(api.EndpointList(api.ListKind.FAILED, ()))
+            since = b.now
+            while not any(isinstance(action, api.Watch) for action in b.tick(balance.CYCLE / SECOND / 5)):
+                assert b.now - since <= balance.ASK_MOST, "put off for too long"
+            waits.add(b.now - since)
+    assert len(first) > 10 and len(again) > 10
+    assert min(again) >= 0.2 * SECOND  # or 200 sidecars would be a storm while it is down
+
+
 # ---- each ending on sockets
 
 
@@ -183,6 +247,7 @@
 def test_after_every_ending_the_next_call_brings_the_change(
     ending: str, asked: bool, monkeypatch: pytest.MonkeyPatch
 ) -> None:
+    monkeypatch.setattr(balance, "ASK_MOST", SECOND // 100)
     end, kind = ENDINGS[ending]
     calls = Calls(monkeypatch, 1 if kind is CallSilent else None, ending == "connect hangs")
 
@@ -213,6 +278,24 @@
         assert timeout <= hold + grace
 
 
+def test_sidecars_that_ask_do_not_call_in_step(monkeypatch: pytest.MonkeyPatch) -> None:
+    holds: list[str] = []
+
+    async def test(seed: str) -> None:
+        stand_in = StandIn(says(ok(NOTHING_NEW)))
+        await stand_in.open()
+        async with sidecar("127.0.0.1:9", discovery=stand_in.dial, settings=site(True), seed=seed) as node:
+            begin(node, True)
+            await node.event(drained)
+        holds.extend(line.split()[1].partition(b"hold_ms=")[2].decode() for line in stand_in.lines[:3])
+
+    for seed in ("1f", "20", "21"):
+        with monkeypatch.context() as patch:
+            Calls(patch, None)
+            run(test(seed))
+    assert len(holds) == 9 and len(set(holds)) > 6
+
+
 # ---- a new address while a call hangs, and two calls at once
 
 
