Ask the client's socket whether it has left before each attempt begins

An attempt of a client that left ends unsent (MOOT). The end of a client's side lets go of its requests at once.

--- a/cranespindle/node/frontend.py
+++ b/cranespindle/node/frontend.py
@@ -43,13 +43,6 @@
     return b"\r\n".join(lines) + b"\r\n\r\n" + body
 
 
-def has_left(transport: asyncio.Transport) -> bool:
-    """Whether the peer has ended its side, asked of the socket: where nothing is read, no event tells."""
-    ended = select.poll()
-    ended.register(transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
-    return bool(ended.poll(0))  # errors and hang-ups are always told
-
-
 class Exchange:
     """A request of a connection and its answer, which goes out in its turn."""
 
@@ -74,11 +67,15 @@
     def fail(self, timed_out: bool) -> None:
         self.put(504 if timed_out else 502, [], b"failed; it may have run\n")
 
+    def left(self) -> bool:
+        return self._connection.left()
+
 
 class ClientConnection(asyncio.Protocol):
     def __init__(self, frontend: Frontend) -> None:
         self.frontend = frontend
         self._transport: asyncio.Transport | None = None
+        self._poll = select.poll()
         self._buffer = bytearray()  # what has come and is not taken yet
         self._searched = 0  # so far of it holds no end of a head
         self._head: Head | None = None  # of the request whose body is still coming
@@ -102,18 +99,34 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         # uvloop's transports have the methods but are no subclasses of asyncio's: nothing to check by type.
         self._transport = cast(asyncio.Transport, transport)
+        self._poll.register(self._transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
         self._wait_anew()
         self.frontend.opened(self)
 
+    def eof_received(self) -> None:
+        # The loop closes the connection, but not before answers that this client may never read have left.
+        self._forget()
+
     def connection_lost(self, exc: Exception | None) -> None:
         self._transport = None
+        self.frontend.closed(self)
+        self._forget()
+
+    def _forget(self) -> None:
+        """The client has gone: nothing that it asked is wanted any more."""
         self._ended = True
         self._buffer.clear()
-        self.frontend.closed(self)
-        for exchange in self._exchanges:
+        exchanges, self._exchanges = self._exchanges, deque()
+        for exchange in exchanges:
             if exchange.answer is None:
                 self.frontend.host.gone(exchange.id)
-        self._exchanges.clear()
+
+    def left(self) -> bool:
+        """Whether the client has ended its side, asked of the socket: where nothing is read, or not yet, no
+        event tells."""
+        transport = self._transport
+        # Errors and hang-ups are always told.
+        return transport is None or transport.is_closing() or bool(self._poll.poll(0))
 
     # ---- requests
 
@@ -258,7 +271,7 @@
         transport, waited = self._transport, self.waited(now)
         if transport is None:
             return
-        if self._paused and not transport.is_closing() and has_left(transport):
+        if self._paused and not transport.is_closing() and self.left():
             transport.abort()
         elif transport.is_closing():
             if waited > LINGER:
--- a/cranespindle/node/host.py
+++ b/cranespindle/node/host.py
@@ -46,6 +46,8 @@
 
     def fail(self, timed_out: bool) -> None: ...
 
+    def left(self) -> bool: ...
+
 
 class Incoming(NamedTuple):
     """A request as the client sent it, checked."""
@@ -197,6 +199,18 @@
             if request.attempt is not None:
                 request.attempt.withdraw()
 
+    def _left(self, request: Open) -> bool:
+        """Whether nobody waits any more. Asked before an attempt begins: no event may have told of it yet."""
+        if not request.answered and request.client.left():
+            self.gone(request.id)
+        return request.answered
+
+    def _payload(self, request: Open) -> bytes:
+        # The connection may have taken its time. The attempt ends before anything of it is written.
+        if self._left(request) and request.attempt is not None:
+            request.attempt.abandon(Outcome.MOOT)
+        return request.payload(self.now)
+
     def _at_deadline(self, request: Open) -> None:
         request.deadline = None
         # The loop rounds its timers to milliseconds and may call before the time: it is over all the same, or
@@ -247,13 +261,13 @@
         if request is None or request.answered or request.attempt is not None or now >= request.expires:
             self._moot(action, request)
             return
-        if request.attempts >= self._settings.max_attempts:
+        if request.attempts >= self._settings.max_attempts or self._left(request):
             self._moot(action, request)
             return
         number, request.attempts = request.attempts, request.attempts + 1
         request.sent, request.endpoint, request.until = now, action.endpoint, request.expires
         done = partial(self._completed, request, number)
-        payload = partial(request.payload, self.now)
+        payload = partial(self._payload, request)
         attempt = self.upstream.attempt(action.endpoint, payload, done, action.latest)
         if attempt is None:
             done(Outcome.CONNECT_FAILED, None)
