Shut the sending side and drop what comes before a client's connection closes

Cause: a close over bytes that had come unread, or that came later, resets the connection, and what the client had not yet taken of an answer is lost with it. A request that lay unread on a resting connection was thrown away, and a victim that was closed already was chosen again, so the share was passed.

Change: `close` shuts the sending side (at once, or once what is written has left) and the connection lingers: what comes is dropped, 1 MB at most, until the client ends its side or 2 s are over (0.25 s while stopping). An idle connection with unread bytes is served, not closed. What lingers counts against the share until its descriptor is closed, and makes room first, the oldest before others.

--- a/cranespindle/node/frontend.py
+++ b/cranespindle/node/frontend.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import select
+import socket
 from collections import deque
 from http import HTTPStatus
+from itertools import islice
 from typing import cast
 
 from cranespindle.node.config import SECOND, Config
@@ -31,7 +34,9 @@
 IDLE = 30.0  # between requests
 IDLE_CROWDED = 2.25  # the same once half the room for clients is taken
 UNREAD = 5.0  # the client does not read its answers
-LINGER = 2.0  # it is being closed, and the rest of an answer does not go out
+LINGER = 2.0  # it is being closed: the rest of an answer does not go out, or the client does not close
+LINGER_STOPPING = 0.25  # the same while the sidecar stops: the end must not wait for such clients
+LINGER_MOST = 1024 * 1024  # bytes that are read and dropped meanwhile
 
 
 def reply(status: int, headers: Headers, body: bytes, close: bool) -> bytes:
@@ -43,6 +48,15 @@
     return b"\r\n".join(lines) + b"\r\n\r\n" + body
 
 
+def shut_sending(fd: int) -> None:
+    with contextlib.suppress(OSError):  # the peer has reset it: its event is to come
+        ending = socket.socket(socket.AF_INET, socket.SOCK_STREAM, 0, fileno=fd)
+        try:
+            ending.shutdown(socket.SHUT_WR)
+        finally:
+            ending.detach()
+
+
 class Exchange:
     """A request of a connection and its answer, which goes out in its turn."""
 
@@ -75,13 +89,15 @@
     def __init__(self, frontend: Frontend) -> None:
         self.frontend = frontend
         self._transport: asyncio.Transport | None = None
+        self._fd = -1
         self._poll = select.poll()
         self._buffer = bytearray()  # what has come and is not taken yet
         self._searched = 0  # so far of it holds no end of a head
         self._head: Head | None = None  # of the request whose body is still coming
         self._exchanges: deque[Exchange] = deque()
         self._taking = False
-        self._ended = False  # nothing more is read
+        self._ended = False  # nothing more is taken
+        self._shut = False  # nor sent, but for what is written: the connection lingers until the client ends
         self._clogged = False  # the client does not read its answers
         self._paused = False  # nothing is read for now
         self._dropped = 0  # bytes that came after the last request to be taken here
@@ -99,12 +115,14 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         # uvloop's transports have the methods but are no subclasses of asyncio's: nothing to check by type.
         self._transport = cast(asyncio.Transport, transport)
-        self._poll.register(self._transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
+        self._fd = self._transport.get_extra_info("socket").fileno()
+        self._poll.register(self._fd, select.POLLRDHUP)
         self._wait_anew()
         self.frontend.opened(self)
 
     def eof_received(self) -> None:
         # The loop closes the connection, but not before answers that this client may never read have left.
+        self.frontend.lingers(self)
         self._forget()
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -228,10 +246,39 @@
         self._take()
 
     def close(self) -> None:
+        """End our side, and the connection once the client has ended its own or LINGER is over.
+
+        Closed at once over bytes that have come unread, it would be reset, and an answer under way lost.
+        """
         self._ended = True
+        transport = self._transport
+        if self._shut or transport is None or transport.is_closing():
+            return
+        self._shut = True
         self._wait_anew()
+        if transport.get_write_buffer_size():
+            transport.write_eof()
+        else:
+            # The loop would do it in a later turn and might read a request before, which would be lost.
+            shut_sending(self._fd)
+        self.frontend.lingers(self)
+        self._pace()
+
+    def abort(self) -> None:
         if self._transport is not None:
-            self._transport.close()
+            self._transport.abort()
+
+    def close_unless_asked(self) -> None:
+        """Close between requests. What has come and is not read yet may be one: that is answered first."""
+        if not self.unread():
+            self.close()
+
+    def unread(self) -> bool:
+        if self._transport is None:
+            return False
+        arrived = select.poll()
+        arrived.register(self._fd, select.POLLIN)
+        return bool(arrived.poll(0))
 
     def pause_writing(self) -> None:
         self._clogged = True
@@ -253,7 +300,8 @@
         transport = self._transport
         if transport is None or transport.is_closing():
             return
-        paused = self._dropped > BODY_MOST if self._ended else self._full()
+        most = LINGER_MOST if self._shut else BODY_MOST
+        paused = self._dropped > most if self._ended else self._full()
         if paused != self._paused:
             self._paused = paused
             (transport.pause_reading if paused else transport.resume_reading)()
@@ -273,15 +321,15 @@
             return
         if self._paused and not transport.is_closing() and self.left():
             transport.abort()
-        elif transport.is_closing():
-            if waited > LINGER:
+        elif self._shut or transport.is_closing():
+            if waited > (LINGER_STOPPING if self.frontend.draining else LINGER):
                 transport.abort()
         elif self._clogged:
             if waited > UNREAD:
                 transport.abort()
         elif self.idle:
             if waited > (idle_most if self.proven else SILENT):
-                self.close()
+                self.close_unless_asked()
         elif not self.owed and waited > (REQUEST if self.proven else FIRST_REQUEST):
             self._reject(BadRequest(408))
 
@@ -298,15 +346,23 @@
         # By when they were last used, oldest first: those that have shown a request of sense, and the others.
         self._proven: dict[ClientConnection, None] = {}
         self._others: dict[ClientConnection, None] = {}
+        self._lingering: dict[ClientConnection, None] = {}  # those that are closed but for the client's part
+        self._open = 0  # descriptors: all of these, and what the loop has yet to close
         self._sweeping: asyncio.TimerHandle | None = None
 
     def __len__(self) -> int:
-        return len(self._proven) + len(self._others)
+        return self._open
 
     def opened(self, connection: ClientConnection) -> None:
-        if len(self) >= self._most:
-            self._victim(connection).close()
+        self._open += 1
         self._others[connection] = None
+        excess = self._open - self._most
+        for lingering in list(islice(self._lingering, max(0, excess))):
+            del self._lingering[lingering]
+            lingering.abort()
+            excess -= 1
+        if excess > 0:
+            self._victim(connection).close()
         if self._sweeping is None:
             self._sweeping = self._loop.call_later(SWEEP, self._sweep)
 
@@ -316,10 +372,10 @@
         A client may take a moment from connecting to its request: closed for newer ones that are no further,
         it would lose its turn while connections of clients that asked once stand idle.
         """
-        other = next((c for c in self._others if not c.owed), None)
+        other = next((c for c in self._others if not c.owed and not c.unread()), None)
         if other is not None and other.waited(self.now()) > FIRST_BYTES:
             return other
-        return next((c for c in self._proven if c.idle), None) or other or newcomer
+        return next((c for c in self._proven if c.idle and not c.unread()), None) or other or newcomer
 
     def taken(self, connection: ClientConnection) -> None:
         """A request of sense has come there."""
@@ -328,18 +384,26 @@
         self._proven.pop(connection, None)
         self._proven[connection] = None
 
+    def lingers(self, connection: ClientConnection) -> None:
+        self._forget(connection)
+        self._lingering[connection] = None
+
     def closed(self, connection: ClientConnection) -> None:
-        self._proven.pop(connection, None)
-        self._others.pop(connection, None)
-        if not len(self):
+        self._forget(connection)
+        self._open -= 1
+        if not self._open:
             self._drained.set()
 
+    def _forget(self, connection: ClientConnection) -> None:
+        for group in (self._proven, self._others, self._lingering):
+            group.pop(connection, None)
+
     def _sweep(self) -> None:
         now = self.now()
-        idle_most = IDLE if len(self) <= self._most // 2 else IDLE_CROWDED
-        for connection in [*self._others, *self._proven]:
+        idle_most = IDLE if self._open <= self._most // 2 else IDLE_CROWDED
+        for connection in [*self._lingering, *self._others, *self._proven]:
             connection.sweep(now, idle_most)
-        self._sweeping = self._loop.call_later(SWEEP, self._sweep) if len(self) else None
+        self._sweeping = self._loop.call_later(SWEEP, self._sweep) if self._open else None
 
     def up(self) -> tuple[int, Headers, bytes]:
         return (200, [], b"up\n") if self.host.listed else (503, [], b"no endpoint is known yet\n")
@@ -351,10 +415,10 @@
     def close_idle(self) -> None:
         for connection in [*self._others, *self._proven]:
             if connection.idle:
-                connection.close()
+                connection.close_unless_asked()
 
     async def finished(self) -> None:
         """Wait until every answer has left and its connection is closed."""
-        while len(self):
+        while self._open:
             self._drained.clear()
             await self._drained.wait()
