Test that clients who fill their share keep nobody out and no descriptor too many

Change: tests only. A sidecar process with 256 descriptors, discovery refused and 512 clients that mostly never ask stays below 256, answers new clients, reaches discovery at its return and its server through it. With no descriptor left it shuts new connections unread, keeps its listener and serves on. Closed connections whose answers are left unread stay within the share.

--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -4,8 +4,12 @@
 
 import asyncio
 import contextlib
+import itertools
+import json
+import resource
 import socket
-from collections.abc import Callable, Iterator
+from collections.abc import AsyncIterator, Callable, Iterator
+from pathlib import Path
 from typing import Any
 
 import pytest
@@ -21,7 +25,21 @@
     ClientConnection,
 )
 from cranespindle.node.request import BadRequest
-from tests.sidecar import Seen, Sidecar, always_ok, endpoint, ok, request, run, sidecar
+from tests.sidecar import (
+    Endpoint,
+    Seen,
+    Sidecar,
+    always_ok,
+    configuration,
+    dead_dial,
+    endpoint,
+    entry,
+    ok,
+    request,
+    run,
+    sidecar,
+)
+from tests.test_program import connect, start
 
 LAST = b"Connection: close\r\n"
 
@@ -256,6 +274,33 @@
     run(test())
 
 
+def test_closed_connections_whose_answers_are_left_unread_stay_within_the_share() -> None:
+    """One of them was closed anew for each newcomer, which made no room."""
+
+    async def test() -> None:
+        async def script(seen: Seen) -> bytes:
+            return ok(b"x" * 1_000_000)
+
+        async with endpoint(script) as served, sidecar(served.dial, limits={"sockets": 19}) as node:
+            assert node.config.clients_most == 7
+            node.host.upstream._store.most = 1 << 30
+
+            async def ask(client: socket.socket) -> None:
+                client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+                client.connect(("127.0.0.1", node.port))
+                asked = len(served.seen)
+                client.sendall(b"".join([request() for _ in range(7)]) + request(extra=LAST))
+                await until(lambda: len(served.seen) >= asked + 8 and not node.host._open)
+
+            with contextlib.ExitStack() as clients:
+                for _ in range(30):
+                    await ask(clients.enter_context(socket.socket()))
+                    assert len(node.frontend) <= 7 + 2
+            await until(lambda: not len(node.frontend))
+
+    run(test())
+
+
 def test_of_what_a_closed_connection_still_sends_a_part_is_read() -> None:
     async def test() -> None:
         async with endpoint(always_ok) as served, sidecar(served.dial) as node:
@@ -275,3 +320,114 @@
             assert UNREAD > LINGER  # the other limit on who does not read
 
     run(test())
+
+
+# ---- the program under a flood, with few descriptors
+
+UP = b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n"
+SOCKETS = 256
+
+
+def descriptors(process: asyncio.subprocess.Process) -> set[int]:
+    return {int(entry.name) for entry in Path(f"/proc/{process.pid}/fd").iterdir()}
+
+
+def may_hold(most: int) -> Callable[[], None]:
+    _, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (most, hard))
+
+
+@contextlib.asynccontextmanager
+async def listing(listen: str, *dials: str) -> AsyncIterator[Endpoint]:
+    """Discovery at an address that was dead before, with one change to tell."""
+    hosts = [entry(f"s-{i}", dial) for i, dial in enumerate(dials)]
+
+    async def script(seen: Seen) -> bytes:
+        if b"from=2&" in seen.line:
+            await asyncio.Event().wait()
+        return ok(json.dumps({"seq": 2, "whole": True, "hosts": hosts}).encode())
+
+    discovery = Endpoint(script)
+    host, _, port = listen.rpartition(":")
+    server = await asyncio.start_server(discovery._serve, host, int(port))
+    try:
+        yield discovery
+    finally:
+        server.close()
+
+
+@contextlib.asynccontextmanager
+async def flooded(
+    tmp_path: Path, listen: str, discovery: str
+) -> AsyncIterator[tuple[asyncio.subprocess.Process, list[socket.socket]]]:
+    """A sidecar that was started with no list, discovery down, and more clients than it may have descriptors,
+    most of which never ask."""
+    file = tmp_path / "config.json"
+    told = configuration(listen=listen, discovery=discovery, limits={"sockets": SOCKETS, "memory_mb": 64})
+    file.write_text(json.dumps(told))
+    process = await start(file, preexec_fn=may_hold(SOCKETS))
+    host, _, port = listen.rpartition(":")
+    with contextlib.ExitStack() as clients:
+        (await connect(listen)).writer.close()
+        held = []
+        for n in range(2 * SOCKETS):
+            client = clients.enter_context(socket.create_connection((host, int(port))))
+            held.append(client)
+            client.sendall((b"", request()[:-2], UP, b"", b"nonsense\r\n\r\n", request())[n % 6])
+            assert len(descriptors(process)) < SOCKETS
+            await asyncio.sleep(0)
+        yield process, held
+    process.terminate()
+    assert await process.wait() == 0
+
+
+def test_clients_that_fill_their_share_keep_neither_discovery_nor_servers_nor_others_out(
+    tmp_path: Path,
+) -> None:
+    async def test() -> None:
+        listen, discovery = dead_dial(), dead_dial()
+        async with endpoint(always_ok) as served, flooded(tmp_path, listen, discovery) as (process, _):
+            assert (await (await connect(listen)).ask(request()))[0] == 503
+            async with listing(discovery, served.dial) as told:
+                await told.arrived.wait()
+                code = 503
+                while code == 503:  # the list is on its way
+                    code = (await (await connect(listen)).ask(request("post")))[0]
+                assert code == 200 and len(served.seen) == 1
+                assert len(descriptors(process)) < SOCKETS
+
+    run(test())
+
+
+def test_with_no_descriptor_left_the_listener_lives_and_shuts_new_connections_unread(tmp_path: Path) -> None:
+    async def test() -> None:
+        listen, discovery = dead_dial(), dead_dial()
+        async with endpoint(always_ok) as served:
+            file = tmp_path / "config.json"
+            file.write_text(json.dumps(configuration(served.dial, listen=listen, discovery=discovery)))
+            process = await start(file, stderr=asyncio.subprocess.PIPE)
+            kept = await connect(listen)
+            assert (await kept.ask(request()))[0] == 200
+            _, hard = resource.prlimit(process.pid, resource.RLIMIT_NOFILE)
+            held = descriptors(process)
+            first_free = next(n for n in itertools.count() if n not in held)
+            resource.prlimit(process.pid, resource.RLIMIT_NOFILE, (first_free, hard))
+            clients, shut = [], 0
+            for _ in range(40):  # a few may find one that another has left
+                clients.append(await connect(listen))
+                try:
+                    assert (await clients[-1].ask(request()))[0] in (200, 503)
+                except (ConnectionError, asyncio.IncompleteReadError):
+                    shut += 1
+            assert shut > 30
+            assert (await kept.ask(request()))[0] == 200
+            resource.prlimit(process.pid, resource.RLIMIT_NOFILE, (SOCKETS, hard))
+            async with listing(discovery, served.dial) as told:
+                await told.arrived.wait()
+                assert (await (await connect(listen)).ask(request()))[0] == 200
+            process.terminate()
+            kept.writer.close()
+            assert await process.wait() == 0
+            assert process.stderr is not None and await process.stderr.read() == b""
+
+    run(test())
