Call a sidecar with no list ready after two seconds and let it refuse

Change: `/up` answers 200 two seconds after the start at the latest. Where discovery is up a list comes at once, so until then 503 still spares the application's first requests; after that they are refused at once, harmlessly.

--- a/cranespindle/node/frontend.py
+++ b/cranespindle/node/frontend.py
@@ -37,6 +37,9 @@
 LINGER = 2.0  # it is being closed: the rest of an answer does not go out, or the client does not close
 LINGER_STOPPING = 0.25  # the same while the sidecar stops: the end must not wait for such clients
 LINGER_MOST = 1024 * 1024  # bytes that are read and dropped meanwhile
+# A sidecar that knows no endpoint says so for this long, as a list comes at once where discovery is up. Then
+# it is ready all the same: the application waits for it, and what is refused until a list comes is harmless.
+UNLISTED = 2.0
 
 
 def reply(status: int, headers: Headers, body: bytes, close: bool) -> bytes:
@@ -341,6 +344,7 @@
         self.checker = Checker(config)
         self.now = loop.time
         self._loop = loop
+        self._began = self.now()
         self._drained = asyncio.Event()
         self._most = config.clients_most
         # By when they were last used, oldest first: those that have shown a request of sense, and the others.
@@ -406,7 +410,9 @@
         self._sweeping = self._loop.call_later(SWEEP, self._sweep) if self._open else None
 
     def up(self) -> tuple[int, Headers, bytes]:
-        return (200, [], b"up\n") if self.host.listed else (503, [], b"no endpoint is known yet\n")
+        if self.host.listed or self.now() - self._began >= UNLISTED:
+            return 200, [], b"up\n"
+        return 503, [], b"no endpoint is known yet\n"
 
     def wind_down(self) -> None:
         """Let answers close their connections from here on, so that clients leave as they are served."""
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -21,6 +21,7 @@
     LINGER_MOST,
     LINGER_STOPPING,
     SILENT,
+    UNLISTED,
     UNREAD,
     ClientConnection,
 )
@@ -399,6 +400,54 @@
     run(test())
 
 
+def test_a_sidecar_with_no_list_is_ready_after_a_short_time_and_refuses() -> None:
+    """Where it was started with an empty list and discovery was down, it never was."""
+
+    async def test() -> None:
+        async with sidecar() as node:
+            client, began = await node.client(), node.frontend._began
+            for seconds, code in ((0.0, 503), (UNLISTED - 0.001, 503), (UNLISTED, 200)):
+                node.frontend.now = lambda now=began + seconds: now  # type: ignore[misc]
+                assert (await client.ask(UP))[0] == code
+            assert (await client.ask(request("post")))[0] == 503
+            assert not node.host._open
+
+    run(test())
+
+
+def test_a_sidecar_with_an_old_list_is_ready_at_once_though_discovery_is_down(tmp_path: Path) -> None:
+    async def test() -> None:
+        listen, file = dead_dial(), tmp_path / "config.json"
+        file.write_text(json.dumps(configuration(dead_dial(), listen=listen)))
+        process = await start(file)
+        client = await connect(listen)
+        assert (await client.ask(UP))[0] == 200
+        assert (await client.ask(request("post")))[0] == 503  # nothing listens at its only address
+        client.writer.close()
+        process.terminate()
+        assert await process.wait() == 0
+
+    run(test())
+
+
+def test_a_sidecar_that_starts_under_a_flood_with_no_list_and_discovery_down_gets_ready(
+    tmp_path: Path,
+) -> None:
+    async def test() -> None:
+        listen = dead_dial()
+        async with flooded(tmp_path, listen, dead_dial()):
+            code = 503
+            while code != 200:
+                client = await connect(listen)
+                with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+                    code = (await client.ask(UP))[0]
+                client.writer.close()
+                await asyncio.sleep(0.01)
+            assert (await (await connect(listen)).ask(request()))[0] == 503
+
+    run(test())
+
+
 def test_with_no_descriptor_left_the_listener_lives_and_shuts_new_connections_unread(tmp_path: Path) -> None:
     async def test() -> None:
         listen, discovery = dead_dial(), dead_dial()
