Let closed connections linger briefly from SIGTERM on, not only at its end

Cause: a closed connection lingers 2 s for its client, and only the wind-down cut that short: a client that leaves its side open put the end after SIGTERM off where all others had left.

Change: from SIGTERM on they linger 0.25 s. A new test starts a sidecar at the address of one that was killed or stopped while its clients' connections are not over, three times in a row each.

--- a/cranespindle/__main__.py
+++ b/cranespindle/__main__.py
@@ -73,6 +73,7 @@
     accepted = loop.time() + ACCEPT_ON
     end = max(accepted, loop.time() + longest + KILLED_AFTER - SPARE)
     host.end_within(end - LAST_ANSWERS - loop.time())
+    frontend.stop()
     await asyncio.sleep(ACCEPT_ON)
     server.close()
     for before, step in ((WIND_DOWN, frontend.wind_down), (CLOSE_IDLE, frontend.close_idle), (0.0, None)):
--- a/cranespindle/node/frontend.py
+++ b/cranespindle/node/frontend.py
@@ -325,7 +325,7 @@
         if self._paused and not transport.is_closing() and self.left():
             transport.abort()
         elif self._shut or transport.is_closing():
-            if waited > (LINGER_STOPPING if self.frontend.draining else LINGER):
+            if waited > self.frontend.linger:
                 transport.abort()
         elif self._clogged:
             if waited > UNREAD:
@@ -341,6 +341,7 @@
     def __init__(self, config: Config, host: Host, loop: asyncio.AbstractEventLoop) -> None:
         self.host = host
         self.draining = False
+        self.linger = LINGER
         self.checker = Checker(config)
         self.now = loop.time
         self._loop = loop
@@ -414,6 +415,10 @@
             return 200, [], b"up\n"
         return 503, [], b"no endpoint is known yet\n"
 
+    def stop(self) -> None:
+        """Let no client that leaves its closed connection open put off the end."""
+        self.linger = LINGER_STOPPING
+
     def wind_down(self) -> None:
         """Let answers close their connections from here on, so that clients leave as they are served."""
         self.draining = True
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -7,6 +7,7 @@
 import itertools
 import json
 import resource
+import signal
 import socket
 from collections.abc import AsyncIterator, Callable, Iterator
 from pathlib import Path
@@ -219,7 +220,7 @@
     async def test() -> None:
         async with endpoint(always_ok) as served, sidecar(served.dial) as node:
             if stopping:
-                node.frontend.wind_down()
+                node.frontend.stop()
             most = LINGER_STOPPING if stopping else LINGER
             with peer(node) as client:
                 connection = await accepted(node)
@@ -430,6 +431,29 @@
     run(test())
 
 
+@pytest.mark.parametrize("number", [signal.SIGKILL, signal.SIGTERM])
+def test_a_sidecar_comes_back_at_its_address_though_connections_of_the_last_one_are_not_over(
+    tmp_path: Path, number: signal.Signals
+) -> None:
+    async def test() -> None:
+        async with endpoint(always_ok) as served:
+            listen, file = dead_dial(), tmp_path / "config.json"
+            file.write_text(json.dumps(configuration(served.dial, listen=listen)))
+            kept = []
+            for _ in range(3):
+                process = await start(file)
+                idle, last = await connect(listen), await connect(listen)
+                kept += [last] if number == signal.SIGTERM else [idle, last]
+                assert (await idle.ask(request()))[0] == 200
+                assert (await last.ask(request(extra=LAST)))[0] == 200 and await last.ended()
+                if number == signal.SIGTERM:
+                    idle.writer.close()
+                process.send_signal(number)
+                await process.wait()
+
+    run(test())
+
+
 def test_a_sidecar_that_starts_under_a_flood_with_no_list_and_discovery_down_gets_ready(
     tmp_path: Path,
 ) -> None:
