An answer with no length ends with its connection

Cause: an answer with neither Content-Length nor Transfer-Encoding was refused at its head and counted as a break, so work that had run failed or ran again.

Change: its body is collected up to the end of the connection (RFC 9112, 6.3), which eof_received tells; httptools has no way to be told. A reset is no end: it never comes to eof_received, and where one follows the end at once the socket is asked for its error, and the answer counts as broken (RFC 9112, 8). One that never ends is bounded as any other by the request's time, the limit of a body and the store. Where only the head counts (an error, a decline) the head is enough, so that its end is not waited for. 204 and 304 have no body and need no length; they were refused as well. The client gets the body with its Content-Length; the connection is not kept.

--- a/cranespindle/node/upstream.py
+++ b/cranespindle/node/upstream.py
@@ -75,6 +75,7 @@
         self._poll = select.poll()
         self._answer: Answer | None = None
         self._junk = False
+        self._unframed = False  # the answer ends with its connection
         self._raw = 0  # bytes of the answer so far
         self.idle_since = 0
         self.body_most = ANSWER_MOST
@@ -110,7 +111,7 @@
         if transport is None or transport.is_closing():
             return False
         self._parser = httptools.HttpResponseParser(self)
-        self._answer, self._junk = None, False
+        self._answer, self._junk, self._unframed = None, False, False
         self._status = self._size = self._raw = 0
         self._in_head = True
         self._headers: Headers = []
@@ -152,6 +153,12 @@
         elif self._junk:
             self._finish(None, False)
 
+    def eof_received(self) -> None:
+        """The peer's end of the connection; the transport closes after this. A reset does not come here, but
+        it may have followed at once."""
+        if self._unframed and not any(flags & select.POLLERR for _, flags in self._poll.poll(0)):
+            self._finish(Answer(self._status, self._headers, b"".join(self._chunks)), False)
+
     def connection_lost(self, exc: Exception | None) -> None:
         self._transport = None
         self._finish(None, False)
@@ -182,10 +189,18 @@
         if self._status < 200 or self._answer is not None:
             return
         self._in_head = False
-        # Refused at the head: an answer of 3 GB, and one whose end nothing tells.
         told = [value for name, value in self._headers if name in (b"content-length", b"transfer-encoding")]
-        if len(told) != 1 or (told[0].isdigit() and int(told[0]) > self.body_most):
-            raise ValueError("an answer with no end, or too long")
+        # Refused at the head: an answer of 3 GB, and one whose length is told twice.
+        if len(told) > 1 or (told and told[0].isdigit() and int(told[0]) > self.body_most):
+            raise ValueError("an answer too long, or of two lengths")
+        if told or self._status in (204, 304):
+            return
+        # With no length it ends with the connection (RFC 9112, 6.3). Where only the head counts, that is not
+        # waited for: it may never come.
+        if self._status == 200:
+            self._unframed = True
+        else:
+            self._answer, self._keep = Answer(self._status, self._headers, b""), False
 
     def on_body(self, body: bytes) -> None:
         self._grow(len(body), self.body_most)
--- /dev/null
+++ b/tests/test_upstream.py
@@ -0,0 +1,248 @@
+"""The servers' side, forced over loopback sockets: answers with no length, connections that come up late."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+import struct
+from collections.abc import AsyncIterator
+
+import pytest
+
+from cranespindle import api
+from cranespindle.api import Outcome
+from cranespindle.node.upstream import ANSWER_MOST, Answer, Connection, outcome_of
+from tests.sidecar import WAIT, request, run, sidecar
+
+NO_LENGTH = b"HTTP/1.1 200 OK\r\nX-Shard: 7\r\n\r\n"
+DECLINED = b"HTTP/1.1 503 X\r\nSrv-Declined: 1\r\n\r\n"
+
+
+def completed(event: api.Event) -> bool:
+    return isinstance(event, api.Completed)
+
+
+def reset(peer: socket.socket) -> None:
+    peer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    peer.close()
+
+
+class Exchanged:
+    """A connection with its request out, and the peer's side of it, on which a test does things at once."""
+
+    def __init__(self, connection: Connection, peer: socket.socket) -> None:
+        self.connection, self.peer = connection, peer
+        self.answered: asyncio.Future[Answer | None] = asyncio.get_running_loop().create_future()
+        assert connection.send(b"GET / HTTP/1.1\r\n\r\n", self.answered.set_result)
+        assert peer.recv(100) == b"GET / HTTP/1.1\r\n\r\n"
+
+
+@contextlib.asynccontextmanager
+async def exchanged() -> AsyncIterator[Exchanged]:
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        loop = asyncio.get_running_loop()
+        _, connection = await loop.create_connection(Connection, *server.getsockname())
+        peer, _ = server.accept()
+        peer.settimeout(WAIT)
+        with peer:
+            yield Exchanged(connection, peer)
+        connection.close()
+
+
+# ---- answers with no length
+
+
+@pytest.mark.parametrize("parts", [(NO_LENGTH + b"done",), (NO_LENGTH[:40], NO_LENGTH[40:], b"do", b"ne")])
+def test_an_answer_with_no_length_ends_with_its_connection(parts: tuple[bytes, ...]) -> None:
+    """Refused at its head, a whole answer was a break: work that had run failed, or ran again."""
+
+    async def test() -> None:
+        async with exchanged() as out:
+            for part in parts:
+                out.peer.sendall(part)
+                await asyncio.sleep(0)
+            out.peer.shutdown(socket.SHUT_WR)
+            assert await out.answered == Answer(200, [(b"x-shard", b"7")], b"done")
+            assert not out.connection.usable() and out.connection._store.held == 0
+            assert out.peer.recv(1) == b""
+
+    run(test())
+
+
+@pytest.mark.parametrize("ended", [False, True], ids=["cut", "ended"])
+@pytest.mark.parametrize("raw", [NO_LENGTH, NO_LENGTH + b"do", NO_LENGTH[:-2]])
+def test_a_reset_is_no_end_of_an_answer_with_no_length(raw: bytes, ended: bool) -> None:
+    """Nor is it where the end has come just before: the connection has told of an error."""
+
+    async def test() -> None:
+        async with exchanged() as out:
+            out.peer.sendall(raw)
+            if ended:
+                out.peer.shutdown(socket.SHUT_WR)
+            reset(out.peer)
+            assert await out.answered is None
+            assert not out.connection.usable() and out.connection._store.held == 0
+
+    run(test())
+
+
+@pytest.mark.parametrize(
+    "raw",
+    [
+        b"",
+        NO_LENGTH[:-2],
+        b"HTTP/1.1 103 Early Hints\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndon",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\ndone",
+    ],
+)
+def test_the_end_of_the_connection_ends_no_other_answer(raw: bytes) -> None:
+    async def test() -> None:
+        async with exchanged() as out:
+            out.peer.sendall(raw)
+            out.peer.shutdown(socket.SHUT_WR)
+            assert await out.answered is None
+
+    run(test())
+
+
+@pytest.mark.parametrize(
+    ("raw", "outcome"),
+    [
+        (DECLINED, Outcome.FULL),
+        (DECLINED + b"and so", Outcome.FULL),
+        (b"HTTP/1.1 500 X\r\n\r\n", Outcome.ERROR),
+        (b"HTTP/1.1 404 X\r\n\r\n<html>", Outcome.WRONG),
+    ],
+)
+def test_of_an_answer_that_serves_nothing_the_head_is_enough(raw: bytes, outcome: int) -> None:
+    """Its body goes nowhere, so it is not waited for, nor does it matter what becomes of it."""
+
+    async def test() -> None:
+        async with exchanged() as out:
+            out.peer.sendall(raw)  # and no end
+            assert outcome_of(await out.answered) == outcome
+            assert not out.connection.usable()
+            assert out.peer.recv(1) == b""
+
+    run(test())
+
+
+@pytest.mark.parametrize("code", [204, 304])
+def test_an_answer_that_has_no_body_needs_no_length_and_keeps_its_connection(code: int) -> None:
+    async def test() -> None:
+        async with exchanged() as out:
+            out.peer.sendall(b"HTTP/1.1 %d X\r\n\r\n" % code)
+            answer = await out.answered
+            assert answer is not None and (answer.status, answer.body) == (code, b"")
+            assert out.connection.usable()
+
+    run(test())
+
+
+class Raw:
+    """An endpoint that writes an answer as it is, and then ends the connection as it is told."""
+
+    def __init__(self, raw: bytes, ending: str) -> None:
+        self.raw, self.ending = raw, ending
+        self.connections: list[asyncio.StreamWriter] = []
+        self.left = asyncio.Event()
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.connections.append(writer)
+        with contextlib.suppress(ConnectionError):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(self.raw)
+            await writer.drain()
+            if self.ending == "reset":
+                linger = struct.pack("ii", 1, 0)
+                writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+                writer.transport.abort()
+            elif self.ending == "never":
+                await reader.read()
+        self.left.set()
+        writer.close()
+
+
+@contextlib.asynccontextmanager
+async def raw_endpoint(raw: bytes, ending: str) -> AsyncIterator[tuple[Raw, str]]:
+    served = Raw(raw, ending)
+    server = await asyncio.start_server(served.serve, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    try:
+        yield served, f"{host}:{port}"
+    finally:
+        server.close()
+
+
+@pytest.mark.parametrize(
+    ("ending", "cls", "code", "outcome"),
+    [
+        ("end", "post", 200, Outcome.OK),
+        ("reset", "post", 502, Outcome.RESET),
+        ("never", "post", 504, Outcome.TIMEOUT),
+        ("never", "read", 503, Outcome.TIMEOUT),
+    ],
+)
+def test_what_an_answer_with_no_length_comes_to(ending: str, cls: str, code: int, outcome: int) -> None:
+    """The client gets it with its length; one that never ends is given up with the client's time."""
+
+    async def test() -> None:
+        async with (
+            raw_endpoint(NO_LENGTH + b"x" * 1000, ending) as (one, dial),
+            raw_endpoint(NO_LENGTH + b"x" * 1000, ending) as (other, second),
+            sidecar(dial, second) as node,
+        ):
+            client, upstream = await node.client(), node.host.upstream
+            client.writer.write(request(cls))
+            if ending == "never":
+                while not upstream._store.held:
+                    await asyncio.sleep(0)
+                node.host.end_within(0)
+            answered, headers, body = await client.answer()
+            assert answered == code
+            if code == 200:
+                assert headers == {b"x-shard": b"7", b"content-length": b"1000"} and body == b"x" * 1000
+            assert (await node.event(completed)).outcome == outcome
+            if ending == "never":
+                [left] = [served for served in (one, other) if served.connections]
+                # It outlives its request up to the class's aim, no longer.
+                await left.left.wait()
+            while upstream._open:
+                await asyncio.sleep(0)
+            assert len(one.connections) + len(other.connections) == 1
+            assert upstream._store.held == 0 and not upstream.outlived and not node.host._open
+
+    run(test())
+
+
+@pytest.mark.parametrize("together", [ANSWER_MOST // 2, 3 * ANSWER_MOST])
+def test_an_answer_with_no_length_that_is_too_long_is_refused_in_time(together: int) -> None:
+    """By what one answer may hold, and by what all may hold together."""
+
+    async def test() -> None:
+        long = NO_LENGTH + b"x" * 2 * ANSWER_MOST
+        async with raw_endpoint(long, "never") as (served, dial), sidecar(dial) as node:
+            store = node.host.upstream._store
+            store.most = together
+            client = await node.client()
+            assert (await client.ask(request("post")))[0] == 502
+            assert (await node.event(completed)).outcome == Outcome.RESET
+            await served.left.wait()  # while the endpoint would have held it
+            assert store.held == 0
+
+    run(test())
+
+
+def test_a_connection_is_not_kept_after_an_answer_with_no_length() -> None:
+    async def test() -> None:
+        async with raw_endpoint(NO_LENGTH + b"done", "end") as (served, dial), sidecar(dial) as node:
+            client = await node.client()
+            for n in range(1, 4):
+                assert (await client.ask(request("post")))[::2] == (200, b"done")
+                [pool] = node.host.upstream._pools.values()
+                assert not pool.idle and len(served.connections) == n
+
+    run(test())
