End a connection at once that is given up for its answer

Cause: an answer that is refused on the way (too long, malformed) or taken by its head alone ended its connection by abort(), which the loop carries out in its next turn. The attempt was told at once, and a further one could be written before that: two copies out at once, as Attempt.abandon guards against.

Change: _finish shuts the socket down before it tells of the answer, as close does.

--- a/cranespindle/node/upstream.py
+++ b/cranespindle/node/upstream.py
@@ -170,6 +170,8 @@
         self._store.held -= self._held
         self._held = 0
         if not keep and self._transport is not None:
+            if done is not None and not self._transport.is_closing():
+                end_now(self._fd)  # a further attempt may go out at once: see `close`
             self._transport.abort()
         if done is not None:
             done(answer)
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -50,6 +50,32 @@
         connection.close()
 
 
+@pytest.mark.parametrize(
+    "raw",
+    [
+        b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n",
+        b"HTTP/1.1 500 X\r\n\r\n",
+        b"\x00 noise",
+    ],
+)
+def test_an_answer_that_is_cut_short_here_ends_before_a_further_attempt_can_be_written(raw: bytes) -> None:
+    """The loop closes in its next turn: a further attempt, written at once, was a second copy until then."""
+
+    async def test() -> None:
+        async with exchanged() as out:
+            seen: list[bytes] = []
+            out.connection._done = lambda answer: seen.append(
+                out.peer.recv(1)
+            )  # as the next attempt goes out
+            out.peer.settimeout(WAIT / 4)
+            out.peer.sendall(raw)
+            while not seen:
+                await asyncio.sleep(0)
+            assert seen == [b""]
+
+    run(test())
+
+
 # ---- answers with no length
 
 
