What its time meets while it still connects never ran and is refused

Cause: Attempt.outlive, and the time-out of an attempt by Attempt.abandon, told TIMEOUT also where the connection was not up. That may have run, so work that must not run twice was answered as failed, and the wait counted as one for an answer: as overload of the endpoint.

Change: both tell MOOT while nothing was written, and the connection that comes up goes to the pool (before, a time-out threw the handshake away). Nothing further is sent: the deadline ends the request's time (Host._send), and after MOOT the decisions refuse.

Why MOOT and not CONNECT_FAILED: the connect has a time-out of its own, from the settings, after which it is told as CONNECT_FAILED. Cut off before that, a few milliseconds or most of it, it says nothing of the endpoint; CONNECT_FAILED would eject at its first time one that has not served for half a second, also for a client that left it 5 ms. The price: an endpoint that never comes up is not learnt of from clients all of whose time is shorter than that of a connect.

--- a/cranespindle/node/host.py
+++ b/cranespindle/node/host.py
@@ -275,9 +275,7 @@
         request.attempt = attempt
         if action.timeout and now + action.timeout < request.expires:
             request.until = now + action.timeout
-            request.patience = self._loop.call_later(
-                action.timeout / SECOND, attempt.abandon, Outcome.TIMEOUT
-            )
+            request.patience = self._loop.call_later(action.timeout / SECOND, attempt.time_out)
         attempt.start()
 
     def _moot(self, action: api.Send, request: Open | None) -> None:
--- a/cranespindle/node/upstream.py
+++ b/cranespindle/node/upstream.py
@@ -296,12 +296,21 @@
             if done is not None:
                 done(Outcome.MOOT, None)
 
+    def time_out(self) -> None:
+        """Its own time is over, which may find it while it still connects."""
+        if self._connect is not None:
+            self.withdraw()
+        else:
+            self.abandon(Outcome.TIMEOUT)
+
     def outlive(self, seconds: float, freed: Callable[[], None]) -> None:
         """Stop waiting as its request is over, but let the connection live if the answer comes in this time.
 
         Closed, it would cost the endpoint a handshake, about the work of a request, and the next request the
         time of it. `freed` is called once nothing of the attempt is out any more.
         """
+        # Not written, it never ran. Nor does that speak against the endpoint: the connect has time left.
+        outcome = Outcome.MOOT if self._connect is not None else Outcome.TIMEOUT
         if self._connection is not None and seconds <= 0:
             self._connection.close()
         elif self._connection is not None:
@@ -312,7 +321,7 @@
             self._upstream.outlived.add(self)
         done, self._done = self._done, None
         if done is not None:
-            done(Outcome.TIMEOUT, None)
+            done(outcome, None)
         if self._freed is None:
             freed()
 
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -7,13 +7,23 @@
 import socket
 import struct
 from collections.abc import AsyncIterator
+from typing import Any
 
 import pytest
 
 from cranespindle import api
 from cranespindle.api import Outcome
-from cranespindle.node.upstream import ANSWER_MOST, Answer, Connection, outcome_of
-from tests.sidecar import WAIT, request, run, sidecar
+from cranespindle.node.upstream import ANSWER_MOST, Answer, Connection, Pool, outcome_of
+from tests.sidecar import (
+    SETTINGS,
+    WAIT,
+    Sidecar,
+    always_ok,
+    endpoint,
+    request,
+    run,
+    sidecar,
+)
 
 NO_LENGTH = b"HTTP/1.1 200 OK\r\nX-Shard: 7\r\n\r\n"
 DECLINED = b"HTTP/1.1 503 X\r\nSrv-Declined: 1\r\n\r\n"
@@ -272,3 +282,64 @@
                 assert not pool.idle and len(served.connections) == n
 
     run(test())
+
+
+# ---- connections that come up late
+
+
+class Gate:
+    """Holds the connections of a sidecar to its endpoints, made already, until it is opened."""
+
+    def __init__(self, node: Sidecar, problem: OSError | None = None) -> None:
+        self.opened, self.reached, self.made = asyncio.Event(), asyncio.Event(), 0
+        self._problem = problem  # of the first
+        self._connect = node.host.upstream.connect
+        node.host.upstream.connect = self._late  # type: ignore[method-assign]
+
+    async def _late(self, pool: Pool) -> Connection:
+        connection = await self._connect(pool)
+        self.made += 1
+        self.reached.set()
+        await self.opened.wait()
+        if self._problem is not None and self.made == 1:
+            connection.close()
+            raise self._problem
+        return connection
+
+
+def classes(**changes: Any) -> dict[str, Any]:
+    told: Any = SETTINGS["Categories"]
+    return SETTINGS | {"Categories": [cls | changes for cls in told]}
+
+
+@pytest.mark.parametrize("cls", ["read", "post"])
+@pytest.mark.parametrize("over", ["deadline", "patience"])
+def test_what_its_time_meets_while_it_connects_never_ran(over: str, cls: str) -> None:
+    """It was told as a time-out, so work that must not run twice was answered as failed."""
+
+    async def test() -> None:
+        brief = classes(LateWorth=0, AimNs=20_000_000)  # no answer earns after the aim: given up then
+        async with (
+            endpoint(always_ok) as served,
+            sidecar(served.dial, settings=brief if over == "patience" else SETTINGS) as node,
+        ):
+            gate, upstream = Gate(node), node.host.upstream
+            client = await node.client()
+            client.writer.write(request(cls, rid="9b1f"))
+            await gate.reached.wait()
+            if over == "deadline":
+                node.host.end_within(0)
+            assert (await client.answer())[0] == 503  # refused: trying again is harmless
+            ended = await node.event(completed)
+            assert (ended.outcome, ended.over) == (Outcome.MOOT, False)
+            assert not node.host._open and not node.host.knows(b"9b1f")
+            # It says nothing of the endpoint, whose connection is not in vain.
+            [member] = node.host._balancer.members.values()
+            assert (member.fails, member.streak, member.out_until, member.inflight) == (0.0, 0, 0, 0)
+            gate.opened.set()
+            while upstream.outlived:
+                await asyncio.sleep(0)
+            [pool] = upstream._pools.values()
+            assert len(pool.idle) == 1 and not served.seen and gate.made == 1
+
+    run(test())
