A connection belongs to the address that it goes to

Cause: a pool holds what goes to an endpoint by its id. When the endpoint returned at a new address, what stood idle was closed, but a connection to the old one that was in use went back into the pool, and one that came up just then was written on: requests went to a machine that the list no longer names. An old address that refused counted against the endpoint that had just returned.

Change: a connection knows its address; `give` keeps those to the present one only, and an attempt whose connect began before the change connects anew, whatever became of the old connect (it never ran), if there is room and somebody still waits.

--- a/cranespindle/node/upstream.py
+++ b/cranespindle/node/upstream.py
@@ -77,6 +77,7 @@
         self._junk = False
         self._unframed = False  # the answer ends with its connection
         self._raw = 0  # bytes of the answer so far
+        self.dial: Address | None = None  # of the endpoint
         self.idle_since = 0
         self.body_most = ANSWER_MOST
 
@@ -342,10 +343,7 @@
             connection = self._upstream.take(self._pool)
             ours = connection is None and not self._upstream.room()
         if connection is None and not ours:
-            try:
-                connection = await self._upstream.connect(self._pool)
-            except OSError as problem:  # a time-out is one too
-                ours = problem.errno in OWN_LACK
+            connection, ours = await self._dial()
         self._connect = None
         if self._done is None:
             self._upstream.outlived.discard(self)
@@ -363,6 +361,24 @@
         else:
             self._write(connection)
 
+    async def _dial(self) -> tuple[Connection | None, bool]:
+        """A new connection, or None and whether the lack is ours. What comes of an address that the endpoint
+        has left meanwhile says nothing of it: the new one is tried."""
+        while True:
+            dial, connection, ours = self._pool.dial, None, False
+            try:
+                connection = await self._upstream.connect(self._pool)
+            except OSError as problem:  # a time-out is one too
+                ours = problem.errno in OWN_LACK
+            if dial == self._pool.dial:
+                return connection, ours
+            if connection is not None:
+                connection.close()
+            if self._done is None or self._pool.health != Health.READY:
+                return None, False
+            if not self._upstream.room():
+                return None, True
+
     def _write(self, connection: Connection) -> None:
         self._connection = connection
         if not connection.send(self._payload(), self._answered):
@@ -519,7 +535,7 @@
         return min((c.idle_since + REST - self.now() for c in pool.idle), default=0) / SECOND
 
     def give(self, pool: Pool, connection: Connection) -> None:
-        if pool.health == Health.READY and connection.usable():
+        if pool.health == Health.READY and connection.dial == pool.dial and connection.usable():
             connection.idle_since = now = self.now()
             pool.idle.append(connection)
             # The newest is used first, so the surplus gathers at the old end; the last one stays.
@@ -538,7 +554,7 @@
 
         connection = Connection(lost, self._store)
         self._open += 1
-        host, port = pool.dial
+        host, port = connection.dial = pool.dial
         try:
             async with asyncio.timeout(self._connect_timeout):
                 await self.loop.create_connection(lambda: connection, host, port)
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -13,13 +13,17 @@
 
 from cranespindle import api
 from cranespindle.api import Outcome
+from cranespindle.node import config
 from cranespindle.node.upstream import ANSWER_MOST, Answer, Connection, Pool, outcome_of
 from tests.sidecar import (
     SETTINGS,
     WAIT,
+    Seen,
     Sidecar,
     always_ok,
     endpoint,
+    entry,
+    ok,
     request,
     run,
     sidecar,
@@ -343,3 +347,126 @@
             assert len(pool.idle) == 1 and not served.seen and gate.made == 1
 
     run(test())
+
+
+# ---- an endpoint that returns at a new address under its old id
+
+
+def move(node: Sidecar, dial: str, health: str = "up") -> None:
+    told = {"seq": 2, "whole": False, "hosts": [entry("s-0", dial, health)]}
+    node.host.learn(config.host_list(told, node.config.names), api.ListKind.DELTA)
+
+
+def test_a_connection_in_use_to_an_old_address_is_not_kept_for_the_new_one() -> None:
+    """It went into the pool, and the next request went to the machine that the list no longer names."""
+
+    async def test() -> None:
+        going = asyncio.Event()
+
+        async def held(seen: Seen) -> bytes:
+            await going.wait()
+            return ok(b"old")
+
+        async with endpoint(held) as old, endpoint(always_ok) as new, sidecar(old.dial) as node:
+            client = await node.client()
+            client.writer.write(request("post"))
+            await old.arrived.wait()
+            move(node, new.dial)
+            going.set()
+            assert (await client.answer())[::2] == (200, b"old")  # what is out goes on
+            [pool] = node.host.upstream._pools.values()
+            assert not pool.idle
+            assert (await client.ask(request("post")))[::2] == (200, b"done")
+            assert (len(old.seen), len(new.seen), len(pool.idle)) == (1, 1, 1)
+
+    run(test())
+
+
+@pytest.mark.parametrize("problem", [None, ConnectionRefusedError(), TimeoutError()])
+def test_a_connection_that_comes_up_to_an_old_address_gets_nothing(problem: OSError | None) -> None:
+    """Nor does it speak against the endpoint that the old address fails: the attempt goes to the new one."""
+
+    async def test() -> None:
+        async with endpoint(always_ok) as old, endpoint(always_ok) as new, sidecar(old.dial) as node:
+            gate = Gate(node, problem)
+            client = await node.client()
+            client.writer.write(request("post"))
+            await gate.reached.wait()
+            move(node, new.dial)
+            gate.opened.set()
+            assert (await client.answer())[0] == 200
+            ended = await node.event(completed)
+            assert (ended.outcome, ended.attempt) == (Outcome.OK, 0)
+            assert (len(old.seen), len(new.seen), gate.made) == (0, 1, 2)
+            [pool] = node.host.upstream._pools.values()
+            assert [connection.dial for connection in pool.idle] == [pool.dial]
+
+    run(test())
+
+
+@pytest.mark.parametrize("then", ["gone", "draining", "no room"])
+def test_an_attempt_that_an_address_has_left_behind_may_end_unsent(then: str) -> None:
+    async def test() -> None:
+        async with (
+            endpoint(always_ok) as old,
+            endpoint(always_ok) as new,
+            sidecar(old.dial) as node,
+        ):
+            gate, upstream = Gate(node), node.host.upstream
+            client = await node.client()
+            client.writer.write(request("post"))
+            await gate.reached.wait()
+            move(node, new.dial, "draining" if then == "draining" else "up")
+            if then == "gone":
+                node.host.end_within(0)
+            elif then == "no room":
+                upstream._most = 1
+            gate.opened.set()
+            assert (await client.answer())[0] == 503
+            ended = await node.event(completed)
+            assert ended.outcome == (Outcome.CONNECT_FAILED if then == "draining" else Outcome.MOOT)
+            while upstream._open:
+                await asyncio.sleep(0)
+            assert not old.seen and not new.seen and gate.made == 1 and not upstream.outlived
+
+    run(test())
+
+
+class Rests:
+    """Lets what waits for a connection to have rested go on only when the test says so; time stands still."""
+
+    def __init__(self, node: Sidecar, monkeypatch: pytest.MonkeyPatch) -> None:
+        upstream, sleep = node.host.upstream, asyncio.sleep
+        self.now = upstream.now()
+        self.waiting: list[asyncio.Future[None]] = []
+        upstream.now = lambda: self.now
+
+        async def held(seconds: float) -> None:
+            if not seconds:
+                return await sleep(0)
+            self.waiting.append(asyncio.get_running_loop().create_future())
+            await self.waiting[-1]
+
+        monkeypatch.setattr(asyncio, "sleep", held)
+
+    async def reached(self, count: int) -> None:
+        while len(self.waiting) < count:
+            await asyncio.sleep(0)
+
+
+def test_an_attempt_that_waits_for_a_rest_goes_to_the_address_of_the_moment(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def test() -> None:
+        async with endpoint(always_ok) as old, endpoint(always_ok) as new, sidecar(old.dial) as node:
+            rests = Rests(node, monkeypatch)
+            client = await node.client()
+            assert (await client.ask(request("post")))[0] == 200
+            client.writer.write(request("post"))
+            await rests.reached(1)
+            move(node, new.dial)
+            rests.waiting[0].set_result(None)
+            assert (await client.answer())[0] == 200
+            assert (len(old.seen), len(new.seen)) == (1, 1)
+
+    run(test())
