Nothing is written whose time was over when its connection came up

Cause: an attempt waits for its connection in a task, and its deadline and its time-out are timers of the loop. Where the loop came to the connection first, after a stand-still of the machine, the request went out with no time left, told as Req-Deadline 0.000, and could run for nobody.

Change: Host._send gives the attempt its end as the latest time to be written, as it does for the window of a keyed resend. It ends MOOT, as it would have by the timer, and its connection goes to the pool.

Tests: test_a_further_attempt_tells_what_is_left_when_it_is_written: after a connect that took 3 s a further attempt tells 5.990 of 8.990 s (held before); after 10 s it is not written (seen failing without the change).

--- a/cranespindle/node/host.py
+++ b/cranespindle/node/host.py
@@ -265,16 +265,18 @@
             self._moot(action, request)
             return
         number, request.attempts = request.attempts, request.attempts + 1
-        request.sent, request.endpoint, request.until = now, action.endpoint, request.expires
+        request.sent, request.endpoint = now, action.endpoint
+        request.until = min(request.expires, now + action.timeout) if action.timeout else request.expires
+        # The connection may come up when this time is over, before the loop has called its end.
+        latest = min(action.latest or request.until, request.until)
         done = partial(self._completed, request, number)
         payload = partial(self._payload, request)
-        attempt = self.upstream.attempt(action.endpoint, payload, done, action.latest)
+        attempt = self.upstream.attempt(action.endpoint, payload, done, latest)
         if attempt is None:
             done(Outcome.CONNECT_FAILED, None)
             return
         request.attempt = attempt
-        if action.timeout and now + action.timeout < request.expires:
-            request.until = now + action.timeout
+        if request.until < request.expires:
             request.patience = self._loop.call_later(action.timeout / SECOND, attempt.time_out)
         attempt.start()
 
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import os
 import socket
 import struct
 from collections.abc import AsyncIterator
@@ -14,7 +15,8 @@
 from cranespindle import api
 from cranespindle.api import Outcome
 from cranespindle.node import config
-from cranespindle.node.upstream import ANSWER_MOST, Answer, Connection, Pool, outcome_of
+from cranespindle.node.config import SECOND
+from cranespindle.node.upstream import ANSWER_MOST, REST, Answer, Connection, Pool, outcome_of
 from tests.sidecar import (
     SETTINGS,
     WAIT,
@@ -27,6 +29,7 @@
     request,
     run,
     sidecar,
+    status,
 )
 
 NO_LENGTH = b"HTTP/1.1 200 OK\r\nX-Shard: 7\r\n\r\n"
@@ -470,3 +473,149 @@
             assert (len(old.seen), len(new.seen)) == (1, 1)
 
     run(test())
+
+
+# ---- late connections, short windows, the time that is told
+
+KEYED = {"Effect": "dedup", "KeyScope": "all", "WindowNs": 2_000_000_000}
+KEY = b"Idempotency-Key: 5c0f\r\n"
+
+
+def descriptors() -> int:
+    return len(os.listdir("/proc/self/fd"))
+
+
+@pytest.mark.parametrize("ending", ["timeout", "cancel"])
+def test_a_connect_that_is_given_up_leaves_nothing_open(ending: str) -> None:
+    """Neither a descriptor nor a place in the count, also once the endpoint would take it."""
+
+    async def test() -> None:
+        with socket.socket() as listening, contextlib.ExitStack() as stack:
+            listening.bind(("127.0.0.1", 0))
+            listening.listen(0)
+            address = listening.getsockname()
+            for _ in range(8):  # what waits to be accepted fills the queue: the next connects do not come up
+                waiting = stack.enter_context(socket.socket())
+                waiting.setblocking(False)
+                waiting.connect_ex(address)
+            brief = {"ConnectTimeoutNs": 50_000_000 if ending == "timeout" else 9_000_000_000}
+            told = SETTINGS | {"Limits": brief}
+            async with sidecar(f"{address[0]}:{address[1]}", settings=told) as node:
+                upstream, before, outcomes = node.host.upstream, descriptors(), list[int]()
+                attempts = []
+                for _ in range(5):
+                    attempt = upstream.attempt(
+                        config.endpoint_id("s-0"), request, lambda outcome, _: outcomes.append(outcome)
+                    )
+                    assert attempt is not None
+                    attempt.start()
+                    attempts.append(attempt)
+                while descriptors() < before + 5:
+                    await asyncio.sleep(0)
+                assert upstream._open == 5
+                if ending == "cancel":
+                    for attempt in attempts:
+                        attempt.abandon(Outcome.CANCELLED)
+                while len(outcomes) < 5 or upstream._open:
+                    await asyncio.sleep(0)
+                while descriptors() > before:
+                    await asyncio.sleep(0)
+                assert upstream._open == 0 and not upstream.outlived
+                wanted = Outcome.CONNECT_FAILED if ending == "timeout" else Outcome.CANCELLED
+                assert outcomes == [wanted] * 5
+
+    run(test())
+
+
+def test_what_comes_up_after_its_endpoint_began_to_drain_is_not_kept_for_anybody() -> None:
+    async def test() -> None:
+        async with endpoint(always_ok) as served, sidecar(served.dial) as node:
+            gate, upstream = Gate(node), node.host.upstream
+            client = await node.client()
+            client.writer.write(request("post"))
+            await gate.reached.wait()
+            client.writer.close()
+            await node.event(lambda e: isinstance(e, api.Gone))
+            [pool] = upstream._pools.values()
+            move(node, served.dial, "draining")
+            gate.opened.set()
+            while upstream._open:
+                await asyncio.sleep(0)
+            assert not pool.idle and not served.seen and not upstream.outlived
+
+    run(test())
+
+
+@pytest.mark.parametrize("late", [False, True])
+def test_what_waits_for_a_rest_is_written_within_its_window_or_not_at_all(
+    late: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def test() -> None:
+        async with endpoint(always_ok) as served, sidecar(served.dial) as node:
+            rests, upstream = Rests(node, monkeypatch), node.host.upstream
+            outcomes = asyncio.Queue[int]()
+
+            def start(latest: int) -> None:
+                attempt = upstream.attempt(
+                    config.endpoint_id("s-0"),
+                    request,
+                    lambda outcome, _: outcomes.put_nowait(outcome),
+                    latest,
+                )
+                assert attempt is not None
+                attempt.start()
+
+            start(0)
+            assert await outcomes.get() == Outcome.OK
+            start(rests.now + 2 * REST)
+            await rests.reached(1)
+            rests.now += 2 * REST - (not late)
+            rests.waiting[0].set_result(None)
+            assert await outcomes.get() == (Outcome.MOOT if late else Outcome.OK)
+            [pool] = upstream._pools.values()
+            assert (len(served.seen), served.connections, len(pool.idle)) == (1 if late else 2, 1, 1)
+
+    run(test())
+
+
+@pytest.mark.parametrize("waited", [3, 10])
+def test_a_further_attempt_tells_what_is_left_when_it_is_written(waited: int) -> None:
+    """After a slow connect it told what was left then. With nothing left it went out all the same, where the
+    loop came to the connection before it came to the deadline."""
+
+    async def test() -> None:
+        gates: list[Gate] = []
+
+        async def decline(seen: Seen) -> bytes:
+            if len(one.seen) + len(other.seen) > 1:
+                return ok()
+            gates[0].opened.clear()  # the further attempt waits
+            return status(503, b"Srv-Declined: 1")
+
+        async with (
+            endpoint(decline) as one,
+            endpoint(decline) as other,
+            sidecar(one.dial, other.dial) as node,
+        ):
+            gate = Gate(node)
+            gates.append(gate)
+            gate.opened.set()
+            now = [node.host.now()]
+            node.host.now = node.host.upstream.now = lambda: now[0]
+            client = await node.client()
+            client.writer.write(request("post"))
+            while gate.made < 2:
+                await asyncio.sleep(0)
+            now[0] += waited * SECOND
+            gate.opened.set()
+            ended = await node.event(lambda e: completed(e) and e.attempt == 1)
+            if waited < 9:
+                assert (await client.answer())[0] == 200
+                told = sorted(float(seen.headers[b"req-deadline"]) for seen in one.seen + other.seen)
+                assert told == [9 - 0.01 - waited, 9 - 0.01]
+            else:
+                assert (await client.answer())[0] == 503
+                assert ended.outcome == Outcome.MOOT
+                assert len(one.seen) + len(other.seen) == 1
+
+    run(test())
