A request taken in part goes no further once its time is over

Cause: what the kernel does not take of a request stays with the transport, which writes it whenever the endpoint reads on: after the window of a keyed resend too, when it would run as new work. And a request whose last byte was never written was told as a time-out, as if it might have run.

On loopback with usual buffers 3.9 MB are taken at once, so the tests narrow them.

Change: an attempt with a latest time and an unsent rest is ended at that time, unsent; so is one at its deadline or time-out. It is told as MOOT: it never ran.

Test: test_a_request_that_is_taken_in_part_goes_no_further_when_its_time_is_over (window, deadline, time-out), each seen failing without the change; 20 runs of 20 passed.

--- a/cranespindle/node/upstream.py
+++ b/cranespindle/node/upstream.py
@@ -102,6 +102,11 @@
         """Whether anything of the answer to the last request has come."""
         return self._raw > 0
 
+    @property
+    def unsent(self) -> bool:
+        """Whether a part of the request is not written yet: ended now, it never runs."""
+        return self._transport is not None and self._transport.get_write_buffer_size() > 0
+
     def send(self, data: bytes, done: Callable[[Answer | None], None]) -> bool:
         """Write a request. False: its last byte surely did not go out. Else `done` gets the answer, once, or
         None if the connection broke.
@@ -302,7 +307,7 @@
         if self._connect is not None:
             self.withdraw()
         else:
-            self.abandon(Outcome.TIMEOUT)
+            self.abandon(Outcome.MOOT if self._unsent() else Outcome.TIMEOUT)
 
     def outlive(self, seconds: float, freed: Callable[[], None]) -> None:
         """Stop waiting as its request is over, but let the connection live if the answer comes in this time.
@@ -311,8 +316,11 @@
         time of it. `freed` is called once nothing of the attempt is out any more.
         """
         # Not written, it never ran. Nor does that speak against the endpoint: the connect has time left.
-        outcome = Outcome.MOOT if self._connect is not None else Outcome.TIMEOUT
-        if self._connection is not None and seconds <= 0:
+        unsent = self._unsent()
+        outcome = Outcome.MOOT if self._connect is not None or unsent else Outcome.TIMEOUT
+        if self._cut_off is not None:
+            self._cut_off.cancel()
+        if self._connection is not None and (seconds <= 0 or unsent):
             self._connection.close()
         elif self._connection is not None:
             self._freed = freed
@@ -326,6 +334,13 @@
         if self._freed is None:
             freed()
 
+    def _unsent(self) -> bool:
+        return self._connection is not None and self._connection.unsent
+
+    def _too_late(self) -> None:
+        if self._unsent():
+            self.abandon(Outcome.MOOT)
+
     def _give_up(self) -> None:
         if self._connection is not None:
             self._connection.close()
@@ -383,6 +398,9 @@
         self._connection = connection
         if not connection.send(self._payload(), self._answered):
             self._end(Outcome.CONNECT_FAILED, None)
+        elif self._latest and connection.unsent:  # its last byte must not go out later either
+            seconds = max(0, self._latest - self._upstream.now()) / SECOND
+            self._cut_off = self._upstream.loop.call_later(seconds, self._too_late)
 
     def _answered(self, answer: Answer | None) -> None:
         if self._connection is not None and answer is not None:
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -477,9 +477,6 @@
 
 # ---- late connections, short windows, the time that is told
 
-KEYED = {"Effect": "dedup", "KeyScope": "all", "WindowNs": 2_000_000_000}
-KEY = b"Idempotency-Key: 5c0f\r\n"
-
 
 def descriptors() -> int:
     return len(os.listdir("/proc/self/fd"))
@@ -637,3 +634,66 @@
             assert float(served.seen[0].headers[b"req-deadline"]) == 4
 
     run(test())
+
+
+@pytest.mark.parametrize("over", ["window", "deadline", "patience"])
+def test_a_request_that_is_taken_in_part_goes_no_further_when_its_time_is_over(over: str) -> None:
+    """The rest went out whenever the endpoint read on: after the window of a keyed resend, too. And what was
+    never whole was told as a time-out."""
+
+    async def test() -> None:
+        with socket.create_server(("127.0.0.1", 0)) as server:
+            server.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            host, port = server.getsockname()
+            async with sidecar(f"{host}:{port}") as node:
+                upstream = node.host.upstream
+                connect = upstream.connect
+
+                async def narrow(pool: Pool) -> Connection:
+                    connection = await connect(pool)
+                    assert connection._transport is not None
+                    end = connection._transport.get_extra_info("socket")
+                    end.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+                    return connection
+
+                upstream.connect = narrow  # type: ignore[method-assign]
+                whole = request("post", body=b"x" * 60_000)
+                if over == "window":
+                    now = upstream.now()
+                    upstream.now = lambda: now  # the connection is up in time, however slowly
+                    ended = asyncio.get_running_loop().create_future()
+                    attempt = upstream.attempt(
+                        config.endpoint_id("s-0"),
+                        lambda: whole,
+                        lambda outcome, _: ended.set_result(outcome),
+                        now + SECOND // 10,
+                    )
+                    assert attempt is not None
+                    attempt.start()
+                    assert await ended == Outcome.MOOT
+                else:
+                    client = await node.client()
+                    client.writer.write(whole)
+                    while not upstream._open or not node.host._open:
+                        await asyncio.sleep(0)
+                    [sent] = node.host._open.values()
+                    while sent.attempt is None or sent.attempt._connection is None:
+                        await asyncio.sleep(0)
+                    if over == "deadline":
+                        node.host.end_within(0)
+                    else:
+                        sent.attempt.time_out()
+                    assert (await client.answer())[0] == 503
+                    assert (await node.event(completed)).outcome == Outcome.MOOT
+                while upstream._open:
+                    await asyncio.sleep(0)
+                assert not upstream.outlived and not node.host._open
+                peer, _ = server.accept()
+                peer.settimeout(WAIT / 4)
+                with peer, contextlib.suppress(ConnectionResetError):
+                    got = 0
+                    while part := peer.recv(1 << 20):
+                        got += len(part)
+                    assert got < 60_000
+
+    run(test())
