Let servers that come back together have what a warm one lately answered

Seen: in simulated time, where all twelve servers restart at once, 3 calls in 100 were answered in time until they were warm, and each cold server got a request a second of 9 that it could do; the same where the warm ones fall silent. The sum of 2, 8, 20 and 30 sidecars stayed at 0.13 to 0.37 of what the settings allow a cold server in any window.

Cause: cold members earn by the answers of warm ones, and where none answers a trickle was all that was left.

Change: in that case they earn by the time, at the rate at which a warm member answered lately (memory about 4 s), by their warmth. A sidecar that has just started knows no such rate and keeps to the trickle.

--- a/cranespindle/balance.py
+++ b/cranespindle/balance.py
@@ -78,6 +78,7 @@
 EVIDENCE_FULL = 8.0  # outcomes in the pool from which it is thick enough for the shorter memory
 PEERS = 1  # peers told each cycle
 PEER_MIX = 0.25  # weight of a peer's cut, so that the fleet holds one cut and sheds smoothly
+RATE_SMOOTH = 0.06  # weight of a cycle in the rate of answers: its memory is about 4 s
 SETTLED = 4  # cycles after which a sidecar's own cut is worth telling
 HEAD = Struct("<Bf")  # of a message: zone and cut (-1: none yet); then what is pooled, as half floats
 TOLD_MOST = 60_000.0  # the largest number told: a half float holds no more, and a larger one would be a fault
@@ -180,6 +181,7 @@
         self.subset: list[list[Member]] = [[], []]
         self.warm, self.gain = [0, 0], [0.0, 0.0]  # warm members of each, and the credit for an answer of one
         self.credit = [0.0, 0.0]  # sends to cold members that the answers of warm ones have earned
+        self.answers, self.rate = [0, 0], [0.0, 0.0]  # of warm members this cycle; of one of them, smoothed
         self.peak, self.flying = 0.0, 0
         self.linked: dict[bytes, Member] = {}  # members that hold connections of ours
         self.fan_in, self.fan_in_cut_at = FAN_IN, -HOUR
@@ -308,12 +310,25 @@
         """The members that warm keys are taken from."""
         return self.order[side][: max(self.share(), len(self.subset[side]))]
 
-    def trickle(self) -> None:
-        """With no warm member a cold one gets, of all sidecars together, a request a second."""
+    def trickle(self, now: int) -> None:
+        """Credit by the time, where no warm member's answers earn any: none is there, or all owe us theirs.
+
+        At the rate at which a warm one answered us lately, so that all sidecars together send a cold one its
+        warmth of what a server did; else a request a second of all. With that alone, servers that came back
+        together stood idle at a third of their capacity, and nearly all was refused until they were warm.
+        """
         for side in (0, 1):
-            if self.subset[side] and not self.warm[side]:
-                share = len(self.order[side]) / self.settings.instances * CYCLE / SECOND
-                self.credit[side] = min(1.0, self.credit[side] + share)
+            warm = [m for m in self.subset[side] if self.warmth(m, now) >= 1]
+            owing = [m for m in warm if m.inflight]
+            if warm and not (owing and all(now - m.quiet > SILENT_FOR for m in owing)):
+                lately = self.answers[side] / len(warm)
+                self.rate[side] += RATE_SMOOTH * (lately - self.rate[side])
+            elif self.subset[side]:
+                cold = sum(self.warmth(m, now) for m in self.subset[side]) - len(warm)
+                least = 0.0 if warm else len(self.order[side]) / self.settings.instances * CYCLE / SECOND
+                earned = max(self.rate[side] * cold, least)
+                self.credit[side] = min(max(1.0, earned), self.credit[side] + earned)
+            self.answers[side] = 0
 
     def trim(self) -> None:
         """Close what is held to members that get nothing any more: kept, it would fill their tables."""
@@ -529,8 +544,9 @@
             member.streak = member.ejections = 0
             member.good = now
             side = member.zone != self.settings.zone
-            earned = self.gain[side] * (self.warmth(member, now) >= 1)
-            self.credit[side] = min(1.0, self.credit[side] + earned)
+            if self.warmth(member, now) >= 1:
+                self.answers[side] += 1
+                self.credit[side] = min(1.0, self.credit[side] + self.gain[side])
             return
         member.streak += 1
         # One that errs answers: passed over while others hold less (`load`), it is there once they are full.
@@ -722,7 +738,7 @@
         if self.pressure <= self.over:  # in overload requests pile up: new connections would cost more yet
             self.peak = max(self.flying, self.peak)
         self.refill(now)
-        self.trickle()
+        self.trickle(now)
         self.trim()
         self.examine(now)
         self.subscribe(now)
