Eject for a broken connection by how many of all attempts break

Cause: one failed connect ejects a member that has not served for 0.5 s, also where a third of all connects come up late.

Change: up to 8% of attempts broken, or a member long silent, one says enough; else a row that is no chance, three at most.

--- a/cranespindle/balance.py
+++ b/cranespindle/balance.py
@@ -56,6 +56,8 @@
 FAN_IN_CUT = 0.8  # at a connect that is refused, once a second at most: one full table refuses several
 SUBSET_SHRINK = 0.99  # the in-flight peak is forgotten this slowly a cycle, as connections cost
 FAILS_TO_EJECT, FULL_TO_EJECT = 3, 8  # failures in a row that eject a member, and answers that it is full
+# Connections that fail or break: up to this share of attempts is few; a row as unlikely as that is no chance.
+BREAKS_FEW, BREAKS_CHANCE, BREAKS_SMOOTH = 0.08, 0.01, 0.03
 PROVEN = SECOND // 2  # a member that served so lately is not ejected
 # Queues answer all the time: a second with none, and so many owed, is a machine that is silent.
 SILENT_FOR, SILENT_LEAST = SECOND, 3
@@ -208,6 +210,7 @@
         self.evidence = [[0.0] * 4 for _ in range(settings.zones)]
         self.sends = self.cycles = self.calm = 0
         self.went = [0.0, 0.0]  # this sidecar's own sends and those that crossed; kept as evidence is
+        self.breaks = 0.0  # share of the attempts that broke or found no connection, of members that are in
         self.hangs = 0.0  # share of the attempts that were stuck which came to nothing
         self.pressure, self.over = 0.0, OVER_LEAST + OVER_SERVICES * SERVICE_MOST
         self.cycle_from = 0
@@ -527,6 +530,9 @@
             return
         if outcome == Outcome.CONNECT_FAILED and now - self.fan_in_cut_at >= SECOND:
             self.fan_in, self.fan_in_cut_at = max(FAN_IN_LEAST, self.fan_in * FAN_IN_CUT), now
+        broken = outcome in (Outcome.CONNECT_FAILED, Outcome.RESET)
+        if member.out_until <= now:
+            self.breaks += BREAKS_SMOOTH * (broken - self.breaks)
         failed = outcome != Outcome.OK
         if outcome == Outcome.TIMEOUT and self.hasty(request, event.took):
             self.evidence[member.zone][SENT] -= 1
@@ -554,10 +560,13 @@
             return
         # Of hundreds of requests a second some break, or fail three times in a row, at endpoints that are
         # well or fail in part: out for that, they would leave their load to the few that remain.
-        broken = outcome in (Outcome.CONNECT_FAILED, Outcome.RESET)
-        # One that turns all away for long drains, and the list has not said so yet.
-        row = FULL_TO_EJECT if outcome == Outcome.FULL else FAILS_TO_EJECT
-        if now - member.good > PROVEN and (broken or member.streak >= row):
+        if outcome in (Outcome.CONNECT_FAILED, Outcome.RESET):
+            # Where few break, or of one that has long been silent, one says enough; else what is no chance.
+            many = self.breaks > BREAKS_FEW and now - member.good < FORGET
+            row = min(FAILS_TO_EJECT, round(log(BREAKS_CHANCE) / log(self.breaks))) if many else 1
+        else:  # one that turns all away for long drains, and the list has not said so yet
+            row = FULL_TO_EJECT if outcome == Outcome.FULL else FAILS_TO_EJECT
+        if now - member.good > PROVEN and member.streak >= row:
             self.eject(member, now)
 
     def give_up(self, request: Pending, now: int) -> None:
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -158,6 +158,30 @@
     assert out.out_until > b.now
 
 
+def test_where_many_connections_break_one_broken_ejects_nobody() -> None:
+    """Where a third came up late, half of all members were out for it, and the others choked on the load."""
+
+    def row(usual: bool) -> int:
+        """How many in a row eject a member that served a second ago."""
+        b = Bench(settings(request_class(late_worth=0.5), max_attempts=1), servers=8)
+        for turn in range(400):
+            b.now += 20 * MS
+            broke = usual and turn % 3 == 0
+            b.answer(b.sent(), api.Outcome.CONNECT_FAILED if broke else api.Outcome.OK, 15 * MS)
+        [member] = [m for m in b.balancer.members.values() if m.id == (1).to_bytes(6, "little")]
+        member.ejections = member.out_until = member.streak = 0
+        member.good, b.now = b.now, b.now + SECOND
+        lost = api.Completed(0, 0, member.id, api.Outcome.CONNECT_FAILED, 150 * MS, False, ())
+        for count in range(1, 9):
+            b.balancer.learn(member, lost, None, b.now)
+            if member.out_until > b.now:
+                return count
+        return 0
+
+    assert row(usual=False) == 1
+    assert row(usual=True) == balance.FAILS_TO_EJECT
+
+
 def test_a_member_that_turns_all_away_goes_out_and_is_no_sign_of_load() -> None:
     """It drains before the list says so: its quick answers drew more, and raised the cut."""
     b = Bench(settings(), servers=8)
