Read the configuration once for a row of SIGHUP

Seen: the test that sends SIGHUP without a pause until the process has ended failed once in a run of the whole suite (20 s, no end): since the end after SIGTERM waits for a client that does not close, by a timer, the signals kept that timer from running.

Cause: each signal read and parsed the file in the loop's signal handler.

Change: signals are put together for 20 ms, and none is read while the sidecar stops.

--- a/cranespindle/__main__.py
+++ b/cranespindle/__main__.py
@@ -29,19 +29,38 @@
 CLOSE_IDLE = 0.6  # those close that wait for a request
 LAST_ANSWERS = 0.1  # whatever is still open is answered
 BACKLOG = 512
+RELOAD_AFTER = 0.02  # seconds after a SIGHUP
 SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 
 log = logging.getLogger("cranespindle")
 
 
-def reload(discovery: Discovery) -> None:
-    """Read the configuration again. Of what it says, the address of discovery can change in service."""
-    try:
-        config = load(os.environ)
-    except ConfigError as problem:
-        log.error("the old configuration stays: %s", problem)
-        return
-    discovery.move(config.discovery)
+class Reload:
+    """Reads the configuration again. Of what it says, the address of discovery can change in service.
+
+    Once for a row of signals: each read for itself, a flood of them kept the loop from everything else.
+    """
+
+    def __init__(self, discovery: Discovery, loop: asyncio.AbstractEventLoop) -> None:
+        self._discovery, self._loop = discovery, loop
+        self._due: asyncio.TimerHandle | None = None
+
+    def ask(self) -> None:
+        if self._due is None:
+            self._due = self._loop.call_later(RELOAD_AFTER, self._reload)
+
+    def cancel(self) -> None:
+        if self._due is not None:
+            self._due.cancel()
+
+    def _reload(self) -> None:
+        self._due = None
+        try:
+            config = load(os.environ)
+        except ConfigError as problem:
+            log.error("the old configuration stays: %s", problem)
+            return
+        self._discovery.move(config.discovery)
 
 
 async def serve(config: Config) -> None:
@@ -56,11 +75,14 @@
         await loop.create_datagram_endpoint(lambda: Peers(config, host), local_addr=config.peer_listen)
     host.start(config.known)
     discovery = Discovery(config, host, loop)
-    loop.add_signal_handler(signal.SIGHUP, reload, discovery)
+    reload = Reload(discovery, loop)
+    loop.add_signal_handler(signal.SIGHUP, reload.ask)
     discovery.start()
     server = await loop.create_server(lambda: ClientConnection(frontend), *config.listen, backlog=BACKLOG)
     signal.pthread_sigmask(signal.SIG_UNBLOCK, SIGNALS)  # the threads that resolve names run by now
     await told_to_stop.wait()
+    loop.add_signal_handler(signal.SIGHUP, reload.cancel)  # taken, or it would kill; of no use any more
+    reload.cancel()
     await stop(config, host, frontend, server)
     # The interpreter gives signals back their defaults as it ends: one that comes then must not kill.
     signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -181,7 +181,6 @@
             assert new.seen[0].line == b"GET /discovery/hosts HTTP/1.1"
             process.send_signal(signal.SIGTERM)
             assert await client.ended()  # it is about to leave
-            client.writer.close()  # or it would wait for that, and such a row of signals lets no timer run
             leaving = asyncio.ensure_future(process.wait())
             while not leaving.done():  # one may come in any of the steps of its end
                 with contextlib.suppress(ProcessLookupError):
