Read the configuration again also while the sidecar stops

Cause: SIGHUP was no longer acted on once the sidecar stopped; it serves on for up to 3.7 s then, and discovery may move in that time.

Change: the row of signals is still put together, now up to the end.

--- a/cranespindle/__main__.py
+++ b/cranespindle/__main__.py
@@ -81,9 +81,8 @@
     server = await loop.create_server(lambda: ClientConnection(frontend), *config.listen, backlog=BACKLOG)
     signal.pthread_sigmask(signal.SIG_UNBLOCK, SIGNALS)  # the threads that resolve names run by now
     await told_to_stop.wait()
-    loop.add_signal_handler(signal.SIGHUP, reload.cancel)  # taken, or it would kill; of no use any more
-    reload.cancel()
     await stop(config, host, frontend, server)
+    reload.cancel()
     # The interpreter gives signals back their defaults as it ends: one that comes then must not kill.
     signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
 
