Let cold members that have earned it take what the cut would refuse

Cause: cold members earn by the answers of warm ones, which fail just then; and whatever the cut refuses is refused also where a cold member has earned a request. In a test with one sidecar the cut refused all of one class while a cold member had credit for each second of it.

Change: what warm answers earn less than at the best rate of lately (kept for about 12 s) is earned by the time; and a request below the cut goes to a cold member that has earned one. Both stay within the credit, which is the bound for the sum of all sidecars.

The new test fails without either part.

--- a/cranespindle/balance.py
+++ b/cranespindle/balance.py
@@ -81,6 +81,7 @@
 PEERS = 1  # peers told each cycle
 PEER_MIX = 0.25  # weight of a peer's cut, so that the fleet holds one cut and sheds smoothly
 RATE_SMOOTH = 0.06  # weight of a cycle in the rate of answers: its memory is about 4 s
+RATE_KEEP = 0.98  # share of its best that is kept from cycle to cycle: about 12 s
 SETTLED = 4  # cycles after which a sidecar's own cut is worth telling
 HEAD = Struct("<Bf")  # of a message: zone and cut (-1: none yet); then what is pooled, as half floats
 TOLD_MOST = 60_000.0  # the largest number told: a half float holds no more, and a larger one would be a fault
@@ -184,6 +185,7 @@
         self.warm, self.gain = [0, 0], [0.0, 0.0]  # warm members of each, and the credit for an answer of one
         self.credit = [0.0, 0.0]  # sends to cold members that the answers of warm ones have earned
         self.answers, self.rate = [0, 0], [0.0, 0.0]  # of warm members this cycle; of one of them, smoothed
+        self.best = [0.0, 0.0]  # the best that this rate was lately
         self.peak, self.flying = 0.0, 0
         self.linked: dict[bytes, Member] = {}  # members that hold connections of ours
         self.fan_in, self.fan_in_cut_at = FAN_IN, -HOUR
@@ -314,11 +316,11 @@
         return self.order[side][: max(self.share(), len(self.subset[side]))]
 
     def trickle(self, now: int) -> None:
-        """Credit by the time, where no warm member's answers earn any: none is there, or all owe us theirs.
+        """Credit by the time, for what the answers of warm members earn less than they did lately.
 
-        At the rate at which a warm one answered us lately, so that all sidecars together send a cold one its
-        warmth of what a server did; else a request a second of all. With that alone, servers that came back
-        together stood idle at a third of their capacity, and nearly all was refused until they were warm.
+        So all sidecars together send a cold member its warmth of what a server did; with none warm, and no
+        such rate, a request a second of all. By answers alone cold members stood idle when they were needed:
+        where the warm ones choke on a burst, are silent, or are none, as servers came back together.
         """
         for side in (0, 1):
             warm = [m for m in self.subset[side] if self.warmth(m, now) >= 1]
@@ -326,11 +328,13 @@
             if warm and not (owing and all(now - m.quiet > SILENT_FOR for m in owing)):
                 lately = self.answers[side] / len(warm)
                 self.rate[side] += RATE_SMOOTH * (lately - self.rate[side])
-            elif self.subset[side]:
+            self.best[side] = max(self.rate[side], self.best[side] * RATE_KEEP)
+            if self.subset[side]:
                 cold = sum(self.warmth(m, now) for m in self.subset[side]) - len(warm)
                 least = 0.0 if warm else len(self.order[side]) / self.settings.instances * CYCLE / SECOND
-                earned = max(self.rate[side] * cold, least)
-                self.credit[side] = min(max(1.0, earned), self.credit[side] + earned)
+                missed = max(self.best[side] * cold, least) - self.answers[side] * self.gain[side]
+                if missed > 0:
+                    self.credit[side] = min(max(1.0, missed), self.credit[side] + missed)
             self.answers[side] = 0
 
     def trim(self) -> None:
@@ -449,6 +453,15 @@
         self.credit[side] -= 1
         return member
 
+    def earned(self, request: Pending, now: int) -> Member | None:
+        """A cold member for what the cut would refuse: it has earned it, and the queues are at the others.
+
+        Harm: a cold member in use by others as well may be at its limit, and serve this one late.
+        """
+        if self.dirty:
+            self.refill(now)
+        return self.cold(0, now) or (self.cold(1, now) if self.may_cross(request.cls) else None)
+
     def may_cross(self, cls: int) -> bool:
         """A crossing is worth its price only for requests worth more than it."""
         return bool(self.subset[1]) and self.classes[cls].worth > self.settings.cross_price * self.worth_mean
@@ -877,7 +890,10 @@
         request = Pending(event, now)
         self.worth_mean += 0.01 * (self.classes[event.cls].worth - self.worth_mean)
         self.pending[event.id] = request
-        if level + place < self.cut or event.expires <= now or self.useless(event, now):
+        useful = event.expires > now and not self.useless(event, now)
+        if level + place < self.cut and useful and (cold := self.earned(request, now)):
+            self.launch(request, cold, now)
+        elif level + place < self.cut or not useful:
             self.finish(request, now)
         else:
             self.budget = min(RETRY_SAVED, self.budget + RETRY_SHARE)
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -304,6 +304,25 @@
     assert sent == 3  # a request a second and a server, over all sidecars
 
 
+def test_cold_members_earn_as_lately_where_the_warm_ones_choke() -> None:
+    """By the answers of warm ones alone they stood idle as soon as a burst kept those from answering."""
+    b = Bench(settings(), servers=8)
+    for _ in range(40):
+        for _ in range(8):
+            answered(b)
+        b.tick(0.25)
+    b.list_of(*(endpoint(n, started=b.now if n == 1 else 0) for n in range(1, 9)))
+    cold = 0
+    for turn in range(16):  # four seconds in which no warm one answers
+        b.tick(0.25)
+        for key in range(1, 21):  # of many users, so that the cut lets some pass
+            if isinstance(send := b.ask(key=100 * turn + key), api.Send) and send.endpoint[0] == 1:
+                cold += 1
+                b.answer(send)
+    warmth = 0.3 + 0.7 / 4  # on the mean of this time
+    assert 3 <= cold <= 16 * warmth * 1.2
+
+
 def test_nothing_is_saved_up_for_a_bulk_restart() -> None:
     """Credit of all sidecars, spent at once, pushed servers over that had just come back."""
     b = Bench(settings(), servers=8)
