Shut connections on both sides by one function, and tidy two branches

The client's side had a copy of what ends a connection to a server, but for the direction; a request below the cut was tested for it twice, and what is a broken connection twice.

--- a/cranespindle/balance.py
+++ b/cranespindle/balance.py
@@ -183,7 +183,7 @@
         self.order: list[list[Member]] = [[], []]  # ready endpoints by rank: of this zone, of others
         self.subset: list[list[Member]] = [[], []]
         self.warm, self.gain = [0, 0], [0.0, 0.0]  # warm members of each, and the credit for an answer of one
-        self.credit = [0.0, 0.0]  # sends to cold members that the answers of warm ones have earned
+        self.credit = [0.0, 0.0]  # sends to cold members, earned by answers of warm ones or by the time
         self.answers, self.rate = [0, 0], [0.0, 0.0]  # of warm members this cycle; of one of them, smoothed
         self.best = [0.0, 0.0]  # the best that this rate was lately
         self.peak, self.flying = 0.0, 0
@@ -573,7 +573,7 @@
             return
         # Of hundreds of requests a second some break, or fail three times in a row, at endpoints that are
         # well or fail in part: out for that, they would leave their load to the few that remain.
-        if outcome in (Outcome.CONNECT_FAILED, Outcome.RESET):
+        if broken:
             # Where few break, or of one that has long been silent, one says enough; else what is no chance.
             many = self.breaks > BREAKS_FEW and now - member.good < FORGET
             row = min(FAILS_TO_EJECT, round(log(BREAKS_CHANCE) / log(self.breaks))) if many else 1
@@ -899,11 +899,13 @@
         request = Pending(event, now)
         self.worth_mean += 0.01 * (self.classes[event.cls].worth - self.worth_mean)
         self.pending[event.id] = request
-        useful = event.expires > now and not self.useless(event, now)
-        if level + place < self.cut and useful and (cold := self.earned(request, now)):
-            self.launch(request, cold, now)
-        elif level + place < self.cut or not useful:
+        if event.expires <= now or self.useless(event, now):
             self.finish(request, now)
+        elif level + place < self.cut:
+            if (cold := self.earned(request, now)) is not None:
+                self.launch(request, cold, now)
+            else:
+                self.finish(request, now)
         else:
             self.budget = min(RETRY_SAVED, self.budget + RETRY_SHARE)
             if not self.asks or not self.ask(request, now):
--- a/cranespindle/node/frontend.py
+++ b/cranespindle/node/frontend.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import select
 import socket
 from collections import deque
@@ -14,7 +13,7 @@
 from cranespindle.node.config import SECOND, Config
 from cranespindle.node.host import Host
 from cranespindle.node.request import BadRequest, Checker, Head, begins_badly, parse_head
-from cranespindle.node.upstream import BODY_MOST, Answer, Headers
+from cranespindle.node.upstream import BODY_MOST, Answer, Headers, shut
 
 PIPELINE_MOST = 16  # requests taken ahead of their turn on one connection
 # What concerns one connection only, is written anew, or is meant for sidecars.
@@ -51,15 +50,6 @@
     return b"\r\n".join(lines) + b"\r\n\r\n" + body
 
 
-def shut_sending(fd: int) -> None:
-    with contextlib.suppress(OSError):  # the peer has reset it: its event is to come
-        ending = socket.socket(socket.AF_INET, socket.SOCK_STREAM, 0, fileno=fd)
-        try:
-            ending.shutdown(socket.SHUT_WR)
-        finally:
-            ending.detach()
-
-
 class Exchange:
     """A request of a connection and its answer, which goes out in its turn."""
 
@@ -263,7 +253,7 @@
             transport.write_eof()
         else:
             # The loop would do it in a later turn and might read a request before, which would be lost.
-            shut_sending(self._fd)
+            shut(self._fd, socket.SHUT_WR)
         self.frontend.lingers(self)
         self._pace()
 
--- a/cranespindle/node/upstream.py
+++ b/cranespindle/node/upstream.py
@@ -138,7 +138,7 @@
         if self._done is not None and self._transport is not None and not self._transport.is_closing():
             # The loop closes the socket in its next turn only. A further attempt may be written before that,
             # and two would be out at once: this one ends now.
-            end_now(self._fd)
+            shut(self._fd, socket.SHUT_RDWR)
         self._done = None
         self._finish(None, False)
 
@@ -177,7 +177,7 @@
         self._held = 0
         if not keep and self._transport is not None:
             if done is not None and not self._transport.is_closing():
-                end_now(self._fd)  # a further attempt may go out at once: see `close`
+                shut(self._fd, socket.SHUT_RDWR)  # a further attempt may go out at once: see `close`
             self._transport.abort()
         if done is not None:
             done(answer)
@@ -232,11 +232,13 @@
             raise ValueError("answer too long")
 
 
-def end_now(fd: int) -> None:
-    with contextlib.suppress(OSError):
+def shut(fd: int, how: int) -> None:
+    """Shut a connection's sending side (socket.SHUT_WR) or both (SHUT_RDWR) at once; the loop would do it in
+    a later turn."""
+    with contextlib.suppress(OSError):  # the peer has reset it: its event is to come
         ending = socket.socket(socket.AF_INET, socket.SOCK_STREAM, 0, fileno=fd)
         try:
-            ending.shutdown(socket.SHUT_RDWR)
+            ending.shutdown(how)
         finally:
             ending.detach()
 
