--- /dev/null
+++ b/balancer/__init__.py
@@ -0,0 +1,6 @@
+"""balancer: the decisions of a client-side load balancer that runs as a sidecar."""
+
+from balancer.policy.balancer import Balancer
+from balancer.policy_api import Settings
+
+__all__ = ["Balancer", "Settings"]
--- a/cranespindle/__main__.py
+++ b/balancer/__main__.py
@@ -12,11 +12,11 @@
 
 import uvloop
 
-from cranespindle.node.config import SECOND, Config, ConfigError, load
-from cranespindle.node.discovery import Discovery
-from cranespindle.node.frontend import ClientConnection, Frontend
-from cranespindle.node.host import Clock, Host
-from cranespindle.node.peers import Peers
+from balancer.sidecar.configuration import SECOND, Config, ConfigError, load
+from balancer.sidecar.discovery_client import Discovery
+from balancer.sidecar.dispatcher import Clock, Host
+from balancer.sidecar.downstream.listener import ClientConnection, Frontend
+from balancer.sidecar.gossip_transport import Peers
 
 # Stopping. Clients use the connections that they have until these close, and where sidecars restart in turn
 # no other may be up: so one serves on for nearly as long as it may live. In seconds after SIGTERM, or before
@@ -32,7 +32,7 @@
 RELOAD_AFTER = 0.02  # seconds after a SIGHUP
 SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 
-log = logging.getLogger("cranespindle")
+log = logging.getLogger("balancer")
 
 
 class Reload:
@@ -110,7 +110,7 @@
     try:
         config = load(os.environ)
     except ConfigError as problem:
-        print(f"cranespindle: {problem}", file=sys.stderr)
+        print(f"balancer: {problem}", file=sys.stderr)
         return 2
     # Until there is something to reload or to stop; threads started meanwhile keep it so. This one alone
     # takes signals then, and can refuse them again at its end.
@@ -119,7 +119,7 @@
     try:
         uvloop.run(serve(config))
     except OSError as problem:
-        print(f"cranespindle: {problem}", file=sys.stderr)
+        print(f"balancer: {problem}", file=sys.stderr)
         return 1
     return 0
 
--- a/cranespindle/balance.py
+++ b/balancer/policy/balancer.py
@@ -1,4 +1,4 @@
-"""Every decision of cranespindle. Its interface (settings, events, actions) is cranespindle/api.py.
+"""Every decision of balancer. Its interface (settings, events, actions) is balancer/policy_api.py.
 
 The ordinary path of a request: the admission cut over (business, user) levels refuses it unsent or lets it
 pass; a passed request goes to an idle member of a small subset. docs/design.md says where and why the code
@@ -12,8 +12,8 @@
 from math import log
 from struct import Struct, pack, unpack_from
 
-from cranespindle import api
-from cranespindle.api import Effect, Health, ListKind, Outcome, Scope
+from balancer import policy_api
+from balancer.policy_api import Effect, Health, ListKind, Outcome, Scope
 
 SECOND = 1_000_000_000
 HOUR = 3600 * SECOND
@@ -106,19 +106,38 @@
     """An endpoint as this sidecar knows it."""
 
     __slots__ = (
-        "base", "cell", "ejections", "fails", "fails_of", "good", "health", "heard", "heard_of", "id",
-        "inflight", "opened", "out_until", "pace", "passed", "probing", "quiet", "rank", "share", "started",
-        "streak", "zone",
-    )  # fmt: skip
-
-    def __init__(self, entry: api.Endpoint, rank: int, classes: int) -> None:
+        "base",
+        "cell",
+        "ejections",
+        "fails",
+        "fails_of",
+        "good",
+        "health",
+        "heard",
+        "heard_of",
+        "id",
+        "inflight",
+        "opened",
+        "out_until",
+        "pace",
+        "passed",
+        "probing",
+        "quiet",
+        "rank",
+        "share",
+        "started",
+        "streak",
+        "zone",
+    )
+
+    def __init__(self, entry: policy_api.Endpoint, rank: int, classes: int) -> None:
         self.id, self.rank, self.base = entry.id, rank, mix(int.from_bytes(entry.id, "little"))
         self.inflight = 0
         self.fails_of, self.heard_of = [0.0] * classes, [0] * classes  # of each class; see `failing`
         self.update(entry)
         self.reset()
 
-    def update(self, entry: api.Endpoint) -> None:
+    def update(self, entry: policy_api.Endpoint) -> None:
         self.zone, self.cell, self.health = entry.zone, entry.cell, entry.health
         self.share, self.started = max(entry.share, 1e-3), entry.started
 
@@ -139,12 +158,28 @@
     """A request that is owed its final answer."""
 
     __slots__ = (
-        "arrived", "asked", "attempts", "best", "best_far", "best_took", "cls", "connects", "counted",
-        "expires", "id", "key", "member", "open", "ran", "ran_at", "sent", "steps",
+        "arrived",
+        "asked",
+        "attempts",
+        "best",
+        "best_far",
+        "best_took",
+        "cls",
+        "connects",
+        "counted",
+        "expires",
+        "id",
+        "key",
+        "member",
+        "open",
+        "ran",
+        "ran_at",
+        "sent",
+        "steps",
         "stuck",
-    )  # fmt: skip
+    )
 
-    def __init__(self, event: api.Request, now: int) -> None:
+    def __init__(self, event: policy_api.Request, now: int) -> None:
         self.id, self.cls, self.expires, self.arrived = event.id, event.cls, event.expires, now
         self.key = event.key
         self.attempts = self.sent = self.ran_at = 0
@@ -160,20 +195,25 @@
 
 
 class Balancer:
-    def __init__(self, settings: api.Settings, seed: int) -> None:
+    def __init__(self, settings: policy_api.Settings, seed: int) -> None:
         self.settings = settings
         self.classes = settings.classes
         rng = random.Random(seed)
         self.rand, self.sample, self.choices = rng.random, rng.sample, rng.choices
         self.salt = mix(settings.instance)  # the subset outlives a restart
-        self.out: list[api.Action] = []
+        self.out: list[policy_api.Action] = []
         self.pending: dict[int, Pending] = {}
         self.handlers = {
-            api.Attached: self.on_attached, api.EndpointList: self.on_list, api.Request: self.on_request,
-            api.Completed: self.on_completed, api.Gone: self.on_gone, api.Timer: self.on_timer,
-            api.StreamStarted: self.on_gone,
-            api.PeerMessage: self.on_peer, api.Probed: self.on_probed,
-        }  # fmt: skip
+            policy_api.Attached: self.on_attached,
+            policy_api.EndpointList: self.on_list,
+            policy_api.Request: self.on_request,
+            policy_api.Completed: self.on_completed,
+            policy_api.Gone: self.on_gone,
+            policy_api.Timer: self.on_timer,
+            policy_api.StreamStarted: self.on_gone,
+            policy_api.PeerMessage: self.on_peer,
+            policy_api.Probed: self.on_probed,
+        }
         # list and drains
         self.members: dict[bytes, Member] = {}
         self.subscribed = not settings.discovery_on_request
@@ -220,7 +260,7 @@
         self.budget = 1.0
         self.try_left = [0] * len(self.classes)  # the longest that a first try has been given
 
-    def handle(self, now: int, event: api.Event) -> list[api.Action]:
+    def handle(self, now: int, event: policy_api.Event) -> list[policy_api.Action]:
         """Take one event and return the actions that answer it."""
         handler = self.handlers.get(type(event))
         if handler:
@@ -230,12 +270,12 @@
 
     # ---- list and drains ----------------------------------------------------------------------------------
 
-    def on_attached(self, now: int, event: api.Attached) -> None:
+    def on_attached(self, now: int, event: policy_api.Attached) -> None:
         self.cycle_from = now
         self.ask_at = now + int(self.rand() * self.ask_spread)
-        self.out.append(api.SetTimer(1 + int(self.rand() * CYCLE), TICK))
+        self.out.append(policy_api.SetTimer(1 + int(self.rand() * CYCLE), TICK))
 
-    def on_list(self, now: int, event: api.EndpointList) -> None:
+    def on_list(self, now: int, event: policy_api.EndpointList) -> None:
         if event.kind == ListKind.FAILED:
             self.subscribed = not self.settings.discovery_on_request
             self.ask_at = now + int((ASK_LEAST + (1 - ASK_LEAST) * self.rand()) * self.ask_spread)
@@ -262,7 +302,7 @@
 
     def subscribe(self, now: int) -> None:
         if not self.subscribed and now >= self.ask_at:
-            self.out.append(api.Watch(True))
+            self.out.append(policy_api.Watch(True))
             self.ask_at = now + self.settings.ask_within // 2  # should no reply come at all
 
     # ---- subset and choice --------------------------------------------------------------------------------
@@ -346,7 +386,7 @@
             del self.linked[member.id]
             member.opened = 0
             if member.health == Health.READY:  # else the network code has closed it
-                self.out.append(api.Disconnect(member.id))
+                self.out.append(policy_api.Disconnect(member.id))
 
     def warmth(self, member: Member, now: int) -> float:
         """The share of its work that an endpoint can do at least, by the time since its start."""
@@ -382,10 +422,14 @@
         cls, key = self.classes[request.cls], request.key if self.settings.warm_keys else 0
         within = request.ran if cls.effect == Effect.KEYED else None
         members = [
-            m for m in (self.order[side] if within else self.reach(side) if key else self.subset[side])
-            if m is not request.member and m not in request.asked and self.warmth(m, now) >= 1
-            and (within is None or same(m, within, cls.scope)) and (not (key or within) or m.out_until <= now)
-        ]  # fmt: skip
+            m
+            for m in (self.order[side] if within else self.reach(side) if key else self.subset[side])
+            if m is not request.member
+            and m not in request.asked
+            and self.warmth(m, now) >= 1
+            and (within is None or same(m, within, cls.scope))
+            and (not (key or within) or m.out_until <= now)
+        ]
         if key:
             members = nsmallest(KEY_MEMBERS, members, key=lambda m: mix(m.base ^ key))
         return [
@@ -490,7 +534,7 @@
             for member in sorted(drawn, key=lambda m: self.expected(m, request.cls, now))[:ASK]:
                 if member.id not in self.asking:
                     self.asking[member.id] = []
-                    self.out.append(api.Probe(member.id))
+                    self.out.append(policy_api.Probe(member.id))
                 self.asking[member.id].append(request.id)
                 request.asked.append(member)
                 request.open += 1
@@ -498,10 +542,10 @@
             return False
         request.steps += 1
         wait = ASK_TICKS * self.settings.tick + self.hop[far]
-        self.out.append(api.SetTimer(wait, request.id + 1))
+        self.out.append(policy_api.SetTimer(wait, request.id + 1))
         return True
 
-    def on_probed(self, now: int, event: api.Probed) -> None:
+    def on_probed(self, now: int, event: policy_api.Probed) -> None:
         waiting = self.asking.pop(event.endpoint, ())
         member = self.members.get(event.endpoint)
         if member is None:
@@ -517,7 +561,7 @@
                 continue
             request.open -= 1
             if ok and request.best is None:  # what else answers in this turn is compared with it
-                self.out.append(api.SetTimer(1, rid + 1))
+                self.out.append(policy_api.SetTimer(1, rid + 1))
             if ok and event.took - self.hop[far] < request.best_took - self.hop[request.best_far]:
                 request.best, request.best_took, request.best_far = member, event.took, far
             if not request.open and request.best is not None:
@@ -534,7 +578,7 @@
 
     # ---- endpoint health ----------------------------------------------------------------------------------
 
-    def learn(self, member: Member, event: api.Completed, request: Pending | None, now: int) -> None:
+    def learn(self, member: Member, event: policy_api.Completed, request: Pending | None, now: int) -> None:
         outcome = event.outcome
         if outcome in (Outcome.CANCELLED, Outcome.MOOT, Outcome.WRONG):
             self.evidence[member.zone][SENT] -= 1
@@ -595,7 +639,7 @@
             return
         safe = self.classes[request.cls].effect == Effect.SAFE
         if calm and safe and self.worth_resending(request, Outcome.CANCELLED, now):
-            self.out.append(api.Cancel(request.id, request.attempts - 1))
+            self.out.append(policy_api.Cancel(request.id, request.attempts - 1))
 
     def learn_class(self, member: Member, request: Pending, failed: bool, now: int) -> None:
         """What becomes of the class there. A request that is stuck has been taken for failed already."""
@@ -643,7 +687,7 @@
             elif self.settings.probes and member.out_until <= now + CYCLE and not member.probing:
                 member.probing = True
                 member.out_until = now + 2 * SECOND  # at the latest; the answer decides
-                self.out.append(api.Probe(member.id))
+                self.out.append(policy_api.Probe(member.id))
 
     def readmit(self, member: Member, ok: bool, now: int) -> None:
         member.probing = False
@@ -691,7 +735,7 @@
 
     # ---- admission cut ------------------------------------------------------------------------------------
 
-    def level(self, event: api.Request, now: int) -> tuple[int, float]:
+    def level(self, event: policy_api.Request, now: int) -> tuple[int, float]:
         """The request's level (business x 128 + user), and its place within the level for a smooth cut."""
         business = self.business[event.cls]
         salt = mix(now // HOUR)
@@ -758,13 +802,13 @@
             self.cut = float(at)
         self.cut = 0.0
 
-    def on_timer(self, now: int, event: api.Timer) -> None:
+    def on_timer(self, now: int, event: policy_api.Timer) -> None:
         if event.token != TICK:
             request = self.pending.get(event.token - 1)
             if request is not None and not request.attempts:
                 self.decide(request, now)
             return
-        self.out.append(api.SetTimer(CYCLE, TICK))
+        self.out.append(policy_api.SetTimer(CYCLE, TICK))
         self.peak *= SUBSET_SHRINK
         if self.pressure <= self.over:  # in overload requests pile up: new connections would cost more yet
             self.peak = max(self.flying, self.peak)
@@ -871,9 +915,9 @@
         body += pack(f"<{len(told)}e", *told)
         for _ in range(PEERS):
             peer = int(self.rand() * (settings.instances - 1))
-            self.out.append(api.Tell(peer + (peer >= settings.instance), body))
+            self.out.append(policy_api.Tell(peer + (peer >= settings.instance), body))
 
-    def on_peer(self, now: int, event: api.PeerMessage) -> None:
+    def on_peer(self, now: int, event: policy_api.PeerMessage) -> None:
         body, rows = event.body, self.pooled()
         count = sum(map(len, rows))
         if len(body) != HEAD.size + 2 * count:
@@ -894,7 +938,7 @@
 
     # ---- attempts and final answers -----------------------------------------------------------------------
 
-    def on_request(self, now: int, event: api.Request) -> None:
+    def on_request(self, now: int, event: policy_api.Request) -> None:
         level, place = self.level(event, now)
         request = Pending(event, now)
         self.worth_mean += 0.01 * (self.classes[event.cls].worth - self.worth_mean)
@@ -911,7 +955,7 @@
             if not self.asks or not self.ask(request, now):
                 self.send(request, now)
 
-    def useless(self, event: api.Request, now: int) -> bool:
+    def useless(self, event: policy_api.Request, now: int) -> bool:
         """Whether this repeat came so late, by the time left of the one deadline, that no answer earns."""
         cls, left = self.classes[event.cls], event.expires - now
         if not event.repeat:
@@ -953,7 +997,7 @@
         latest = 0  # a connection may come up late, and repeats are dropped for so long only
         if request.ran is not None and self.classes[request.cls].effect == Effect.KEYED:
             latest = request.ran_at + self.classes[request.cls].window
-        self.out.append(api.Send(request.id, member.id, self.patience(request, now), latest))
+        self.out.append(policy_api.Send(request.id, member.id, self.patience(request, now), latest))
         if self.sends % CYCLE_COUNT == 0:
             self.cycle(now)
 
@@ -973,7 +1017,7 @@
             return left
         return 0
 
-    def on_completed(self, now: int, event: api.Completed) -> None:
+    def on_completed(self, now: int, event: policy_api.Completed) -> None:
         request = self.pending.get(event.id)
         member = self.members.get(event.endpoint)
         if member is not None and member.inflight:
@@ -985,7 +1029,7 @@
         if request is None or event.over:
             self.pending.pop(event.id, None)
             return
-        if request.ran is None and event.outcome not in api.NEVER_RAN:
+        if request.ran is None and event.outcome not in policy_api.NEVER_RAN:
             request.ran, request.ran_at = request.member, request.sent
         # One that is wrong fails anywhere: six servers refused each, and seemed to fail.
         hopeless = event.outcome in (Outcome.MOOT, Outcome.WRONG)
@@ -1015,11 +1059,11 @@
             # Once no answer can count, the advice is to stay away for the rest of the client's time.
             late = not cls.late_worth and now >= request.arrived + cls.aim
             advice = min(cls.limit if late else STAY_AWAY, self.settings.retry_after_max)
-            self.out.append(api.Refuse(request.id, advice))
+            self.out.append(policy_api.Refuse(request.id, advice))
         else:
-            self.out.append(api.Fail(request.id))
+            self.out.append(policy_api.Fail(request.id))
 
-    def on_gone(self, now: int, event: api.Gone | api.StreamStarted) -> None:
+    def on_gone(self, now: int, event: policy_api.Gone | policy_api.StreamStarted) -> None:
         """The client left, or a stream started: that is the client's, has no deadline and is never resent."""
         self.pending.pop(event.id, None)
 
--- /dev/null
+++ b/balancer/sidecar/__init__.py
@@ -0,0 +1,1 @@
+"""The real sidecar: sockets, timers and processes around the decisions."""
--- a/cranespindle/node/config.py
+++ b/balancer/sidecar/configuration.py
@@ -12,7 +12,8 @@
 from pathlib import Path
 from typing import Any, TypeAlias
 
-from cranespindle import api, wire
+from balancer import policy_api
+from balancer.simulator import wire_codec
 
 log = logging.getLogger(__name__)
 
@@ -22,7 +23,11 @@
 SOCKETS_MOST = 1024  # the least that a deployment allows, so never counted on for more
 SPARE_SOCKETS = 28
 MEMORY_LEAST = 64  # MB, where none is told
-_HEALTHS = {"up": api.Health.READY, "draining": api.Health.DRAINING, "removed": api.Health.GONE}
+_HEALTHS = {
+    "up": policy_api.Health.READY,
+    "draining": policy_api.Health.DRAINING,
+    "removed": policy_api.Health.GONE,
+}
 
 
 class ConfigError(Exception):
@@ -33,7 +38,7 @@
 class Host:
     """An entry of a list of endpoints."""
 
-    endpoint: api.Endpoint
+    endpoint: policy_api.Endpoint
     dial: Address
 
 
@@ -64,7 +69,7 @@
     peer_listen: Address | None
     peers: tuple[Address, ...]
     peers_all: Address | None
-    settings: api.Settings
+    settings: policy_api.Settings
     names: Names
     reports: bool  # endpoints tell their load
     connect_timeout: int
@@ -100,11 +105,11 @@
     if not isinstance(raw, dict):
         raise ConfigError("settings are missing")
     try:
-        settings = wire.settings(json.dumps(raw).encode())
-        limits = wire.part(raw, "Limits")
-        connect_timeout = int(wire.number(limits, "ConnectTimeoutNs", SECOND / 4, low=1))
-        idle_limit = int(wire.number(limits, "ConnIdleNs", 15 * SECOND, low=1))
-    except wire.WireError as problem:
+        settings = wire_codec.settings(json.dumps(raw).encode())
+        limits = wire_codec.part(raw, "Limits")
+        connect_timeout = int(wire_codec.number(limits, "ConnectTimeoutNs", SECOND / 4, low=1))
+        idle_limit = int(wire_codec.number(limits, "ConnIdleNs", 15 * SECOND, low=1))
+    except wire_codec.WireError as problem:
         raise ConfigError(str(problem)) from None
     names = Names(_positions(raw.get("Azs")), _positions(raw.get("Kinds")))
     try:
@@ -167,7 +172,7 @@
     if told not in ("draining", "removed"):
         return None
     health = _HEALTHS[told]
-    return Host(api.Endpoint(endpoint_id(entry["host"]), 0, 0, 0, health, 1.0, 0), ("", 0))
+    return Host(policy_api.Endpoint(endpoint_id(entry["host"]), 0, 0, 0, health, 1.0, 0), ("", 0))
 
 
 def _host(entry: Any, names: Names) -> Host:
@@ -177,7 +182,7 @@
     if not isinstance(host, str) or not isinstance(health, str) or health not in _HEALTHS:
         raise ValueError(f"an entry makes no sense: host {host!r}, health {health!r}")
     try:
-        endpoint = api.Endpoint(
+        endpoint = policy_api.Endpoint(
             id=endpoint_id(host),
             zone=names.zones.get(str(entry.get("site")), 0),
             kind=names.kinds.get(str(entry.get("class")), 0),
@@ -197,7 +202,7 @@
     return number
 
 
-def endpoint_id(host: str) -> api.EndpointId:
+def endpoint_id(host: str) -> policy_api.EndpointId:
     # The decisions hash an id's first 64 bits: a name of more bytes would lose its last, telling ones.
     return blake2b(host.encode(), digest_size=8).digest()
 
--- a/cranespindle/node/discovery.py
+++ b/balancer/sidecar/discovery_client.py
@@ -7,10 +7,10 @@
 import logging
 import random
 
-from cranespindle import api
-from cranespindle.node.config import Address, Config, HostList, host_list
-from cranespindle.node.host import Host
-from cranespindle.node.upstream import Answer, Connection, Store
+from balancer import policy_api
+from balancer.sidecar.configuration import Address, Config, HostList, host_list
+from balancer.sidecar.dispatcher import Host
+from balancer.sidecar.upstream.connection import Answer, Connection, Store
 
 log = logging.getLogger(__name__)
 
@@ -110,7 +110,7 @@
                         spoilt = isinstance(problem, CallSpoilt)
                         continue
                     self._watcher = None
-                    self._host.post(api.EndpointList(api.ListKind.FAILED, ()))
+                    self._host.post(policy_api.EndpointList(policy_api.ListKind.FAILED, ()))
                     return
                 await asyncio.sleep(RETRY)
                 continue
@@ -132,7 +132,7 @@
             self._take(await self._call("", FIRST_ASKED))
         except CallFailed as problem:
             log.debug("discovery: %s", problem)
-            self._host.post(api.EndpointList(api.ListKind.FAILED, ()))
+            self._host.post(policy_api.EndpointList(policy_api.ListKind.FAILED, ()))
 
     def _take(self, told: HostList) -> bool:
         """Pass a list on; whether it held anything new."""
@@ -140,13 +140,13 @@
             self._seq = told.seq
             if not self._pushed:
                 # The decisions wait for an answer to their call, even for an empty one.
-                self._host.learn(told, api.ListKind.DELTA)
+                self._host.learn(told, policy_api.ListKind.DELTA)
             return False
         if told.whole and told.seq == self._seq and self._pushed and not self._anew:
             return False
         self._seq = told.seq
         self._anew = self._anew and not told.whole
-        self._host.learn(told, api.ListKind.FULL if told.whole else api.ListKind.DELTA)
+        self._host.learn(told, policy_api.ListKind.FULL if told.whole else policy_api.ListKind.DELTA)
         return True
 
     async def _call(self, query: str, timeout: float) -> HostList:
--- a/cranespindle/node/host.py
+++ b/balancer/sidecar/dispatcher.py
@@ -13,11 +13,11 @@
 from functools import partial
 from typing import Any, NamedTuple, Protocol
 
-from cranespindle import api
-from cranespindle.api import Effect, Outcome
-from cranespindle.balance import Balancer
-from cranespindle.node.config import SECOND, Config, HostList
-from cranespindle.node.upstream import Answer, Attempt, Upstream
+from balancer import policy_api
+from balancer.policy.balancer import Balancer
+from balancer.policy_api import Effect, Outcome
+from balancer.sidecar.configuration import SECOND, Config, HostList
+from balancer.sidecar.upstream.connection import Answer, Attempt, Upstream
 
 log = logging.getLogger(__name__)
 
@@ -67,16 +67,29 @@
     """A request in the ledger: owed its final answer, or with an attempt still out."""
 
     __slots__ = (
-        "answered", "attempt", "attempts", "client", "deadline", "endpoint", "expires", "id", "incoming",
-        "last", "may_have_run", "outlived", "patience", "sent", "until",
-    )  # fmt: skip
+        "answered",
+        "attempt",
+        "attempts",
+        "client",
+        "deadline",
+        "endpoint",
+        "expires",
+        "id",
+        "incoming",
+        "last",
+        "may_have_run",
+        "outlived",
+        "patience",
+        "sent",
+        "until",
+    )
 
     def __init__(self, rid: int, client: Client, incoming: Incoming, expires: int) -> None:
         self.id, self.client, self.incoming, self.expires = rid, client, incoming, expires
         self.answered = False
         self.attempts = self.sent = self.until = 0
         self.attempt: Attempt | None = None
-        self.endpoint: api.EndpointId = b""
+        self.endpoint: policy_api.EndpointId = b""
         self.last = -1  # the outcome of the last attempt
         self.may_have_run = False
         self.outlived = False  # by that attempt, which is still out
@@ -101,15 +114,21 @@
         self._spent: dict[bytes, int] = {}
         self._last_id = 0
         self._end: int | None = None  # by when this sidecar has ended, once it was told to
-        self._events: deque[api.Event] = deque()
+        self._events: deque[policy_api.Event] = deque()
         self._busy = False
         self._actions: dict[type, Callable[[Any], None]] = {
-            api.Send: self._send, api.Refuse: self._refuse, api.Fail: self._fail, api.Cancel: self._cancel,
-            api.SetTimer: self._set_timer, api.Probe: self._probe, api.Log: self._log,
-            api.Disconnect: lambda a: self.upstream.disconnect(a.endpoint),
-            api.Watch: lambda a: self.watch(a.on), api.Fetch: lambda a: self.fetch(),
-            api.Tell: lambda a: self.tell(a.peer, a.body),
-        }  # fmt: skip
+            policy_api.Send: self._send,
+            policy_api.Refuse: self._refuse,
+            policy_api.Fail: self._fail,
+            policy_api.Cancel: self._cancel,
+            policy_api.SetTimer: self._set_timer,
+            policy_api.Probe: self._probe,
+            policy_api.Log: self._log,
+            policy_api.Disconnect: lambda a: self.upstream.disconnect(a.endpoint),
+            policy_api.Watch: lambda a: self.watch(a.on),
+            policy_api.Fetch: lambda a: self.fetch(),
+            policy_api.Tell: lambda a: self.tell(a.peer, a.body),
+        }
         # Set by the parts that do them.
         self.watch: Callable[[bool], None] = lambda on: None
         self.fetch: Callable[[], None] = lambda: None
@@ -119,15 +138,15 @@
     # ---- events
 
     def start(self, known: HostList) -> None:
-        self.post(api.Attached())
-        self.learn(known, api.ListKind.CACHED)
+        self.post(policy_api.Attached())
+        self.learn(known, policy_api.ListKind.CACHED)
 
     def learn(self, told: HostList, kind: int) -> None:
         self.listed = self.listed or bool(told.hosts)
-        self.upstream.learn(told.hosts, whole=kind != api.ListKind.DELTA)
-        self.post(api.EndpointList(kind, tuple(host.endpoint for host in told.hosts)))
+        self.upstream.learn(told.hosts, whole=kind != policy_api.ListKind.DELTA)
+        self.post(policy_api.EndpointList(kind, tuple(host.endpoint for host in told.hosts)))
 
-    def post(self, event: api.Event) -> None:
+    def post(self, event: policy_api.Event) -> None:
         """Take an event. What an action brings about at once waits until the other actions are done."""
         self._events.append(event)
         if self._busy:
@@ -139,7 +158,7 @@
         finally:
             self._busy = False
 
-    def _step(self, event: api.Event) -> None:
+    def _step(self, event: policy_api.Event) -> None:
         try:
             actions = self._balancer.handle(self.now(), event)
         except Exception:
@@ -170,7 +189,7 @@
         self._names.add(incoming.name)
         request.deadline = self._loop.call_later((expires - now) / SECOND, self._at_deadline, request)
         self.post(
-            api.Request(
+            policy_api.Request(
                 rid, incoming.cls, incoming.tenant, incoming.key, expires, incoming.hint, incoming.repeat
             )
         )
@@ -195,7 +214,7 @@
         still waits for its connection must not begin: nobody wants it any more."""
         if (request := self._conclude(rid)) is not None:
             self._settle(request)
-            self.post(api.Gone(rid))
+            self.post(policy_api.Gone(rid))
             if request.attempt is not None:
                 request.attempt.withdraw()
 
@@ -225,8 +244,8 @@
         if not request.answered:
             # The decisions answer each request by now; whatever keeps them from it, none is lost.
             log.error("request %d was left unanswered until its deadline", request.id)
-            self._fail(api.Fail(request.id))
-            self.post(api.Gone(request.id))
+            self._fail(policy_api.Fail(request.id))
+            self.post(policy_api.Gone(request.id))
 
     def _freed(self, request: Open) -> None:
         request.outlived = False
@@ -256,7 +275,7 @@
 
     # ---- actions
 
-    def _send(self, action: api.Send) -> None:
+    def _send(self, action: policy_api.Send) -> None:
         request, now = self._open.get(action.id), self.now()
         if request is None or request.answered or request.attempt is not None or now >= request.expires:
             self._moot(action, request)
@@ -280,14 +299,14 @@
             request.patience = self._loop.call_later(action.timeout / SECOND, attempt.time_out)
         attempt.start()
 
-    def _moot(self, action: api.Send, request: Open | None) -> None:
+    def _moot(self, action: policy_api.Send, request: Open | None) -> None:
         over = request is None or request.answered
         number = request.attempts if request else 0
-        self.post(api.Completed(action.id, number, action.endpoint, Outcome.MOOT, 0, over, ()))
+        self.post(policy_api.Completed(action.id, number, action.endpoint, Outcome.MOOT, 0, over, ()))
 
     def _completed(self, request: Open, number: int, outcome: int, answer: Answer | None) -> None:
         request.attempt, request.last = None, outcome
-        request.may_have_run |= outcome not in api.NEVER_RAN
+        request.may_have_run |= outcome not in policy_api.NEVER_RAN
         if request.patience is not None:
             request.patience.cancel()
             request.patience = None
@@ -296,31 +315,33 @@
         over = request.answered
         self._settle(request)
         took, report = self.now() - request.sent, self.upstream.report(answer)
-        self.post(api.Completed(request.id, number, request.endpoint, outcome, took, over, report))
+        self.post(policy_api.Completed(request.id, number, request.endpoint, outcome, took, over, report))
 
-    def _refuse(self, action: api.Refuse) -> None:
+    def _refuse(self, action: policy_api.Refuse) -> None:
         if (request := self._conclude(action.id)) is not None:
             request.client.refuse(action.stay_away)
             self._settle(request)
 
-    def _fail(self, action: api.Fail) -> None:
+    def _fail(self, action: policy_api.Fail) -> None:
         if (request := self._conclude(action.id)) is not None:
             request.client.fail(request.last == Outcome.TIMEOUT)
             self._settle(request)
 
-    def _cancel(self, action: api.Cancel) -> None:
+    def _cancel(self, action: policy_api.Cancel) -> None:
         request = self._open.get(action.id)
         if request is not None and request.attempt is not None and request.attempts - 1 == action.attempt:
             request.attempt.abandon(Outcome.CANCELLED)
 
-    def _set_timer(self, action: api.SetTimer) -> None:
-        self._loop.call_later(action.delay / SECOND, self.post, api.Timer(action.token))
+    def _set_timer(self, action: policy_api.SetTimer) -> None:
+        self._loop.call_later(action.delay / SECOND, self.post, policy_api.Timer(action.token))
 
-    def _probe(self, action: api.Probe) -> None:
+    def _probe(self, action: policy_api.Probe) -> None:
         self.upstream.probe(
             action.endpoint,
-            lambda outcome, took, report: self.post(api.Probed(action.endpoint, outcome, took, report)),
+            lambda outcome, took, report: self.post(
+                policy_api.Probed(action.endpoint, outcome, took, report)
+            ),
         )
 
-    def _log(self, action: api.Log) -> None:
+    def _log(self, action: policy_api.Log) -> None:
         log.info("%s", action.text)
--- a/cranespindle/node/frontend.py
+++ b/balancer/sidecar/downstream/listener.py
@@ -10,19 +10,27 @@
 from itertools import islice
 from typing import cast
 
-from cranespindle.node.config import SECOND, Config
-from cranespindle.node.host import Host
-from cranespindle.node.request import BadRequest, Checker, Head, begins_badly, parse_head
-from cranespindle.node.upstream import BODY_MOST, Answer, Headers, shut
+from balancer.sidecar.configuration import SECOND, Config
+from balancer.sidecar.dispatcher import Host
+from balancer.sidecar.http_request import BadRequest, Checker, Head, begins_badly, parse_head
+from balancer.sidecar.upstream.connection import BODY_MOST, Answer, Headers, shut
 
 PIPELINE_MOST = 16  # requests taken ahead of their turn on one connection
 # What concerns one connection only, is written anew, or is meant for sidecars.
 NOT_PASSED_BACK = frozenset(
     (
-        b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding",
-        b"upgrade", b"content-length", b"srv-load", b"srv-declined",
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+        b"srv-load",
+        b"srv-declined",
     )
-)  # fmt: skip
+)
 
 # How long a connection may wait, in seconds. One sweep over all of them serves every limit.
 SWEEP = 0.25
--- a/cranespindle/node/peers.py
+++ b/balancer/sidecar/gossip_transport.py
@@ -5,9 +5,9 @@
 import asyncio
 from typing import cast
 
-from cranespindle import api
-from cranespindle.node.config import Config
-from cranespindle.node.host import Host
+from balancer import policy_api
+from balancer.sidecar.configuration import Config
+from balancer.sidecar.dispatcher import Host
 
 MESSAGE_MOST = 256
 
@@ -33,7 +33,7 @@
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         number = self._numbers.get((addr[0], addr[1]))
         if number is not None and len(data) <= MESSAGE_MOST:  # else it is no peer's
-            self._host.post(api.PeerMessage(number, data))
+            self._host.post(policy_api.PeerMessage(number, data))
 
     def error_received(self, exc: Exception) -> None:
         """A peer that is down shows as an error of the socket; messages may be lost, so nothing is due."""
--- a/cranespindle/node/request.py
+++ b/balancer/sidecar/http_request.py
@@ -11,10 +11,10 @@
 from http import HTTPStatus
 from typing import NamedTuple
 
-from cranespindle import api
-from cranespindle.node.config import SECOND, Config
-from cranespindle.node.host import Incoming
-from cranespindle.node.upstream import BODY_MOST, HEAD_MOST
+from balancer import policy_api
+from balancer.sidecar.configuration import SECOND, Config
+from balancer.sidecar.dispatcher import Incoming
+from balancer.sidecar.upstream.connection import BODY_MOST, HEAD_MOST
 
 _TOKEN = rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]++"
 _LINE = re.compile(rb"(?:\r\n)?(" + _TOKEN + rb") ([\x21-\x7e]++) HTTP/1\.([01])\r\n")
@@ -30,13 +30,18 @@
 # Each may come once; whatever else a head holds stays here.
 _PASSED_ON = (b"host", b"req-kind", b"req-owner", b"req-id", b"req-retry", b"req-cost", b"req-extra")
 _KNOWN = frozenset(_PASSED_ON) | {
-    b"connection", b"content-length", b"expect", b"idempotency-key", b"req-deadline", b"transfer-encoding",
+    b"connection",
+    b"content-length",
+    b"expect",
+    b"idempotency-key",
+    b"req-deadline",
+    b"transfer-encoding",
     b"upgrade",
-}  # fmt: skip
+}
 METHODS = {
-    api.Effect.SAFE: (b"GET", False),
-    api.Effect.KEYED: (b"POST", True),
-    api.Effect.UNSAFE: (b"POST", False),
+    policy_api.Effect.SAFE: (b"GET", False),
+    policy_api.Effect.KEYED: (b"POST", True),
+    policy_api.Effect.UNSAFE: (b"POST", False),
 }
 
 
--- /dev/null
+++ b/balancer/sidecar/upstream/__init__.py
@@ -0,0 +1,1 @@
+"""The side of the sidecar that faces the account servers."""
--- a/cranespindle/node/upstream.py
+++ b/balancer/sidecar/upstream/connection.py
@@ -14,8 +14,8 @@
 
 import httptools
 
-from cranespindle.api import EndpointId, Health, Outcome
-from cranespindle.node.config import SECOND, Address, Config, Host
+from balancer.policy_api import EndpointId, Health, Outcome
+from balancer.sidecar.configuration import SECOND, Address, Config, Host
 
 BODY_MOST = 64 * 1024
 HEAD_MOST = 32 * 1024
@@ -257,9 +257,17 @@
     """A request on its way to an endpoint. It ends exactly once."""
 
     __slots__ = (
-        "__weakref__", "_connect", "_connection", "_cut_off", "_done", "_freed", "_latest", "_payload",
-        "_pool", "_upstream",
-    )  # fmt: skip
+        "__weakref__",
+        "_connect",
+        "_connection",
+        "_cut_off",
+        "_done",
+        "_freed",
+        "_latest",
+        "_payload",
+        "_pool",
+        "_upstream",
+    )
 
     def __init__(
         self,
--- /dev/null
+++ b/balancer/simulator/__init__.py
@@ -0,0 +1,1 @@
+"""The same decisions on the wire of the simulator."""
--- a/cranespindle/simhost.py
+++ b/balancer/simulator/adapter.py
@@ -5,36 +5,37 @@
 import sys
 from typing import BinaryIO
 
-from cranespindle import api, wire
-from cranespindle.balance import Balancer
+from balancer import policy_api
+from balancer.policy.balancer import Balancer
+from balancer.simulator import wire_codec
 
 
 def serve(source: BinaryIO, sink: BinaryIO) -> None:
-    """Answer batches until the input ends. Raises wire.WireError on a frame that can't be."""
-    decoder = wire.Decoder()
+    """Answer batches until the input ends. Raises wire_codec.WireError on a frame that can't be."""
+    decoder = wire_codec.Decoder()
     instances: dict[int, Balancer] = {}
-    encode = wire.encode
+    encode = wire_codec.encode
     while True:
-        head = source.read(wire.BATCH.size)
+        head = source.read(wire_codec.BATCH.size)
         if not head:
             return
-        if len(head) < wire.BATCH.size:
-            raise wire.WireError("truncated frame header")
-        size, now, count = wire.BATCH.unpack(head)
-        if size < wire.BATCH.size:
-            raise wire.WireError(f"impossible frame length {size}")
-        body = source.read(size - wire.BATCH.size)
-        if len(body) < size - wire.BATCH.size:
-            raise wire.WireError("truncated frame")
+        if len(head) < wire_codec.BATCH.size:
+            raise wire_codec.WireError("truncated frame header")
+        size, now, count = wire_codec.BATCH.unpack(head)
+        if size < wire_codec.BATCH.size:
+            raise wire_codec.WireError(f"impossible frame length {size}")
+        body = source.read(size - wire_codec.BATCH.size)
+        if len(body) < size - wire_codec.BATCH.size:
+            raise wire_codec.WireError("truncated frame")
         out: list[bytes] = []
         for number, event in decoder.events(body, count):
-            if isinstance(event, wire.Stop):
+            if isinstance(event, wire_codec.Stop):
                 instances.pop(number, None)
                 continue
             try:
-                if isinstance(event, wire.Attach):
-                    balancer = instances[number] = Balancer(wire.settings(event.conf), event.seed)
-                    actions = balancer.handle(now, api.Attached())
+                if isinstance(event, wire_codec.Attach):
+                    balancer = instances[number] = Balancer(wire_codec.settings(event.conf), event.seed)
+                    actions = balancer.handle(now, policy_api.Attached())
                 elif (held := instances.get(number)) is not None:
                     actions = held.handle(now, event)
                 else:
@@ -43,15 +44,15 @@
                     out.append(encode(number, action))
             except Exception as problem:  # any fault of the decisions ends the day, with its cause
                 instances.pop(number, None)
-                out.append(wire.die(number, f"{type(problem).__name__}: {problem}"))
-        sink.write(wire.frame(out))
+                out.append(wire_codec.die(number, f"{type(problem).__name__}: {problem}"))
+        sink.write(wire_codec.frame(out))
         sink.flush()
 
 
 def main() -> int:
     try:
         serve(sys.stdin.buffer, sys.stdout.buffer)
-    except wire.WireError as problem:
+    except wire_codec.WireError as problem:
         print(f"simhost: {problem}", file=sys.stderr)
         return 2
     return 0
--- a/cranespindle/wire.py
+++ b/balancer/simulator/wire_codec.py
@@ -7,7 +7,7 @@
 from struct import Struct, error
 from typing import Any
 
-from cranespindle import api
+from balancer import policy_api
 
 BATCH, REPLY = Struct("<IQI"), Struct("<II")
 _U16, _U32, _U64 = Struct("<H"), Struct("<I"), Struct("<Q")
@@ -21,10 +21,14 @@
 _A_DROP, _A_BARE, _A_FLAG = Struct("<BHQB"), Struct("<BH"), Struct("<BHB")
 _A_ENDPOINT, _A_TELL, _A_TEXT = Struct("<BH6s"), Struct("<BHHH"), Struct("<BHH")
 
-OUTCOMES = {0: 0, 13: 1, 8: 2, 4: 3, 14: 4, 10: 5, 1: 6, 9: 7}  # the wire's code: api.Outcome
-LIST_KINDS = {0: 0, 2: 1, 3: 2, 4: 3}  # the wire's code: api.ListKind
-_EFFECTS = {"retryable": api.Effect.SAFE, "dedup": api.Effect.KEYED, "fragile": api.Effect.UNSAFE}
-_SCOPES = {"all": api.Scope.ALL, "zone": api.Scope.ZONE, "cell": api.Scope.CELL}
+OUTCOMES = {0: 0, 13: 1, 8: 2, 4: 3, 14: 4, 10: 5, 1: 6, 9: 7}  # the wire's code: policy_api.Outcome
+LIST_KINDS = {0: 0, 2: 1, 3: 2, 4: 3}  # the wire's code: policy_api.ListKind
+_EFFECTS = {
+    "retryable": policy_api.Effect.SAFE,
+    "dedup": policy_api.Effect.KEYED,
+    "fragile": policy_api.Effect.UNSAFE,
+}
+_SCOPES = {"all": policy_api.Scope.ALL, "zone": policy_api.Scope.ZONE, "cell": policy_api.Scope.CELL}
 _HEALTHS = (0, 1, 2)
 
 
@@ -52,9 +56,9 @@
     """Holds the numbered lists, which belong to the whole process."""
 
     def __init__(self) -> None:
-        self._lists: dict[int, tuple[api.Endpoint, ...]] = {}
+        self._lists: dict[int, tuple[policy_api.Endpoint, ...]] = {}
 
-    def events(self, frame: bytes, count: int) -> Iterator[tuple[int, Attach | Stop | api.Event]]:
+    def events(self, frame: bytes, count: int) -> Iterator[tuple[int, Attach | Stop | policy_api.Event]]:
         """The records of a batch (from just after its header), in order: (instance, event)."""
         at, end = 0, len(frame)
         for _ in range(count):
@@ -84,7 +88,7 @@
         at += 6
         if at + 24 * n > len(b):
             raise WireError("truncated pool")
-        entries = tuple(api.Endpoint(*e) for e in _ENTRY.iter_unpack(b[at : at + 24 * n]))
+        entries = tuple(policy_api.Endpoint(*e) for e in _ENTRY.iter_unpack(b[at : at + 24 * n]))
         for entry in entries:
             if entry.health not in _HEALTHS:
                 raise WireError(f"unknown health {entry.health} in a pool")
@@ -98,42 +102,46 @@
         if kind and number not in self._lists:
             raise WireError(f"list {number} was never defined")
         entries = self._lists[number] if kind else ()
-        return at + 13, instance, api.EndpointList(LIST_KINDS[kind], entries)
+        return at + 13, instance, policy_api.EndpointList(LIST_KINDS[kind], entries)
 
     def _inbound(self, b: bytes, at: int) -> Any:
         instance, rid, cls, tenant, key, expires, hint, marks = _INBOUND.unpack_from(b, at)
         hint = hint if marks & 1 else 0
-        return at + 41, instance, api.Request(rid, cls, tenant, key, expires, hint, bool(marks & 2))
+        return at + 41, instance, policy_api.Request(rid, cls, tenant, key, expires, hint, bool(marks & 2))
 
     def _memo(self, b: bytes, at: int) -> Any:
         instance, sender, n = _MEMO.unpack_from(b, at)
         at += 8
-        return at + n, instance, api.PeerMessage(sender, b[at : at + n])
+        return at + n, instance, policy_api.PeerMessage(sender, b[at : at + n])
 
     def _completed(self, b: bytes, at: int) -> Any:
         instance, rid, attempt, endpoint, status, took, over, n = _COMPLETED.unpack_from(b, at)
         at += 29
         report = _FLOATS[n].unpack_from(b, at) if n else ()
         outcome = _outcome(status)
-        return at + 4 * n, instance, api.Completed(rid, attempt, endpoint, outcome, took, over != 0, report)
+        return (
+            at + 4 * n,
+            instance,
+            policy_api.Completed(rid, attempt, endpoint, outcome, took, over != 0, report),
+        )
 
     def _gone(self, b: bytes, at: int) -> Any:
         instance, rid = _GONE.unpack_from(b, at)
-        return at + 10, instance, api.Gone(rid)
+        return at + 10, instance, policy_api.Gone(rid)
 
     def _opened(self, b: bytes, at: int) -> Any:
         instance, rid, _, _, _ = _OPENED.unpack_from(b, at)
-        return at + 25, instance, api.StreamStarted(rid)
+        return at + 25, instance, policy_api.StreamStarted(rid)
 
     def _ring(self, b: bytes, at: int) -> Any:
         instance, token = _RING.unpack_from(b, at)
-        return at + 10, instance, api.Timer(token)
+        return at + 10, instance, policy_api.Timer(token)
 
     def _check(self, b: bytes, at: int) -> Any:
         instance, endpoint, status, took, n = _CHECK.unpack_from(b, at)
         at += 19
         report = _FLOATS[n].unpack_from(b, at) if n else ()
-        return at + 4 * n, instance, api.Probed(endpoint, _outcome(status), took, report)
+        return at + 4 * n, instance, policy_api.Probed(endpoint, _outcome(status), took, report)
 
     def _stop(self, b: bytes, at: int) -> Any:
         return at + 2, _STOP.unpack_from(b, at)[0], STOP
@@ -160,7 +168,7 @@
     return OUTCOMES[status]
 
 
-def encode(instance: int, action: api.Action) -> bytes:
+def encode(instance: int, action: policy_api.Action) -> bytes:
     """One action as a record of a reply."""
     return _WRITERS[type(action)](instance, action)
 
@@ -175,17 +183,17 @@
 
 
 _WRITERS: dict[type, Callable[[int, Any], bytes]] = {
-    api.Send: lambda i, a: _A_DELIVER.pack(16, i, a.id, a.endpoint, a.timeout),
-    api.Refuse: lambda i, a: _A_DECLINE.pack(17, i, a.id, a.stay_away),
-    api.Fail: lambda i, a: _A_ID.pack(18, i, a.id),
-    api.Cancel: lambda i, a: _A_DROP.pack(19, i, a.id, a.attempt),
-    api.SetTimer: lambda i, a: _A_DECLINE.pack(20, i, a.delay, a.token),
-    api.Probe: lambda i, a: _A_ENDPOINT.pack(21, i, a.endpoint),
-    api.Disconnect: lambda i, a: _A_ENDPOINT.pack(22, i, a.endpoint),
-    api.Tell: lambda i, a: _A_TELL.pack(23, i, a.peer & 0xFFFF, len(a.body)) + a.body,
-    api.Log: lambda i, a: _text(24, i, a.text),
-    api.Watch: lambda i, a: _A_FLAG.pack(26, i, a.on),
-    api.Fetch: lambda i, a: _A_BARE.pack(27, i),
+    policy_api.Send: lambda i, a: _A_DELIVER.pack(16, i, a.id, a.endpoint, a.timeout),
+    policy_api.Refuse: lambda i, a: _A_DECLINE.pack(17, i, a.id, a.stay_away),
+    policy_api.Fail: lambda i, a: _A_ID.pack(18, i, a.id),
+    policy_api.Cancel: lambda i, a: _A_DROP.pack(19, i, a.id, a.attempt),
+    policy_api.SetTimer: lambda i, a: _A_DECLINE.pack(20, i, a.delay, a.token),
+    policy_api.Probe: lambda i, a: _A_ENDPOINT.pack(21, i, a.endpoint),
+    policy_api.Disconnect: lambda i, a: _A_ENDPOINT.pack(22, i, a.endpoint),
+    policy_api.Tell: lambda i, a: _A_TELL.pack(23, i, a.peer & 0xFFFF, len(a.body)) + a.body,
+    policy_api.Log: lambda i, a: _text(24, i, a.text),
+    policy_api.Watch: lambda i, a: _A_FLAG.pack(26, i, a.on),
+    policy_api.Fetch: lambda i, a: _A_BARE.pack(27, i),
 }
 
 
@@ -194,7 +202,7 @@
     return REPLY.pack(len(records), 8 + len(body)) + body
 
 
-def settings(conf: bytes) -> api.Settings:
+def settings(conf: bytes) -> policy_api.Settings:
     """The settings of an instance. Raises WireError that names the key which is missing or makes no sense."""
     try:
         top = json.loads(conf)
@@ -208,8 +216,10 @@
     classes = tuple(_request_class(c) for c in _list(top, "Categories"))
     if not classes:
         raise WireError("settings: Categories is empty")
-    tenants = tuple(api.Tenant(str(t.get("Name", "")), number(t, "QuotaPerS", 0)) for t in _list(top, "Orgs"))
-    return api.Settings(
+    tenants = tuple(
+        policy_api.Tenant(str(t.get("Name", "")), number(t, "QuotaPerS", 0)) for t in _list(top, "Orgs")
+    )
+    return policy_api.Settings(
         classes=classes,
         instance=int(number(top, "Position", 0)),
         instances=int(number(top, "NInstances", 1, low=1)),
@@ -240,7 +250,7 @@
     )
 
 
-def _request_class(c: Any) -> api.RequestClass:
+def _request_class(c: Any) -> policy_api.RequestClass:
     if not isinstance(c, dict):
         raise WireError("settings: Categories holds something that is not an object")
     effect, scope = c.get("Effect"), c.get("KeyScope", "all")
@@ -248,7 +258,7 @@
         raise WireError(f"settings: Effect is {effect!r}")
     if scope not in _SCOPES:
         raise WireError(f"settings: KeyScope is {scope!r}")
-    return api.RequestClass(
+    return policy_api.RequestClass(
         name=str(c.get("Name", "")),
         aim=int(number(c, "AimNs", low=1)),
         limit=int(number(c, "HardLimitNs", low=1)),
--- a/cranespindle/node/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""The real sidecar: cranespindle's decisions on sockets."""
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -14,9 +14,9 @@
 from heapq import heappop, heappush
 from itertools import count
 
-from cranespindle import api
-from cranespindle.api import Health, ListKind, Outcome
-from cranespindle.balance import Balancer
+from balancer import policy_api
+from balancer.policy.balancer import Balancer
+from balancer.policy_api import Health, ListKind, Outcome
 from tests.helpers import MS, SECOND, START
 
 HANDSHAKE_WORK = 25 * MS
@@ -45,7 +45,7 @@
     def id(self) -> bytes:
         return self.number.to_bytes(6, "little")
 
-    def warmth(self, now: int, config: api.Settings) -> float:
+    def warmth(self, now: int, config: policy_api.Settings) -> float:
         age = now - self.started
         if not self.started or age >= config.cold_for:
             return 1.0
@@ -83,26 +83,26 @@
         self.life = next(self.fleet.lives)
         self.balancer = Balancer(self.config, self.fleet.rng.getrandbits(32))
         self.attempts: dict[int, int] = {}  # the attempt that is out, by request
-        self.give(api.Attached())
-        self.give(api.EndpointList(ListKind.CACHED, tuple(map(self.fleet.entry, self.fleet.servers))))
+        self.give(policy_api.Attached())
+        self.give(policy_api.EndpointList(ListKind.CACHED, tuple(map(self.fleet.entry, self.fleet.servers))))
 
-    def give(self, event: api.Event) -> None:
+    def give(self, event: policy_api.Event) -> None:
         for action in self.balancer.handle(self.fleet.now, event):
             self.carry_out(action)
 
-    def carry_out(self, action: api.Action) -> None:
-        if isinstance(action, api.Send):
+    def carry_out(self, action: policy_api.Action) -> None:
+        if isinstance(action, policy_api.Send):
             self.send(action)
-        elif isinstance(action, api.Refuse | api.Fail):
+        elif isinstance(action, policy_api.Refuse | policy_api.Fail):
             call, _ = self.calls.pop(action.id)
             self.fleet.unserved(self, call, action)
-        elif isinstance(action, api.SetTimer):
-            self.after(action.delay, partial(self.give, api.Timer(action.token)))
-        elif isinstance(action, api.Probe):
+        elif isinstance(action, policy_api.SetTimer):
+            self.after(action.delay, partial(self.give, policy_api.Timer(action.token)))
+        elif isinstance(action, policy_api.Probe):
             up = self.fleet.by_id[action.endpoint].up
             outcome = Outcome.OK if up else Outcome.CONNECT_FAILED
-            self.after(2 * HOP, partial(self.give, api.Probed(action.endpoint, outcome, 2 * HOP, ())))
-        elif isinstance(action, api.Disconnect):
+            self.after(2 * HOP, partial(self.give, policy_api.Probed(action.endpoint, outcome, 2 * HOP, ())))
+        elif isinstance(action, policy_api.Disconnect):
             server = self.fleet.by_id[action.endpoint]
             server.connections -= len(self.idle.pop(action.endpoint, ()))
 
@@ -114,7 +114,7 @@
         number = next(self.fleet.numbers)
         expires = min(call.deadline, self.fleet.now + self.fleet.patience)
         self.calls[number] = call, expires
-        self.give(api.Request(number, 0, 0, call.key, expires, 0, False))
+        self.give(policy_api.Request(number, 0, 0, call.key, expires, 0, False))
 
     def connected(self, server: Server) -> bool | None:
         """Whether a request finds a connection (True), opens one (False), or is refused one (None)."""
@@ -133,7 +133,7 @@
         server.most = max(server.most, server.connections)
         return False
 
-    def send(self, action: api.Send) -> None:
+    def send(self, action: policy_api.Send) -> None:
         call, expires = self.calls[action.id]
         server, begun = self.fleet.by_id[action.endpoint], self.fleet.now
         number = next(self.fleet.numbers)
@@ -154,13 +154,15 @@
             if over:
                 call.served = self.fleet.now
             took = self.fleet.now - begun
-            self.give(api.Completed(action.id, 0, action.endpoint, outcome, took, over, ()))
+            self.give(policy_api.Completed(action.id, 0, action.endpoint, outcome, took, over, ()))
 
         def late() -> None:
             if self.attempts.get(action.id) == number:
                 del self.attempts[action.id]  # its connection is closed when the server is done with it
                 took = self.fleet.now - begun
-                self.give(api.Completed(action.id, 0, action.endpoint, Outcome.TIMEOUT, took, False, ()))
+                self.give(
+                    policy_api.Completed(action.id, 0, action.endpoint, Outcome.TIMEOUT, took, False, ())
+                )
 
         found = self.connected(server)
         if found is None:
@@ -184,7 +186,9 @@
 
 
 class Fleet:
-    def __init__(self, config: api.Settings, sidecars: int, servers: Iterable[Server], seed: int = 1) -> None:
+    def __init__(
+        self, config: policy_api.Settings, sidecars: int, servers: Iterable[Server], seed: int = 1
+    ) -> None:
         self.config, self.instances, self.rng = config, sidecars, random.Random(seed)
         self.now, self.numbers, self.lives = START, count(1), count(1)
         self.servers = list(servers)
@@ -223,14 +227,14 @@
             self.calls.append(call)
             self.at(at, partial(sidecar.ask, call))
 
-    def entry(self, server: Server, health: int = Health.READY) -> api.Endpoint:
-        return api.Endpoint(server.id, server.zone, 0, 0, health, 1.0, server.started)
+    def entry(self, server: Server, health: int = Health.READY) -> policy_api.Endpoint:
+        return policy_api.Endpoint(server.id, server.zone, 0, 0, health, 1.0, server.started)
 
     def tell(self, servers: Iterable[Server]) -> None:
         """All sidecars hear of these at once."""
         entries = tuple(map(self.entry, servers))
         for sidecar in self.sidecars:
-            sidecar.give(api.EndpointList(ListKind.DELTA, entries))
+            sidecar.give(policy_api.EndpointList(ListKind.DELTA, entries))
 
     def restart(self, servers: Iterable[Server]) -> None:
         """Come back cold, and be told of."""
@@ -240,14 +244,14 @@
             server.sent.clear()
         self.tell(chosen)
 
-    def unserved(self, sidecar: Sidecar, call: Call, action: api.Refuse | api.Fail) -> None:
-        if isinstance(action, api.Refuse) and call.tries <= self.retries:
+    def unserved(self, sidecar: Sidecar, call: Call, action: policy_api.Refuse | policy_api.Fail) -> None:
+        if isinstance(action, policy_api.Refuse) and call.tries <= self.retries:
             call.tries += 1
             wait = max(action.stay_away, self.rng.randrange(100 * MS, 400 * MS))
             if self.now + wait < call.deadline:
                 sidecar.after(wait, lambda: sidecar.ask(call))
                 return
-        call.refused = isinstance(action, api.Refuse)
+        call.refused = isinstance(action, policy_api.Refuse)
 
     def work(self, server: Server, work: int, done: Callable[[], None] | None) -> None:
         if server.busy >= server.cores:
--- a/tests/sidecar.py
+++ b/tests/sidecar.py
@@ -12,11 +12,11 @@
 
 import uvloop
 
-from cranespindle import api
-from cranespindle.node import config
-from cranespindle.node.discovery import Discovery
-from cranespindle.node.frontend import ClientConnection, Frontend
-from cranespindle.node.host import Clock, Host
+from balancer import policy_api
+from balancer.sidecar import configuration as config
+from balancer.sidecar.discovery_client import Discovery
+from balancer.sidecar.dispatcher import Clock, Host
+from balancer.sidecar.downstream.listener import ClientConnection, Frontend
 
 Script: TypeAlias = Callable[["Seen"], Awaitable[bytes | None]]
 WAIT = 20.0  # a hang fails the test; no test passes or fails by a shorter time
@@ -25,17 +25,34 @@
     "Azs": ["bangna"],
     "Kinds": ["new-4c"],
     "Categories": [
-        {"Name": "read", "Effect": "retryable", "AimNs": 2_000_000_000, "HardLimitNs": 9_000_000_000,
-         "Importance": 1, "LateWorth": 0.5},
-        {"Name": "post", "Effect": "fragile", "AimNs": 2_000_000_000, "HardLimitNs": 9_000_000_000,
-         "Importance": 8, "LateWorth": 0.5},
+        {
+            "Name": "read",
+            "Effect": "retryable",
+            "AimNs": 2_000_000_000,
+            "HardLimitNs": 9_000_000_000,
+            "Importance": 1,
+            "LateWorth": 0.5,
+        },
+        {
+            "Name": "post",
+            "Effect": "fragile",
+            "AimNs": 2_000_000_000,
+            "HardLimitNs": 9_000_000_000,
+            "Importance": 8,
+            "LateWorth": 0.5,
+        },
     ],
-    "Limits": {"MaxAttempts": 5, "Probes": True, "Peers": True, "ConnectTimeoutNs": 5_000_000_000,
-               "ConnIdleNs": 60_000_000_000},
+    "Limits": {
+        "MaxAttempts": 5,
+        "Probes": True,
+        "Peers": True,
+        "ConnectTimeoutNs": 5_000_000_000,
+        "ConnIdleNs": 60_000_000_000,
+    },
     "Stats": {"Fields": ["rate", "lat_ms", "busy"], "Via": "inline"},
     "Discovery": "pushed",
     "NInstances": 2,
-}  # fmt: skip
+}
 
 
 def run(test: Coroutine[Any, Any, None]) -> None:
@@ -57,8 +74,16 @@
 
 
 def entry(name: str, dial: str, health: str = "up") -> dict[str, Any]:
-    return {"host": name, "dial": dial, "site": "bangna", "class": "new-4c", "block": 1, "health": health,
-            "share": 1.0, "born_ms": 0}  # fmt: skip
+    return {
+        "host": name,
+        "dial": dial,
+        "site": "bangna",
+        "class": "new-4c",
+        "block": 1,
+        "health": health,
+        "share": 1.0,
+        "born_ms": 0,
+    }
 
 
 class Seen:
@@ -135,14 +160,21 @@
 def configuration(*dials: str, discovery: str = "", **changes: Any) -> dict[str, Any]:
     hosts = [entry(f"s-{i}", dial) for i, dial in enumerate(dials)]
     known = {"seq": 1, "whole": True, "hosts": hosts}
-    return {"name": "n0", "listen": "127.0.0.1:0", "discovery": discovery or dead_dial(), "seed": "1f",
-            "limits": {"sockets": 1024}, "known": known, "settings": SETTINGS} | changes  # fmt: skip
+    return {
+        "name": "n0",
+        "listen": "127.0.0.1:0",
+        "discovery": discovery or dead_dial(),
+        "seed": "1f",
+        "limits": {"sockets": 1024},
+        "known": known,
+        "settings": SETTINGS,
+    } | changes
 
 
 class Sidecar:
     def __init__(self, told: dict[str, Any]) -> None:
         self.config = config.parse(json.loads(json.dumps(told)))
-        self.events: list[api.Event] = []
+        self.events: list[policy_api.Event] = []
         self.changed = asyncio.Event()
 
     async def start(self) -> None:
@@ -150,7 +182,7 @@
         self.host = Host(self.config, loop, Clock())
         handle = self.host._balancer.handle
 
-        def watched(now: int, event: api.Event) -> list[api.Action]:
+        def watched(now: int, event: policy_api.Event) -> list[policy_api.Action]:
             self.events.append(event)
             self.changed.set()
             return handle(now, event)
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -6,8 +6,9 @@
 
 import pytest
 
-from cranespindle import api, balance
-from cranespindle.balance import HOUR
+from balancer import policy_api
+from balancer.policy import balancer as balance
+from balancer.policy.balancer import HOUR
 from tests.helpers import MS, SECOND, START, Bench, endpoint, request_class, settings
 
 
@@ -40,7 +41,11 @@
     b.sent()
     before = {m.id for m in b.balancer.subset[0]}
     gone = next(iter(before))
-    b.give(api.EndpointList(api.ListKind.DELTA, (endpoint(int.from_bytes(gone, "little"), api.Health.GONE),)))
+    b.give(
+        policy_api.EndpointList(
+            policy_api.ListKind.DELTA, (endpoint(int.from_bytes(gone, "little"), policy_api.Health.GONE),)
+        )
+    )
     b.sent()
     after = {m.id for m in b.balancer.subset[0]}
     assert len(before & after) == len(before) - 1 and gone not in after
@@ -56,9 +61,9 @@
         send = b.sent()
         drawn[send.endpoint] += 1
         took = 2 * MS if send.endpoint == bad else 60 * MS
-        b.answer(send, api.Outcome.ERROR if send.endpoint == bad else api.Outcome.OK, took)
+        b.answer(send, policy_api.Outcome.ERROR if send.endpoint == bad else policy_api.Outcome.OK, took)
         if send.endpoint == bad:
-            b.give(api.Gone(send.id))
+            b.give(policy_api.Gone(send.id))
     assert drawn[bad] < 400 / 8 / 3, drawn
 
 
@@ -69,13 +74,15 @@
     for _ in range(40):
         b.now += 50 * MS
         send = b.sent()
-        b.answer(send, api.Outcome.ERROR if send.endpoint == bad else api.Outcome.OK)
+        b.answer(send, policy_api.Outcome.ERROR if send.endpoint == bad else policy_api.Outcome.OK)
         if send.endpoint == bad:
-            b.give(api.Gone(send.id))
+            b.give(policy_api.Gone(send.id))
     b.now += 2 * SECOND  # longer than it takes to be ejected for not serving
     member = b.balancer.members[bad]
     for _ in range(12):
-        b.balancer.learn(member, api.Completed(0, 0, bad, api.Outcome.ERROR, 5 * MS, True, ()), None, b.now)
+        b.balancer.learn(
+            member, policy_api.Completed(0, 0, bad, policy_api.Outcome.ERROR, 5 * MS, True, ()), None, b.now
+        )
     assert member.out_until <= b.now
     b.tick()
     first = [b.sent().endpoint for _ in range(12)]
@@ -117,9 +124,9 @@
     for _ in range(300):
         b.now += 5 * MS
         action = b.ask()
-        if isinstance(action, api.Send):
-            b.answer(action, api.Outcome.CONNECT_FAILED, 3 * MS)
-    assert isinstance(b.ask(), api.Send)
+        if isinstance(action, policy_api.Send):
+            b.answer(action, policy_api.Outcome.CONNECT_FAILED, 3 * MS)
+    assert isinstance(b.ask(), policy_api.Send)
     assert len(b.balancer.subset[0]) >= balance.SUBSET_FREE // 2
 
 
@@ -130,7 +137,7 @@
     b.tick()
     assert b.balancer.size() > 2 * 8
     for send in sends:
-        b.answer(send, api.Outcome.RESET)
+        b.answer(send, policy_api.Outcome.RESET)
     assert sum(m.out_until > b.now for m in b.balancer.members.values()) > 4
     b.balancer.refill(b.now)
     assert len(b.balancer.subset[0]) == 4
@@ -141,20 +148,26 @@
     one = (1).to_bytes(6, "little")
     out = b.balancer.members[one]
     for _ in range(20):
-        for outcome in (api.Outcome.OK, api.Outcome.RESET):
+        for outcome in (policy_api.Outcome.OK, policy_api.Outcome.RESET):
             b.now += 10 * MS
-            b.balancer.learn(out, api.Completed(0, 0, one, outcome, 10 * MS, False, ()), None, b.now)
+            b.balancer.learn(out, policy_api.Completed(0, 0, one, outcome, 10 * MS, False, ()), None, b.now)
         assert not out.out_until
     for _ in range(balance.FAILS_TO_EJECT):  # in part it fails often, at hundreds of requests a second
-        b.balancer.learn(out, api.Completed(0, 0, one, api.Outcome.ERROR, MS, False, ()), None, b.now)
+        b.balancer.learn(
+            out, policy_api.Completed(0, 0, one, policy_api.Outcome.ERROR, MS, False, ()), None, b.now
+        )
     assert not out.out_until
     for _ in range(balance.FAILS_TO_EJECT):
         b.now += balance.PROVEN
-        b.balancer.learn(out, api.Completed(0, 0, one, api.Outcome.RESET, MS, False, ()), None, b.now)
+        b.balancer.learn(
+            out, policy_api.Completed(0, 0, one, policy_api.Outcome.RESET, MS, False, ()), None, b.now
+        )
     assert out.out_until > b.now
     b.now += HOUR
     out.out_until = out.streak = 0  # silent since: a break is all that is known of it
-    b.balancer.learn(out, api.Completed(0, 0, one, api.Outcome.RESET, MS, False, ()), None, b.now)
+    b.balancer.learn(
+        out, policy_api.Completed(0, 0, one, policy_api.Outcome.RESET, MS, False, ()), None, b.now
+    )
     assert out.out_until > b.now
 
 
@@ -167,11 +180,11 @@
         for turn in range(400):
             b.now += 20 * MS
             broke = usual and turn % 3 == 0
-            b.answer(b.sent(), api.Outcome.CONNECT_FAILED if broke else api.Outcome.OK, 15 * MS)
+            b.answer(b.sent(), policy_api.Outcome.CONNECT_FAILED if broke else policy_api.Outcome.OK, 15 * MS)
         [member] = [m for m in b.balancer.members.values() if m.id == (1).to_bytes(6, "little")]
         member.ejections = member.out_until = member.streak = 0
         member.good, b.now = b.now, b.now + SECOND
-        lost = api.Completed(0, 0, member.id, api.Outcome.CONNECT_FAILED, 150 * MS, False, ())
+        lost = policy_api.Completed(0, 0, member.id, policy_api.Outcome.CONNECT_FAILED, 150 * MS, False, ())
         for count in range(1, 9):
             b.balancer.learn(member, lost, None, b.now)
             if member.out_until > b.now:
@@ -187,7 +200,7 @@
     b = Bench(settings(), servers=8)
     one = (1).to_bytes(6, "little")
     drains = b.balancer.members[one]
-    turned_away = api.Completed(0, 0, one, api.Outcome.FULL, MS, False, ())
+    turned_away = policy_api.Completed(0, 0, one, policy_api.Outcome.FULL, MS, False, ())
     b.now += SECOND
     for _ in range(balance.FULL_TO_EJECT):
         assert not drains.out_until
@@ -210,7 +223,7 @@
 
 
 def test_what_can_not_be_tried_again_keeps_away_from_members_that_fail_in_part() -> None:
-    unsafe = request_class(effect=api.Effect.UNSAFE)
+    unsafe = request_class(effect=policy_api.Effect.UNSAFE)
     b = Bench(settings(request_class(), unsafe), servers=4)
     one = b.balancer.members[(1).to_bytes(6, "little")]
     one.fails, one.heard = 0.3, b.now
@@ -220,12 +233,12 @@
 def test_nothing_new_goes_to_a_draining_or_gone_endpoint() -> None:
     b = Bench(settings(), servers=2)
     one, two = (n.to_bytes(6, "little") for n in (1, 2))
-    b.give(api.EndpointList(api.ListKind.DELTA, (endpoint(1, api.Health.DRAINING),)))
+    b.give(policy_api.EndpointList(policy_api.ListKind.DELTA, (endpoint(1, policy_api.Health.DRAINING),)))
     assert {b.sent().endpoint for _ in range(20)} == {two}
-    b.list_of(endpoint(1), kind=api.ListKind.FULL)  # two is missing from a complete list: gone
+    b.list_of(endpoint(1), kind=policy_api.ListKind.FULL)  # two is missing from a complete list: gone
     assert {b.sent().endpoint for _ in range(20)} == {one}
-    b.list_of(kind=api.ListKind.FULL)
-    assert isinstance(b.ask(), api.Refuse)
+    b.list_of(kind=policy_api.ListKind.FULL)
+    assert isinstance(b.ask(), policy_api.Refuse)
 
 
 def test_a_silent_member_goes_out_and_a_probe_brings_it_back() -> None:
@@ -236,17 +249,17 @@
     assert silent.out_until <= b.now
     b.tick(balance.SILENT_FOR / SECOND)
     assert silent.out_until > b.now
-    probed: list[api.Action] = []
+    probed: list[policy_api.Action] = []
     while not probed:
         b.balancer.refill(b.now)
         assert silent not in b.balancer.subset[0]
-        probed = [a for a in b.tick(0.1) if isinstance(a, api.Probe)]
-    assert probed == [api.Probe(silent.id)]
-    b.give(api.Probed(silent.id, api.Outcome.TIMEOUT, 500 * MS, ()))
+        probed = [a for a in b.tick(0.1) if isinstance(a, policy_api.Probe)]
+    assert probed == [policy_api.Probe(silent.id)]
+    b.give(policy_api.Probed(silent.id, policy_api.Outcome.TIMEOUT, 500 * MS, ()))
     assert silent.out_until > b.now + balance.EJECT_FIRST
-    while not [a for a in b.tick(0.1) if isinstance(a, api.Probe)]:
+    while not [a for a in b.tick(0.1) if isinstance(a, policy_api.Probe)]:
         pass
-    b.give(api.Probed(silent.id, api.Outcome.OK, 5 * MS, ()))
+    b.give(policy_api.Probed(silent.id, policy_api.Outcome.OK, 5 * MS, ()))
     b.balancer.refill(b.now)
     assert silent in b.balancer.subset[0]
 
@@ -266,7 +279,7 @@
 def test_a_gone_member_is_forgotten_with_its_last_attempt() -> None:
     b = Bench(settings(), servers=2)
     sends = [b.sent() for _ in range(4)]
-    b.list_of(kind=api.ListKind.FULL)
+    b.list_of(kind=policy_api.ListKind.FULL)
     assert len(b.balancer.members) == 2
     for send in sends:
         b.answer(send)
@@ -276,7 +289,7 @@
 def answered(b: Bench) -> bytes:
     """One request, answered at once where it is sent."""
     action = b.ask()
-    if not isinstance(action, api.Send):
+    if not isinstance(action, policy_api.Send):
         return b""
     b.answer(action)
     return action.endpoint
@@ -316,7 +329,7 @@
     for turn in range(16):  # four seconds in which no warm one answers
         b.tick(0.25)
         for key in range(1, 21):  # of many users, so that the cut lets some pass
-            if isinstance(send := b.ask(key=100 * turn + key), api.Send) and send.endpoint[0] == 1:
+            if isinstance(send := b.ask(key=100 * turn + key), policy_api.Send) and send.endpoint[0] == 1:
                 cold += 1
                 b.answer(send)
     warmth = 0.3 + 0.7 / 4  # on the mean of this time
@@ -337,17 +350,17 @@
     b = Bench(settings(request_class(late_worth=0.5), max_attempts=1), servers=0)
     b.list_of(*(endpoint(n, started=START - SECOND if n == 1 else 0) for n in range(1, 9)))
     for _ in range(400):
-        if isinstance(send := b.ask(), api.Send):
+        if isinstance(send := b.ask(), policy_api.Send):
             assert send.endpoint[0] != 1
-            b.answer(send, api.Outcome.FULL, MS)
+            b.answer(send, policy_api.Outcome.FULL, MS)
 
 
 def test_a_restart_forgets_what_was_known() -> None:
     b = Bench(settings(), servers=1)
     member = next(iter(b.balancer.members.values()))
-    b.answer(b.sent(), api.Outcome.ERROR)
+    b.answer(b.sent(), policy_api.Outcome.ERROR)
     assert member.fails > 0
-    b.give(api.EndpointList(api.ListKind.DELTA, (endpoint(1, started=b.now),)))
+    b.give(policy_api.EndpointList(policy_api.ListKind.DELTA, (endpoint(1, started=b.now),)))
     assert member.fails == 0 and not member.heard
 
 
@@ -382,20 +395,20 @@
     b = Bench(settings(discovery_on_request=True, ask_within=10 * SECOND))
     asked: list[int] = []
     for _ in range(80):
-        if any(isinstance(a, api.Watch) for a in b.tick(0.25)):
+        if any(isinstance(a, policy_api.Watch) for a in b.tick(0.25)):
             asked.append(b.now)
-            b.give(api.EndpointList(api.ListKind.FAILED, ()))
+            b.give(policy_api.EndpointList(policy_api.ListKind.FAILED, ()))
     gaps = [later - earlier for earlier, later in zip([START, *asked], asked, strict=False)]
     assert len(asked) >= 3 and max(gaps) < 10 * SECOND
-    b.give(api.EndpointList(api.ListKind.DELTA, ()))
-    assert not any(isinstance(a, api.Watch) for _ in range(60) for a in b.tick(0.25))
+    b.give(policy_api.EndpointList(policy_api.ListKind.DELTA, ()))
+    assert not any(isinstance(a, policy_api.Watch) for _ in range(60) for a in b.tick(0.25))
 
 
 def test_first_subscriptions_are_spread() -> None:
     first = set()
     for seed in range(20):
         b = Bench(settings(discovery_on_request=True), seed=seed)
-        while not any(isinstance(a, api.Watch) for a in b.tick(0.25)):
+        while not any(isinstance(a, policy_api.Watch) for a in b.tick(0.25)):
             pass
         first.add(b.now)
     assert len(first) > 5
@@ -436,23 +449,23 @@
     b = Bench(settings(request_class(late_worth=0.5)), servers=0)
     b.list_of(endpoint(1), *(endpoint(n, started=START - 4 * SECOND) for n in range(2, 9)))
     for _ in range(40):
-        if isinstance(send := b.ask(), api.Send) and send.endpoint[0] == 1:
-            again = b.answer(send, api.Outcome.ERROR, 5 * MS)
-            assert not any(isinstance(a, api.Send) for a in again)
+        if isinstance(send := b.ask(), policy_api.Send) and send.endpoint[0] == 1:
+            again = b.answer(send, policy_api.Outcome.ERROR, 5 * MS)
+            assert not any(isinstance(a, policy_api.Send) for a in again)
 
 
 ASKING = dict(probes=True, zones=2, report_fields=("rif",))
 
 
-def probes(actions: list[api.Action]) -> list[bytes]:
-    return [a.endpoint for a in actions if isinstance(a, api.Probe)]
+def probes(actions: list[policy_api.Action]) -> list[bytes]:
+    return [a.endpoint for a in actions if isinstance(a, policy_api.Probe)]
 
 
 def asking(left: int = 3 * SECOND, **changes: object) -> tuple[Bench, list[bytes]]:
     """A sidecar that has just taken request 1, and the members that it asked."""
     b = Bench(settings(request_class(late_worth=0.5), **(ASKING | changes)), servers=0)
     b.list_of(*(endpoint(n, zone=n % 2) for n in range(1, 17)))
-    return b, probes(b.give(api.Request(1, 0, 0, 0, b.now + left, 0, False)))
+    return b, probes(b.give(policy_api.Request(1, 0, 0, 0, b.now + left, 0, False)))
 
 
 def test_the_quickest_of_the_members_asked_gets_the_request() -> None:
@@ -460,50 +473,56 @@
     b, asked = asking()
     assert len(asked) == 2 and all(e[0] % 2 == 0 for e in asked)
     b.now += 5 * MS
-    assert not any(isinstance(a, api.Send) for a in b.give(api.Probed(asked[0], api.Outcome.OK, 9 * MS, ())))
-    [send] = b.give(api.Probed(asked[1], api.Outcome.OK, 2 * MS, ()))
-    assert isinstance(send, api.Send) and send.endpoint == asked[1]
+    assert not any(
+        isinstance(a, policy_api.Send)
+        for a in b.give(policy_api.Probed(asked[0], policy_api.Outcome.OK, 9 * MS, ()))
+    )
+    [send] = b.give(policy_api.Probed(asked[1], policy_api.Outcome.OK, 2 * MS, ()))
+    assert isinstance(send, policy_api.Send) and send.endpoint == asked[1]
 
 
 def test_silent_members_get_nothing_and_others_are_asked() -> None:
     b, asked = asking()
     b.now += 20 * MS
-    more = probes(b.give(api.Timer(2)))
+    more = probes(b.give(policy_api.Timer(2)))
     assert more and not set(more) & set(asked)
     assert {e[0] % 2 for e in more} == {0, 1}  # the other zone too, as nobody near is idle
     b.now += 5 * MS
-    b.give(api.Probed(more[0], api.Outcome.OK, 3 * MS, ()))
-    [send] = b.give(api.Timer(2))
-    assert isinstance(send, api.Send) and send.endpoint == more[0]
+    b.give(policy_api.Probed(more[0], policy_api.Outcome.OK, 3 * MS, ()))
+    [send] = b.give(policy_api.Timer(2))
+    assert isinstance(send, policy_api.Send) and send.endpoint == more[0]
 
 
 def test_asking_ends_and_the_request_is_sent_or_answered() -> None:
     b, _ = asking()
     for _ in range(8):
         b.now += 30 * MS
-        if sends := [a for a in b.give(api.Timer(2)) if isinstance(a, api.Send)]:
+        if sends := [a for a in b.give(policy_api.Timer(2)) if isinstance(a, policy_api.Send)]:
             break
     assert sends and b.now - START <= 250 * MS
     late, _ = asking()
     late.now += 4 * SECOND  # a sidecar that stood still: its client has left
-    [final] = late.give(api.Timer(2))
-    assert isinstance(final, api.Refuse)
+    [final] = late.give(policy_api.Timer(2))
+    assert isinstance(final, policy_api.Refuse)
 
 
 def test_nothing_is_held_that_a_stand_still_could_lose() -> None:
     """A sidecar that stood still for two seconds once held two requests unsent until their clients left."""
     b, asked = asking(left=2 * SECOND)
-    assert not asked and isinstance(b.actions[0], api.Send)
+    assert not asked and isinstance(b.actions[0], policy_api.Send)
 
 
 def test_a_member_that_drains_while_asked_gets_nothing() -> None:
     b, asked = asking()
-    b.give(api.EndpointList(api.ListKind.DELTA, tuple(
-        endpoint(e[0], api.Health.DRAINING, zone=e[0] % 2) for e in asked
-    )))  # fmt: skip
-    actions = [a for e in asked for a in b.give(api.Probed(e, api.Outcome.OK, 2 * MS, ()))]
-    actions += b.give(api.Timer(2))
-    assert not any(isinstance(a, api.Send) and a.endpoint in asked for a in actions)
+    b.give(
+        policy_api.EndpointList(
+            policy_api.ListKind.DELTA,
+            tuple(endpoint(e[0], policy_api.Health.DRAINING, zone=e[0] % 2) for e in asked),
+        )
+    )
+    actions = [a for e in asked for a in b.give(policy_api.Probed(e, policy_api.Outcome.OK, 2 * MS, ()))]
+    actions += b.give(policy_api.Timer(2))
+    assert not any(isinstance(a, policy_api.Send) and a.endpoint in asked for a in actions)
 
 
 def test_members_that_hold_a_request_are_not_asked_and_the_one_that_holds_least_gets_it() -> None:
@@ -511,14 +530,16 @@
     b, _ = asking()
     b.list_of(*(endpoint(n, zone=n % 2) for n in range(1, 5)))  # two near, two far
     b.balancer.crossing = 0.0
-    sends: list[api.Send] = []
+    sends: list[policy_api.Send] = []
     for rid in range(2, 12):
-        actions = b.give(api.Request(rid, 0, 0, 0, b.now + 3 * SECOND, 0, False))
+        actions = b.give(policy_api.Request(rid, 0, 0, 0, b.now + 3 * SECOND, 0, False))
         while asked := probes(actions):
             b.now += 2 * MS
-            actions = [a for e in asked for a in b.give(api.Probed(e, api.Outcome.OK, 2 * MS, ()))]
-            actions += b.give(api.Timer(rid + 1))
-        sends += [a for a in actions if isinstance(a, api.Send)]
+            actions = [
+                a for e in asked for a in b.give(policy_api.Probed(e, policy_api.Outcome.OK, 2 * MS, ()))
+            ]
+            actions += b.give(policy_api.Timer(rid + 1))
+        sends += [a for a in actions if isinstance(a, policy_api.Send)]
     held = Counter(send.endpoint for send in sends)
     assert held.total() == 10 and len(held) == 4 and max(held.values()) <= 4, held
 
@@ -564,11 +585,11 @@
 def test_a_refused_connect_makes_the_share_smaller_for_a_while() -> None:
     b = Bench(settings(warm_keys=True, instances=100), servers=50)
     for _ in range(5):  # in one second: one full table refuses several
-        b.answer(b.sent(), api.Outcome.CONNECT_FAILED, MS)
+        b.answer(b.sent(), policy_api.Outcome.CONNECT_FAILED, MS)
     assert b.balancer.fan_in == pytest.approx(balance.FAN_IN * balance.FAN_IN_CUT)
     for _ in range(20):
         b.now += SECOND
-        b.answer(b.sent(), api.Outcome.CONNECT_FAILED, MS)
+        b.answer(b.sent(), policy_api.Outcome.CONNECT_FAILED, MS)
     assert b.balancer.fan_in == balance.FAN_IN_LEAST
     for _ in range(10):
         b.tick(2)
@@ -584,7 +605,7 @@
         b.answer(send)
     closed = []
     for _ in range(400):
-        closed += [a.endpoint for a in b.tick(0.25) if isinstance(a, api.Disconnect)]
+        closed += [a.endpoint for a in b.tick(0.25) if isinstance(a, policy_api.Disconnect)]
     assert held > 20 and len(b.balancer.linked) <= balance.SUBSET_FREE + 2
     assert len(set(closed)) == len(closed) == held - len(b.balancer.linked)
     assert sends[0].endpoint not in closed  # its attempt is out
@@ -594,11 +615,16 @@
     """It has no deadline: it is no wait, and its break is not answered with another attempt."""
     b = Bench(settings(request_class(late_worth=0.5)), servers=8)
     send = b.sent()
-    assert b.give(api.StreamStarted(send.id)) == []
+    assert b.give(policy_api.StreamStarted(send.id)) == []
     b.now += 30 * SECOND
     b.tick()
     assert b.balancer.cut == 0 and not b.balancer.pending
-    assert b.give(api.Completed(send.id, 0, send.endpoint, api.Outcome.RESET, 30 * SECOND, True, ())) == []
+    assert (
+        b.give(
+            policy_api.Completed(send.id, 0, send.endpoint, policy_api.Outcome.RESET, 30 * SECOND, True, ())
+        )
+        == []
+    )
     assert b.balancer.flying == 0
 
 
@@ -608,7 +634,7 @@
     b.list_of(*(endpoint(n, zone=n % 2) for n in range(1, 17)))
     b.balancer.crossing = 1.0
     for _ in range(10):
-        if isinstance(send := b.ask(), api.Send) and send.endpoint[0] % 2:
-            b.answer(send, api.Outcome.CONNECT_FAILED, MS)
-            b.give(api.Gone(send.id))
+        if isinstance(send := b.ask(), policy_api.Send) and send.endpoint[0] % 2:
+            b.answer(send, policy_api.Outcome.CONNECT_FAILED, MS)
+            b.give(policy_api.Gone(send.id))
     assert b.balancer.crossing < 0.6
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -6,10 +6,10 @@
 
 import pytest
 
-from cranespindle.node import frontend
-from cranespindle.node.frontend import PIPELINE_MOST
-from cranespindle.node.request import BadRequest, deadline, hint, parse_head
-from cranespindle.node.upstream import HEAD_MOST
+from balancer.sidecar.downstream import listener as frontend
+from balancer.sidecar.downstream.listener import PIPELINE_MOST
+from balancer.sidecar.http_request import BadRequest, deadline, hint, parse_head
+from balancer.sidecar.upstream.connection import HEAD_MOST
 from tests.sidecar import Seen, always_ok, endpoint, ok, request, run, sidecar
 
 POST = b"POST / HTTP/1.1\r\n%s\r\n\r\n"
@@ -80,9 +80,15 @@
             odd = b"X-Trace: 7\r\nTE: trailers\r\nIdempotency-Key: k\r\nSrv-Load: x\r\n"
             assert (await client.ask(request("post", body=b"x", extra=named + odd)))[0] == 200
             assert set(served.seen[0].headers) == {
-                b"host", b"req-id", b"req-kind", b"req-retry", b"req-extra", b"req-cost", b"req-deadline",
+                b"host",
+                b"req-id",
+                b"req-kind",
+                b"req-retry",
+                b"req-extra",
+                b"req-cost",
+                b"req-deadline",
                 b"content-length",
-            }  # fmt: skip
+            }
 
     run(test())
 
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -15,8 +15,8 @@
 
 import pytest
 
-from cranespindle.node import frontend
-from cranespindle.node.frontend import (
+from balancer.sidecar.downstream import listener as frontend
+from balancer.sidecar.downstream.listener import (
     IDLE,
     LINGER,
     LINGER_MOST,
@@ -26,7 +26,7 @@
     UNREAD,
     ClientConnection,
 )
-from cranespindle.node.request import BadRequest
+from balancer.sidecar.http_request import BadRequest
 from tests.sidecar import (
     Endpoint,
     Seen,
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -12,9 +12,11 @@
 
 import pytest
 
-from cranespindle import api, balance
-from cranespindle.node import config, discovery
-from cranespindle.node.discovery import CallFailed, CallSilent, CallSpoilt, Discovery
+from balancer import policy_api
+from balancer.policy import balancer as balance
+from balancer.sidecar import configuration as config
+from balancer.sidecar import discovery_client as discovery
+from balancer.sidecar.discovery_client import CallFailed, CallSilent, CallSpoilt, Discovery
 from tests.helpers import SECOND, Bench
 from tests.helpers import settings as rules
 from tests.sidecar import SETTINGS, WAIT, Sidecar, dead_dial, entry, ok, run, sidecar, status
@@ -101,9 +103,11 @@
         b = Bench(rules(discovery_on_request=True, ask_within=ask_within), seed=seed)
         for waits in (first, again):
             if waits is again:
-                b.give(api.EndpointList(api.ListKind.FAILED, ()))
+                b.give(policy_api.EndpointList(policy_api.ListKind.FAILED, ()))
             since = b.now
-            while not any(isinstance(action, api.Watch) for action in b.tick(balance.CYCLE / SECOND / 5)):
+            while not any(
+                isinstance(action, policy_api.Watch) for action in b.tick(balance.CYCLE / SECOND / 5)
+            ):
                 assert b.now - since <= balance.ASK_MOST, "put off for too long"
             waits.add(b.now - since)
     assert len(first) > 10 and len(again) > 10
@@ -232,9 +236,9 @@
         patch.setattr(Discovery, "_call", call)
 
 
-def drained(event: api.Event) -> bool:
-    return isinstance(event, api.EndpointList) and any(
-        told.health == api.Health.DRAINING for told in event.endpoints
+def drained(event: policy_api.Event) -> bool:
+    return isinstance(event, policy_api.EndpointList) and any(
+        told.health == policy_api.Health.DRAINING for told in event.endpoints
     )
 
 
@@ -261,7 +265,9 @@
             async with sidecar("127.0.0.1:9", discovery=stand_in.dial, settings=site(asked)) as node:
                 begin(node, asked)
                 await node.event(drained)
-                reported = [e for e in node.events if e == api.EndpointList(api.ListKind.FAILED, ())]
+                reported = [
+                    e for e in node.events if e == policy_api.EndpointList(policy_api.ListKind.FAILED, ())
+                ]
         assert calls.failed == ([kind] if kind else [])
         # A failed call is reported once, and the decisions call again; one that may have told they never see.
         assert len(reported) == (asked and kind is CallFailed)
@@ -322,7 +328,9 @@
                 while len(new.lines) < 1:
                     await asyncio.sleep(0.001)
                 assert new.lines[0] == b"GET /discovery/hosts HTTP/1.1"
-                assert not [e for e in node.events if e == api.EndpointList(api.ListKind.FAILED, ())]
+                assert not [
+                    e for e in node.events if e == policy_api.EndpointList(policy_api.ListKind.FAILED, ())
+                ]
                 assert new.connections == 1
 
     run(test())
@@ -386,12 +394,15 @@
             begin(node, True)
             await arrived.wait()
             node.discovery.fetch()
-            await node.event(lambda e: isinstance(e, api.EndpointList) and e.kind == api.ListKind.FULL)
+            await node.event(
+                lambda e: isinstance(e, policy_api.EndpointList) and e.kind == policy_api.ListKind.FULL
+            )
             fetched.set()
             await node.event(drained)
             assert [line.split(b"&")[0] for line in lines[:2]] == [
-                b"/discovery/hosts?from=1", b"/discovery/hosts",
-            ]  # fmt: skip
+                b"/discovery/hosts?from=1",
+                b"/discovery/hosts",
+            ]
         assert calls.made[1] == ("", discovery.FIRST_ASKED)
         server.close()
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -40,9 +40,15 @@
 
 COLD = settings(
     request_class(late_worth=0.5, limit=2500 * MS),
-    cold_from=0.31, cold_for=8500 * MS, fall_multiple=3.0, probes=True, warm_keys=True,
-    connection_price=0.06, handshake_price=0.06, retry_after_max=3000 * MS,
-)  # fmt: skip
+    cold_from=0.31,
+    cold_for=8500 * MS,
+    fall_multiple=3.0,
+    probes=True,
+    warm_keys=True,
+    connection_price=0.06,
+    handshake_price=0.06,
+    retry_after_max=3000 * MS,
+)
 FALL = 3 * SECOND  # the time over which what a cold server gets is summed up
 
 
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -8,10 +8,10 @@
 
 import pytest
 
-from cranespindle import api
-from cranespindle.node import frontend
-from cranespindle.node.frontend import PIPELINE_MOST, ClientConnection
-from cranespindle.node.upstream import Connection, Pool
+from balancer import policy_api
+from balancer.sidecar.downstream import listener as frontend
+from balancer.sidecar.downstream.listener import PIPELINE_MOST, ClientConnection
+from balancer.sidecar.upstream.connection import Connection, Pool
 from tests.sidecar import Seen, Sidecar, always_ok, endpoint, ok, request, run, sidecar
 
 LAST = b"Connection: close\r\n"
@@ -42,7 +42,7 @@
 
 
 def gone(node: Sidecar) -> int:
-    return sum(isinstance(event, api.Gone) for event in node.events)
+    return sum(isinstance(event, policy_api.Gone) for event in node.events)
 
 
 async def until(condition: Any) -> None:
@@ -104,8 +104,8 @@
             await until(lambda: gone(node) == asked)
             await until(lambda: not node.host._open)
             assert not served.seen
-            moot = [e for e in node.events if isinstance(e, api.Completed)]
-            assert [(e.outcome, e.over) for e in moot] == [(api.Outcome.MOOT, True)] * asked
+            moot = [e for e in node.events if isinstance(e, policy_api.Completed)]
+            assert [(e.outcome, e.over) for e in moot] == [(policy_api.Outcome.MOOT, True)] * asked
             node.host.upstream.connect = connect  # type: ignore[method-assign]
             other = await node.client()
             assert (await other.ask(request(rid="77")))[0] == 200
@@ -134,9 +134,9 @@
             asked = await hide(node, peer, hidden, lambda: len(one.seen) + len(other.seen))
             handle = node.host._balancer.handle
 
-            def leaves(now: int, event: api.Event) -> list[api.Action]:
+            def leaves(now: int, event: policy_api.Event) -> list[policy_api.Action]:
                 # The client goes as the first attempt's end is told: whatever is decided now comes later.
-                if isinstance(event, api.Completed) and peer.socket.fileno() >= 0:
+                if isinstance(event, policy_api.Completed) and peer.socket.fileno() >= 0:
                     peer.leave(how)
                 return handle(now, event)
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -15,13 +15,13 @@
 import httptools
 import pytest
 
-from cranespindle import api
-from cranespindle.api import Outcome
-from cranespindle.node import config
-from cranespindle.node.config import SECOND
-from cranespindle.node.frontend import PIPELINE_MOST
-from cranespindle.node.peers import Peers
-from cranespindle.node.upstream import (
+from balancer import policy_api
+from balancer.policy_api import Outcome
+from balancer.sidecar import configuration as config
+from balancer.sidecar.configuration import SECOND
+from balancer.sidecar.downstream.listener import PIPELINE_MOST
+from balancer.sidecar.gossip_transport import Peers
+from balancer.sidecar.upstream.connection import (
     ANSWER_MOST,
     HEAD_MOST,
     SURPLUS_IDLE,
@@ -48,12 +48,12 @@
 )
 
 
-def completed(event: api.Event) -> bool:
-    return isinstance(event, api.Completed)
+def completed(event: policy_api.Event) -> bool:
+    return isinstance(event, policy_api.Completed)
 
 
-def probed(name: str) -> Callable[[api.Event], bool]:
-    return lambda e: isinstance(e, api.Probed) and e.endpoint == config.endpoint_id(name)
+def probed(name: str) -> Callable[[policy_api.Event], bool]:
+    return lambda e: isinstance(e, policy_api.Probed) and e.endpoint == config.endpoint_id(name)
 
 
 def test_a_request_goes_on_unchanged_and_its_answer_comes_back_unchanged() -> None:
@@ -213,7 +213,7 @@
             code, _, _ = await client.ask(request("post"))
             assert code in (502, 504)
             assert len(served.seen) + len(other.seen) == 1
-            [event] = [e for e in node.events if isinstance(e, api.Completed)]
+            [event] = [e for e in node.events if isinstance(e, policy_api.Completed)]
             assert event.outcome == outcome
 
     run(test())
@@ -290,7 +290,7 @@
             client = await node.client()
             node.host.now = lambda: 77 * SECOND
             client.writer.write(request(deadline=deadline))
-            taken = await node.event(lambda e: isinstance(e, api.Request))
+            taken = await node.event(lambda e: isinstance(e, policy_api.Request))
             assert taken.expires == 77 * SECOND + left * 1_000_000
 
     run(test())
@@ -355,7 +355,7 @@
             assert attempt is not None
             attempt.start()
             told = {"seq": 2, "whole": False, "hosts": [entry("s-0", served.dial, "draining")]}
-            node.host.learn(config.host_list(told, node.config.names), api.ListKind.DELTA)
+            node.host.learn(config.host_list(told, node.config.names), policy_api.ListKind.DELTA)
             await ended.wait()
             assert outcomes == [Outcome.CONNECT_FAILED] and served.seen == []
             assert node.host.upstream.attempt(config.endpoint_id("s-0"), request, done) is None
@@ -376,7 +376,7 @@
             client.writer.write(request())
             await served.arrived.wait()
             client.writer.close()
-            await node.event(lambda e: isinstance(e, api.Gone))
+            await node.event(lambda e: isinstance(e, policy_api.Gone))
             go_on.set()
             assert (await node.event(completed)).over
             other = await node.client()
@@ -392,9 +392,14 @@
             client = await node.client()
             assert (await client.ask(request()))[0] == 200
             event = await node.event(completed)
-            for again in (event, api.Gone(event.id), api.Timer(event.id + 1), api.Timer(77)):
+            for again in (
+                event,
+                policy_api.Gone(event.id),
+                policy_api.Timer(event.id + 1),
+                policy_api.Timer(77),
+            ):
                 node.host.post(again)
-            node.host._send(api.Send(event.id, event.endpoint, 0))  # over: must not go out
+            node.host._send(policy_api.Send(event.id, event.endpoint, 0))  # over: must not go out
             assert (await client.ask(request()))[0] == 200 and len(served.seen) == 2
 
     run(test())
@@ -437,7 +442,7 @@
             client = await node.client()
             assert (await client.ask(up))[0] == 503
             told = {"seq": 2, "whole": True, "hosts": [entry("s-0", dead_dial())]}
-            node.host.learn(config.host_list(told, node.config.names), api.ListKind.FULL)
+            node.host.learn(config.host_list(told, node.config.names), policy_api.ListKind.FULL)
             assert (await client.ask(up))[0] == 200
 
     run(test())
@@ -451,7 +456,7 @@
     async def test() -> None:
         async with endpoint(script) as served, sidecar(served.dial, dead_dial()) as node:
             for name in ("s-0", "s-1"):
-                node.host._probe(api.Probe(config.endpoint_id(name)))
+                node.host._probe(policy_api.Probe(config.endpoint_id(name)))
             good, bad = [await node.event(probed(name)) for name in ("s-0", "s-1")]
             assert (good.outcome, good.report) == (Outcome.OK, (140, 14.5, 0.5))
             assert (bad.outcome, bad.report) == (Outcome.CONNECT_FAILED, ())
@@ -609,7 +614,7 @@
         ):
             upstream = node.host.upstream
             told = {"seq": 2, "whole": False, "hosts": [entry("s-1", other.dial)]}
-            node.host.learn(config.host_list(told, node.config.names), api.ListKind.DELTA)
+            node.host.learn(config.host_list(told, node.config.names), policy_api.ListKind.DELTA)
             outcomes: asyncio.Queue[int] = asyncio.Queue()
 
             def start(name: str) -> None:
@@ -673,19 +678,28 @@
 def test_a_watch_goes_on_from_known_through_every_kind_of_failure() -> None:
     added, drained = entry("s-1", "127.0.0.1:9"), entry("s-1", "127.0.0.1:9", "draining")
     script, calls = watching(
-        None, status(503), ok(b"no JSON"), ok(b"[]"), ok(b'{"seq":1,"hosts":[7]}'),
-        delta(2, entry("s-1", "127.0.0.1:9") | {"share": math.inf}), delta(1),
-        delta(2, added), delta(3, drained), whole(4, entry("s-2", "127.0.0.1:9")),
-    )  # fmt: skip
+        None,
+        status(503),
+        ok(b"no JSON"),
+        ok(b"[]"),
+        ok(b'{"seq":1,"hosts":[7]}'),
+        delta(2, entry("s-1", "127.0.0.1:9") | {"share": math.inf}),
+        delta(1),
+        delta(2, added),
+        delta(3, drained),
+        whole(4, entry("s-2", "127.0.0.1:9")),
+    )
 
     async def test() -> None:
         async with endpoint(script) as served, sidecar("127.0.0.1:9", discovery=served.dial) as node:
             # No answer here is late, however slow the machine.
             node.discovery._grace = node.discovery._connect_timeout = WAIT
             node.discovery.start()
-            full = await node.event(lambda e: isinstance(e, api.EndpointList) and e.kind == api.ListKind.FULL)
+            full = await node.event(
+                lambda e: isinstance(e, policy_api.EndpointList) and e.kind == policy_api.ListKind.FULL
+            )
             assert [e.id for e in full.endpoints] == [config.endpoint_id("s-2")]
-            lists = [e for e in node.events if isinstance(e, api.EndpointList)]
+            lists = [e for e in node.events if isinstance(e, policy_api.EndpointList)]
             assert [e.kind for e in lists] == [1, 2, 2, 3]
             assert [e.endpoints[0].health for e in lists] == [1, 1, 2, 1]
             while len(calls) < 11:
@@ -710,14 +724,16 @@
     async def test() -> None:
         async with endpoint(script) as served, sidecar("127.0.0.1:9", discovery=served.dial) as node:
             node.discovery.start()
-            await node.event(lambda e: isinstance(e, api.EndpointList) and e.kind == api.ListKind.FULL)
+            await node.event(
+                lambda e: isinstance(e, policy_api.EndpointList) and e.kind == policy_api.ListKind.FULL
+            )
             assert calls[0].left.is_set() and len(calls) >= 2
 
     run(test())
 
 
-def full_list(event: api.Event) -> bool:
-    return isinstance(event, api.EndpointList) and event.kind == api.ListKind.FULL
+def full_list(event: policy_api.Event) -> bool:
+    return isinstance(event, policy_api.EndpointList) and event.kind == policy_api.ListKind.FULL
 
 
 def test_a_new_address_of_discovery_is_asked_for_the_whole_list_at_once() -> None:
@@ -773,8 +789,11 @@
     odd = [7, {}, entry("s-3", "nowhere"), good | {"share": math.inf}, good | {"health": []}]
     told = config.host_list({"seq": 1, "whole": True, "hosts": [*odd, drained, good]}, names)
     assert [(h.endpoint.id, h.endpoint.health) for h in told.hosts] == [
-        (config.endpoint_id("s-2"), api.Health.DRAINING),  # that it drains is plain, whatever its address
-        (config.endpoint_id("s-1"), api.Health.READY),
+        (
+            config.endpoint_id("s-2"),
+            policy_api.Health.DRAINING,
+        ),  # that it drains is plain, whatever its address
+        (config.endpoint_id("s-1"), policy_api.Health.READY),
     ]
 
 
@@ -802,8 +821,8 @@
             assert heard == [b"to one", b"to all", b"last"]
             stranger.sendto(b"no peer", address)
             other.sendto(b"a peer", address)
-            event = await node.event(lambda e: isinstance(e, api.PeerMessage))
-            assert event == api.PeerMessage(1, b"a peer")
+            event = await node.event(lambda e: isinstance(e, policy_api.PeerMessage))
+            assert event == policy_api.PeerMessage(1, b"a peer")
             transport.close()
         other.close()
         stranger.close()
--- a/tests/test_policy_characterization.py
+++ b/tests/test_policy_characterization.py
@@ -23,8 +23,8 @@
 
 import pytest
 
-from cranespindle import api
-from cranespindle.balance import Balancer
+from balancer import policy_api
+from balancer.policy.balancer import Balancer
 from tests.helpers import MS, SECOND, START
 
 DIGEST_FILE = Path(__file__).with_name("policy_digests.json")
@@ -44,25 +44,29 @@
     "silent",
 )
 ACTION_TYPES = (
-    api.Send,
-    api.Refuse,
-    api.Fail,
-    api.Cancel,
-    api.SetTimer,
-    api.Watch,
-    api.Fetch,
-    api.Probe,
-    api.Disconnect,
-    api.Tell,
-    api.Log,
+    policy_api.Send,
+    policy_api.Refuse,
+    policy_api.Fail,
+    policy_api.Cancel,
+    policy_api.SetTimer,
+    policy_api.Watch,
+    policy_api.Fetch,
+    policy_api.Probe,
+    policy_api.Disconnect,
+    policy_api.Tell,
+    policy_api.Log,
 )
 
-READ = api.RequestClass("read", 300 * MS, 1500 * MS, 1.0, 0.5)
-BROWSE = api.RequestClass("browse", 150 * MS, 600 * MS, 0.3)
-CHANGE = api.RequestClass("change", 500 * MS, 2500 * MS, 3.0, 0.0, api.Effect.KEYED, api.Scope.ZONE, 900 * MS)
-MOVE = api.RequestClass("move", 400 * MS, 2000 * MS, 3.0, 0.2, api.Effect.KEYED, api.Scope.CELL, 5 * SECOND)
-BILL = api.RequestClass("bill", 600 * MS, 3000 * MS, 6.0, 0.1, api.Effect.UNSAFE)
-SEARCH = api.RequestClass("search", 2 * SECOND, 3 * SECOND, 1.0, 0.5)
+READ = policy_api.RequestClass("read", 300 * MS, 1500 * MS, 1.0, 0.5)
+BROWSE = policy_api.RequestClass("browse", 150 * MS, 600 * MS, 0.3)
+CHANGE = policy_api.RequestClass(
+    "change", 500 * MS, 2500 * MS, 3.0, 0.0, policy_api.Effect.KEYED, policy_api.Scope.ZONE, 900 * MS
+)
+MOVE = policy_api.RequestClass(
+    "move", 400 * MS, 2000 * MS, 3.0, 0.2, policy_api.Effect.KEYED, policy_api.Scope.CELL, 5 * SECOND
+)
+BILL = policy_api.RequestClass("bill", 600 * MS, 3000 * MS, 6.0, 0.1, policy_api.Effect.UNSAFE)
+SEARCH = policy_api.RequestClass("search", 2 * SECOND, 3 * SECOND, 1.0, 0.5)
 CLASSES = (READ, BROWSE, CHANGE, MOVE, BILL)
 
 
@@ -70,7 +74,7 @@
 class Scenario:
     """What one recorded stream is made of."""
 
-    settings: api.Settings
+    settings: policy_api.Settings
     seed: int
     balancers: int = 1
     requests_per_second: float = 120.0
@@ -80,9 +84,9 @@
 
 
 SCENARIOS = {
-    "one_zone": Scenario(api.Settings(CLASSES, cold_from=0.3, cold_for=6 * SECOND, max_attempts=5), 1),
+    "one_zone": Scenario(policy_api.Settings(CLASSES, cold_from=0.3, cold_for=6 * SECOND, max_attempts=5), 1),
     "three_zones_priced": Scenario(
-        api.Settings(
+        policy_api.Settings(
             CLASSES,
             instance=3,
             instances=40,
@@ -100,7 +104,7 @@
         requests_per_second=60.0,
     ),
     "polled_lists_and_health_checks": Scenario(
-        api.Settings(
+        policy_api.Settings(
             CLASSES,
             discovery_on_request=True,
             ask_within=2 * SECOND,
@@ -115,7 +119,7 @@
         3,
     ),
     "active_probing_of_load": Scenario(
-        api.Settings(
+        policy_api.Settings(
             CLASSES,
             probes=True,
             report_fields=("rif", "lat_ms"),
@@ -129,7 +133,7 @@
         4,
     ),
     "gossip": Scenario(
-        api.Settings(
+        policy_api.Settings(
             CLASSES, instances=3, zones=2, peers=True, max_attempts=3, can_cancel=True, cross_price=0.1
         ),
         5,
@@ -137,7 +141,7 @@
         requests_per_second=40.0,
     ),
     "key_affinity_few_connections": Scenario(
-        api.Settings(
+        policy_api.Settings(
             CLASSES,
             instance=7,
             instances=60,
@@ -152,19 +156,19 @@
         6,
     ),
     "streams_and_hurried_clients": Scenario(
-        api.Settings((READ, BROWSE, BILL), streams=4, max_attempts=5, can_cancel=True, probes=True),
+        policy_api.Settings((READ, BROWSE, BILL), streams=4, max_attempts=5, can_cancel=True, probes=True),
         7,
         hurried=0.3,
     ),
     "hanging_calls": Scenario(
-        api.Settings((SEARCH, READ, CHANGE), max_attempts=5, can_cancel=True),
+        policy_api.Settings((SEARCH, READ, CHANGE), max_attempts=5, can_cancel=True),
         9,
         requests_per_second=250.0,
         phases=("hanging_class",),
         phase_ns=SECOND,
     ),
     "lasting_overload": Scenario(
-        api.Settings(CLASSES, max_attempts=5, can_cancel=True, retry_after_max=4 * SECOND, zones=2),
+        policy_api.Settings(CLASSES, max_attempts=5, can_cancel=True, retry_after_max=4 * SECOND, zones=2),
         8,
         requests_per_second=500.0,
     ),
@@ -210,12 +214,12 @@
         self.events = 0
         self.action_counts = [0] * len(ACTION_TYPES)
         self.servers = {
-            number: api.Endpoint(
+            number: policy_api.Endpoint(
                 number.to_bytes(6, "little"),
                 number % self.settings.zones,
                 0,
                 number // 3,
-                api.Health.READY,
+                policy_api.Health.READY,
                 1.0 + number % 2,
                 0,
             )
@@ -229,8 +233,10 @@
 
     def run(self) -> str:
         for instance in self.instances:
-            self.give(instance, api.Attached())
-            self.give(instance, api.EndpointList(api.ListKind.CACHED, tuple(self.servers.values())))
+            self.give(instance, policy_api.Attached())
+            self.give(
+                instance, policy_api.EndpointList(policy_api.ListKind.CACHED, tuple(self.servers.values()))
+            )
             self.after(0, partial(self.arrive, instance))
         self.after(self.scenario.phase_ns, self.change_phase)
         while self.events < EVENT_COUNT:
@@ -241,7 +247,7 @@
     def after(self, delay: int, action: Callable[[], None]) -> None:
         heapq.heappush(self.due, (self.now + max(0, delay), next(self.order), action))
 
-    def give(self, instance: Instance, event: api.Event) -> None:
+    def give(self, instance: Instance, event: policy_api.Event) -> None:
         self.events += 1
         actions = instance.balancer.handle(self.now, event)
         for action in actions:
@@ -249,7 +255,7 @@
         for action in actions:
             self.carry_out(instance, action)
 
-    def record(self, action: api.Action) -> None:
+    def record(self, action: policy_api.Action) -> None:
         code = ACTION_TYPES.index(type(action))
         self.action_counts[code] += 1
         values = [value.hex() if isinstance(value, bytes) else str(int(value)) for value in action]
@@ -264,11 +270,13 @@
         entries = []
         for number, server in self.servers.items():
             if self.phase == "restart" and server.id in self.affected:
-                server = server._replace(started=self.now, health=api.Health.READY)
+                server = server._replace(started=self.now, health=policy_api.Health.READY)
             elif self.phase == "drain" and server.id in self.affected:
-                server = server._replace(health=self.random.choice((api.Health.DRAINING, api.Health.GONE)))
-            elif server.health != api.Health.READY:
-                server = server._replace(started=self.now, health=api.Health.READY)
+                server = server._replace(
+                    health=self.random.choice((policy_api.Health.DRAINING, policy_api.Health.GONE))
+                )
+            elif server.health != policy_api.Health.READY:
+                server = server._replace(started=self.now, health=policy_api.Health.READY)
             else:
                 continue
             self.servers[number] = server
@@ -278,20 +286,20 @@
                 self.tell(instance, entries)
         self.after(self.scenario.phase_ns, self.change_phase)
 
-    def tell(self, instance: Instance, entries: list[api.Endpoint]) -> None:
+    def tell(self, instance: Instance, entries: list[policy_api.Endpoint]) -> None:
         if self.random.random() < 0.3:
-            present = tuple(s for s in self.servers.values() if s.health != api.Health.GONE)
-            self.give(instance, api.EndpointList(api.ListKind.FULL, present))
+            present = tuple(s for s in self.servers.values() if s.health != policy_api.Health.GONE)
+            self.give(instance, policy_api.EndpointList(policy_api.ListKind.FULL, present))
         elif entries:
-            self.give(instance, api.EndpointList(api.ListKind.DELTA, tuple(entries)))
+            self.give(instance, policy_api.EndpointList(policy_api.ListKind.DELTA, tuple(entries)))
 
     def answer_watch(self, instance: Instance) -> None:
         if self.random.random() < 0.4:
-            self.give(instance, api.EndpointList(api.ListKind.FAILED, ()))
+            self.give(instance, policy_api.EndpointList(policy_api.ListKind.FAILED, ()))
             return
         self.tell(instance, list(self.servers.values()))
         # The watch breaks some time later, and the decisions have to ask anew.
-        broken = api.EndpointList(api.ListKind.FAILED, ())
+        broken = policy_api.EndpointList(policy_api.ListKind.FAILED, ())
         self.after(self.random.randrange(4 * SECOND), partial(self.give, instance, broken))
 
     def outcome_of(self, endpoint: bytes, cls: int) -> tuple[int, int]:
@@ -300,55 +308,59 @@
         if self.phase == "overload":
             usual *= 8
             if self.random.random() < 0.3:
-                return api.Outcome.FULL, usual // 4
+                return policy_api.Outcome.FULL, usual // 4
         if endpoint not in self.affected:
-            return (api.Outcome.OK if self.random.random() < 0.99 else api.Outcome.ERROR), usual
+            return (policy_api.Outcome.OK if self.random.random() < 0.99 else policy_api.Outcome.ERROR), usual
         if self.phase == "slow":
-            return api.Outcome.OK, usual * 6
+            return policy_api.Outcome.OK, usual * 6
         if self.phase == "erring" and self.random.random() < 0.8:
-            return api.Outcome.ERROR, 2 * MS
+            return policy_api.Outcome.ERROR, 2 * MS
         if self.phase == "unreachable":
-            return api.Outcome.CONNECT_FAILED, 1 * MS
+            return policy_api.Outcome.CONNECT_FAILED, 1 * MS
         if self.phase == "resets" and self.random.random() < 0.5:
-            return api.Outcome.RESET, usual
+            return policy_api.Outcome.RESET, usual
         if self.phase == "rejecting":
-            return api.Outcome.FULL, 1 * MS
+            return policy_api.Outcome.FULL, 1 * MS
         if self.phase == "silent" or (self.phase == "hanging_class" and cls == 0):
-            return api.Outcome.OK, 60 * SECOND
-        return self.random.choice((api.Outcome.OK, api.Outcome.OK, api.Outcome.OK, api.Outcome.WRONG)), usual
+            return policy_api.Outcome.OK, 60 * SECOND
+        return self.random.choice(
+            (policy_api.Outcome.OK, policy_api.Outcome.OK, policy_api.Outcome.OK, policy_api.Outcome.WRONG)
+        ), usual
 
     # What the sidecar does with the actions.
 
-    def carry_out(self, instance: Instance, action: api.Action) -> None:
-        if isinstance(action, api.Send):
+    def carry_out(self, instance: Instance, action: policy_api.Action) -> None:
+        if isinstance(action, policy_api.Send):
             self.start_attempt(instance, action)
-        elif isinstance(action, api.Refuse | api.Fail):
+        elif isinstance(action, policy_api.Refuse | policy_api.Fail):
             instance.requests[action.id].answered = True
             self.forget(instance, action.id)
-        elif isinstance(action, api.Cancel):
-            self.end_attempt(instance, action.id, action.attempt, api.Outcome.CANCELLED)
-        elif isinstance(action, api.SetTimer):
-            self.after(action.delay, partial(self.give, instance, api.Timer(action.token)))
-        elif isinstance(action, api.Watch):
+        elif isinstance(action, policy_api.Cancel):
+            self.end_attempt(instance, action.id, action.attempt, policy_api.Outcome.CANCELLED)
+        elif isinstance(action, policy_api.SetTimer):
+            self.after(action.delay, partial(self.give, instance, policy_api.Timer(action.token)))
+        elif isinstance(action, policy_api.Watch):
             self.after(30 * MS, partial(self.answer_watch, instance))
-        elif isinstance(action, api.Probe):
+        elif isinstance(action, policy_api.Probe):
             self.answer_health_check(instance, action.endpoint)
-        elif isinstance(action, api.Tell):
+        elif isinstance(action, policy_api.Tell):
             self.deliver(action)
 
     def answer_health_check(self, instance: Instance, endpoint: bytes) -> None:
-        outcome, took = api.Outcome.OK, self.random.randrange(1 * MS, 8 * MS)
+        outcome, took = policy_api.Outcome.OK, self.random.randrange(1 * MS, 8 * MS)
         if endpoint in self.affected and self.phase in ("unreachable", "silent", "rejecting"):
-            outcome = self.random.choice((api.Outcome.TIMEOUT, api.Outcome.FULL, api.Outcome.CONNECT_FAILED))
+            outcome = self.random.choice(
+                (policy_api.Outcome.TIMEOUT, policy_api.Outcome.FULL, policy_api.Outcome.CONNECT_FAILED)
+            )
             took = 100 * MS
-        self.after(took, partial(self.give, instance, api.Probed(endpoint, outcome, took, ())))
+        self.after(took, partial(self.give, instance, policy_api.Probed(endpoint, outcome, took, ())))
 
-    def deliver(self, action: api.Tell) -> None:
+    def deliver(self, action: policy_api.Tell) -> None:
         body = action.body
         if self.random.random() < 0.05:
             body = self.random.choice((body[:-1], b"", self.random.randbytes(len(body))))
         recipient = self.instances[action.peer % len(self.instances)]
-        self.after(MS, partial(self.give, recipient, api.PeerMessage(0, body)))
+        self.after(MS, partial(self.give, recipient, policy_api.PeerMessage(0, body)))
 
     def arrive(self, instance: Instance) -> None:
         rate = self.scenario.requests_per_second * (2.0 if self.phase == "overload" else 1.0)
@@ -362,7 +374,7 @@
         instance.requests[number] = OpenRequest(cls, expires)
         key = self.random.randrange(1, 200) if self.random.random() < 0.5 else 0
         repeat = self.random.random() < 0.1
-        event = api.Request(number, cls, self.random.randrange(3), key, expires, 0, repeat)
+        event = policy_api.Request(number, cls, self.random.randrange(3), key, expires, 0, repeat)
         self.give(instance, event)
         if self.random.random() < 0.02:
             self.after(self.random.randrange(100 * MS), partial(self.leave, instance, number))
@@ -372,20 +384,22 @@
         if request is None or request.answered:
             return
         request.answered = True
-        left: api.Event = api.Gone(number) if self.random.random() < 0.7 else api.StreamStarted(number)
+        left: policy_api.Event = (
+            policy_api.Gone(number) if self.random.random() < 0.7 else policy_api.StreamStarted(number)
+        )
         self.give(instance, left)
         self.forget(instance, number)
 
-    def start_attempt(self, instance: Instance, action: api.Send) -> None:
+    def start_attempt(self, instance: Instance, action: policy_api.Send) -> None:
         request = instance.requests[action.id]
         number, request.attempts = request.attempts, request.attempts + 1
         request.attempt = Attempt(number, action.endpoint, self.now)
         outcome, took = self.outcome_of(action.endpoint, request.cls)
         most = min(action.timeout or request.expires - self.now, request.expires - self.now)
         if took > most:
-            outcome, took = api.Outcome.TIMEOUT, most
+            outcome, took = policy_api.Outcome.TIMEOUT, most
         elif self.random.random() < 0.005:
-            outcome, took = api.Outcome.MOOT, 0
+            outcome, took = policy_api.Outcome.MOOT, 0
         self.after(took, partial(self.end_attempt, instance, action.id, number, outcome))
 
     def end_attempt(self, instance: Instance, number: int, attempt: int, outcome: int) -> None:
@@ -393,11 +407,11 @@
         if request is None or request.attempt is None or request.attempt.number != attempt:
             return
         ended, request.attempt = request.attempt, None
-        if outcome == api.Outcome.OK:
+        if outcome == policy_api.Outcome.OK:
             request.answered = True
         took, over = self.now - ended.sent, request.answered
         self.forget(instance, number)
-        self.give(instance, api.Completed(number, attempt, ended.endpoint, outcome, took, over, ()))
+        self.give(instance, policy_api.Completed(number, attempt, ended.endpoint, outcome, took, over, ()))
 
     def forget(self, instance: Instance, number: int) -> None:
         request = instance.requests[number]
@@ -416,7 +430,7 @@
 
 
 def test_the_scenarios_bring_about_every_action_that_the_policy_takes() -> None:
-    never_taken = {api.Fetch, api.Log}
+    never_taken = {policy_api.Fetch, policy_api.Log}
     totals = dict.fromkeys(ACTION_TYPES, 0)
     for scenario in SCENARIOS.values():
         driver = Driver(scenario)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -16,7 +16,7 @@
 
 from tests.sidecar import SETTINGS, Client, Seen, configuration, dead_dial, endpoint, ok, request, run
 
-COMMAND = (sys.executable, "-m", "cranespindle")
+COMMAND = (sys.executable, "-m", "balancer")
 ROOT = Path(__file__).parent.parent
 
 
@@ -225,5 +225,5 @@
         COMMAND, env=environment, cwd=ROOT, capture_output=True, text=True, check=False, timeout=60
     )
     assert done.returncode != 0 and done.stdout == ""
-    assert done.stderr.count("\n") == 1 and done.stderr.startswith("cranespindle: ")
+    assert done.stderr.count("\n") == 1 and done.stderr.startswith("balancer: ")
     return done.stderr
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -10,9 +10,10 @@
 from hypothesis import settings as hypothesis_settings
 from hypothesis import strategies as st
 
-from cranespindle import api, balance
-from cranespindle.api import NEVER_RAN, Effect, Health, Outcome, Scope
-from cranespindle.balance import Balancer
+from balancer import policy_api
+from balancer.policy import balancer as balance
+from balancer.policy.balancer import Balancer
+from balancer.policy_api import NEVER_RAN, Effect, Health, Outcome, Scope
 from tests.helpers import MS, SECOND, START, Bench, endpoint, request_class, settings
 
 GRACE = SECOND // 2
@@ -32,21 +33,21 @@
 class World:
     """Plays the caller's part and checks every action against the rules."""
 
-    config: api.Settings
+    config: policy_api.Settings
     balancer: Balancer
     now: int = START
     owed: dict[int, Owed] = field(default_factory=dict)
     told: dict[bytes, tuple[int, int]] = field(default_factory=dict)  # health, and since when
-    where: dict[bytes, api.Endpoint] = field(default_factory=dict)
+    where: dict[bytes, policy_api.Endpoint] = field(default_factory=dict)
     answered: int = 0
     probes: list[bytes] = field(default_factory=list)  # not answered yet
     timers: list[tuple[int, int]] = field(default_factory=list)
 
-    def give(self, event: api.Event) -> None:
+    def give(self, event: policy_api.Event) -> None:
         for action in self.balancer.handle(self.now, event):
-            if isinstance(action, api.Send):
+            if isinstance(action, policy_api.Send):
                 self.check_send(action)
-            elif isinstance(action, api.Refuse):
+            elif isinstance(action, policy_api.Refuse):
                 owed = self.owed.pop(action.id)  # a second final answer would find nothing
                 assert owed.out is None
                 if owed.ran:
@@ -55,15 +56,15 @@
                         cls.effect == Effect.KEYED and cls.scope == Scope.ALL
                     )
                 self.answered += 1
-            elif isinstance(action, api.Fail):
+            elif isinstance(action, policy_api.Fail):
                 assert self.owed.pop(action.id).out is None
                 self.answered += 1
-            elif isinstance(action, api.Probe):
+            elif isinstance(action, policy_api.Probe):
                 assert self.config.probes and action.endpoint not in self.probes
                 health, since = self.told[action.endpoint]
                 assert health == Health.READY or self.now - since <= GRACE
                 self.probes.append(action.endpoint)
-            elif isinstance(action, api.SetTimer) and action.token:
+            elif isinstance(action, policy_api.SetTimer) and action.token:
                 assert action.delay > 0
                 self.timers.append((self.now + action.delay, action.token))
 
@@ -72,9 +73,9 @@
         due = sorted(t for t in self.timers if t[0] <= self.now)
         self.timers = [t for t in self.timers if t[0] > self.now]
         for _, token in due:
-            self.give(api.Timer(token))
+            self.give(policy_api.Timer(token))
 
-    def check_send(self, send: api.Send) -> None:
+    def check_send(self, send: policy_api.Send) -> None:
         owed, cls = self.owed[send.id], self.config.classes[self.owed[send.id].cls]
         assert owed.out is None, "two attempts out"
         assert owed.attempts < self.config.max_attempts
@@ -96,7 +97,7 @@
         assert owed.out is not None
         if outcome not in NEVER_RAN and owed.ran is None:
             owed.ran = (owed.out, owed.sent)
-        event = api.Completed(
+        event = policy_api.Completed(
             rid, owed.attempts - 1, owed.out, outcome, self.now - owed.sent, outcome == Outcome.OK, ()
         )
         owed.out = None
@@ -104,27 +105,27 @@
             del self.owed[rid]
         self.give(event)
 
-    def learn(self, kind: int, entries: list[api.Endpoint]) -> None:
+    def learn(self, kind: int, entries: list[policy_api.Endpoint]) -> None:
         for entry in entries:
             if entry.health != self.told.get(entry.id, (None, 0))[0]:
                 self.told[entry.id] = (entry.health, self.now)
             self.where[entry.id] = entry
-        if kind != api.ListKind.DELTA:
+        if kind != policy_api.ListKind.DELTA:
             for missing in set(self.told) - {e.id for e in entries}:
                 if self.told[missing][0] != Health.GONE:
                     self.told[missing] = (Health.GONE, self.now)
-        self.give(api.EndpointList(kind, tuple(entries)))
+        self.give(policy_api.EndpointList(kind, tuple(entries)))
 
     def probed(self, which: int, outcome: int) -> None:
         endpoint = self.probes.pop(which % len(self.probes))
-        self.give(api.Probed(endpoint, outcome, MS, ()))
+        self.give(policy_api.Probed(endpoint, outcome, MS, ()))
 
     def stop(self) -> None:
         """Killed and started anew: all that it held is void."""
         self.owed, self.told, self.probes, self.timers = {}, {}, [], []
         self.balancer = Balancer(self.config, 5)
-        self.give(api.Attached())
-        self.learn(api.ListKind.CACHED, list(self.where.values()))
+        self.give(policy_api.Attached())
+        self.learn(policy_api.ListKind.CACHED, list(self.where.values()))
 
     def expire(self) -> None:
         """What is out at its deadline times out then, as a time-out never outlasts the client."""
@@ -155,7 +156,7 @@
     instances=st.just(3),
     cross_price=st.sampled_from([0.0, 0.2]),
     discovery_on_request=st.booleans(),
-    tenants=st.sampled_from([(), (api.Tenant("a", 9.0), api.Tenant("b", 0.0))]),
+    tenants=st.sampled_from([(), (policy_api.Tenant("a", 9.0), policy_api.Tenant("b", 0.0))]),
     retry_after_max=st.sampled_from([0, SECOND]),
 )
 ENDPOINTS = st.builds(
@@ -185,10 +186,10 @@
 )
 
 
-def play(config: api.Settings, steps: list[Any], seed: int = 3) -> World:
+def play(config: policy_api.Settings, steps: list[Any], seed: int = 3) -> World:
     world = World(config, Balancer(config, seed))
-    world.give(api.Attached())
-    world.learn(api.ListKind.CACHED, [endpoint(n, zone=n % 2, cell=n % 4) for n in range(1, 9)])
+    world.give(policy_api.Attached())
+    world.learn(policy_api.ListKind.CACHED, [endpoint(n, zone=n % 2, cell=n % 4) for n in range(1, 9)])
     next_id = 1000
     for kind, a, b in steps:
         world.now += MS
@@ -198,7 +199,9 @@
             world.owed[next_id] = Owed(cls, world.now + b * MS)
             key = next_id if config.classes[cls].effect == Effect.KEYED else 0
             tenant = next_id % 2 if config.tenants else 0
-            world.give(api.Request(next_id, cls, tenant, key, world.now + b * MS, 0, bool(next_id % 3 == 0)))
+            world.give(
+                policy_api.Request(next_id, cls, tenant, key, world.now + b * MS, 0, bool(next_id % 3 == 0))
+            )
             next_id += 1
         elif kind == "answer" and out:
             world.complete(out[a % len(out)], b)
@@ -209,29 +212,29 @@
         elif kind == "gone" and out:
             rid = out[a % len(out)]
             owed = world.owed.pop(rid)
-            world.give(api.Gone(rid))
+            world.give(policy_api.Gone(rid))
             assert owed.out is not None
-            world.give(api.Completed(rid, 0, owed.out, Outcome.CANCELLED, 0, True, ()))
+            world.give(policy_api.Completed(rid, 0, owed.out, Outcome.CANCELLED, 0, True, ()))
         elif kind == "probed" and world.probes:
             world.probed(a, b)
         elif kind == "stream" and out:
             rid = out[a % len(out)]
             owed = world.owed.pop(rid)
-            world.give(api.StreamStarted(rid))
+            world.give(policy_api.StreamStarted(rid))
             assert owed.out is not None
-            world.give(api.Completed(rid, 0, owed.out, Outcome.RESET, 0, True, ()))
+            world.give(policy_api.Completed(rid, 0, owed.out, Outcome.RESET, 0, True, ()))
         elif kind == "stop":
             world.stop()
         elif kind == "tick":
-            world.give(api.Timer(0))
+            world.give(policy_api.Timer(0))
         elif kind == "failed":
-            world.give(api.EndpointList(api.ListKind.FAILED, ()))
+            world.give(policy_api.EndpointList(policy_api.ListKind.FAILED, ()))
         elif kind == "peer":
-            world.give(api.PeerMessage(1, b))
+            world.give(policy_api.PeerMessage(1, b))
         elif kind == "stray":  # fits nothing that is held
-            world.give(api.Completed(a, 0, a.to_bytes(6, "little"), b, MS, False, ()))
-            world.give(api.Gone(a))
-            world.give(api.Timer(77))
+            world.give(policy_api.Completed(a, 0, a.to_bytes(6, "little"), b, MS, False, ()))
+            world.give(policy_api.Gone(a))
+            world.give(policy_api.Timer(77))
         world.ring()
         world.expire()
         held = [owed for owed in world.owed.values() if not owed.out]
@@ -242,13 +245,13 @@
 
 @hypothesis_settings(max_examples=300, derandomize=True, deadline=None)
 @given(SETTINGS, st.lists(STEPS, max_size=80))
-def test_the_rules_hold_on_any_legal_events(config: api.Settings, steps: list[Any]) -> None:
+def test_the_rules_hold_on_any_legal_events(config: policy_api.Settings, steps: list[Any]) -> None:
     play(config, steps)
 
 
 @hypothesis_settings(max_examples=30, derandomize=True, deadline=None)
 @given(SETTINGS, st.lists(STEPS, max_size=40))
-def test_the_same_events_give_the_same_actions(config: api.Settings, steps: list[Any]) -> None:
+def test_the_same_events_give_the_same_actions(config: policy_api.Settings, steps: list[Any]) -> None:
     one, two = play(config, steps), play(config, steps)
     assert one.told == two.told and one.owed == two.owed and one.balancer.cut == two.balancer.cut
     assert one.balancer.rand() == two.balancer.rand()
@@ -264,13 +267,13 @@
     b.now += 50 * MS
     [action] = b.answer(send, outcome, 50 * MS)
     if outcome == Outcome.MOOT:
-        assert isinstance(action, api.Refuse)
+        assert isinstance(action, policy_api.Refuse)
     elif outcome == Outcome.WRONG:  # no other server would take it; a refusal says that a repeat is harmless
-        assert isinstance(action, api.Refuse if effect == Effect.SAFE else api.Fail)
+        assert isinstance(action, policy_api.Refuse if effect == Effect.SAFE else policy_api.Fail)
     elif effect == Effect.UNSAFE and outcome not in NEVER_RAN:
-        assert isinstance(action, api.Fail)
+        assert isinstance(action, policy_api.Fail)
     else:
-        assert isinstance(action, api.Send) and action.endpoint != send.endpoint
+        assert isinstance(action, policy_api.Send) and action.endpoint != send.endpoint
 
 
 @pytest.mark.parametrize("scope", [Scope.ZONE, Scope.CELL])
@@ -285,11 +288,11 @@
         b.now += wait * MS
         [action] = b.answer(send, Outcome.ERROR, wait * MS)
         if again:
-            assert isinstance(action, api.Send)
+            assert isinstance(action, policy_api.Send)
             groups = 2 if scope == Scope.ZONE else 4
             assert action.endpoint[0] % groups == send.endpoint[0] % groups
         else:
-            assert isinstance(action, api.Fail)  # a refusal would promise that a repeat does no harm
+            assert isinstance(action, policy_api.Fail)  # a refusal would promise that a repeat does no harm
 
 
 def test_retries_keep_to_a_budget_and_never_go_into_overload() -> None:
@@ -298,10 +301,10 @@
     for _ in range(200):
         send = b.sent()
         b.now += 5 * MS
-        again += sum(isinstance(a, api.Send) for a in b.answer(send, Outcome.ERROR, 5 * MS))
+        again += sum(isinstance(a, policy_api.Send) for a in b.answer(send, Outcome.ERROR, 5 * MS))
     assert 0 < again <= 200 * balance.RETRY_SHARE + balance.RETRY_SAVED + 1
     b.balancer.pressure, b.balancer.budget = 9.0, 5.0
-    assert not any(isinstance(a, api.Send) for a in b.answer(b.sent(), Outcome.TIMEOUT))
+    assert not any(isinstance(a, policy_api.Send) for a in b.answer(b.sent(), Outcome.TIMEOUT))
 
 
 def test_every_endpoint_failing_still_answers_everything() -> None:
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -12,11 +12,11 @@
 
 import pytest
 
-from cranespindle import api
-from cranespindle.api import Outcome
-from cranespindle.node import config
-from cranespindle.node.config import SECOND
-from cranespindle.node.upstream import ANSWER_MOST, REST, Answer, Connection, Pool, outcome_of
+from balancer import policy_api
+from balancer.policy_api import Outcome
+from balancer.sidecar import configuration as config
+from balancer.sidecar.configuration import SECOND
+from balancer.sidecar.upstream.connection import ANSWER_MOST, REST, Answer, Connection, Pool, outcome_of
 from tests.sidecar import (
     SETTINGS,
     WAIT,
@@ -36,8 +36,8 @@
 DECLINED = b"HTTP/1.1 503 X\r\nSrv-Declined: 1\r\n\r\n"
 
 
-def completed(event: api.Event) -> bool:
-    return isinstance(event, api.Completed)
+def completed(event: policy_api.Event) -> bool:
+    return isinstance(event, policy_api.Completed)
 
 
 def reset(peer: socket.socket) -> None:
@@ -357,7 +357,7 @@
 
 def move(node: Sidecar, dial: str, health: str = "up") -> None:
     told = {"seq": 2, "whole": False, "hosts": [entry("s-0", dial, health)]}
-    node.host.learn(config.host_list(told, node.config.names), api.ListKind.DELTA)
+    node.host.learn(config.host_list(told, node.config.names), policy_api.ListKind.DELTA)
 
 
 def test_a_connection_in_use_to_an_old_address_is_not_kept_for_the_new_one() -> None:
@@ -532,7 +532,7 @@
             client.writer.write(request("post"))
             await gate.reached.wait()
             client.writer.close()
-            await node.event(lambda e: isinstance(e, api.Gone))
+            await node.event(lambda e: isinstance(e, policy_api.Gone))
             [pool] = upstream._pools.values()
             move(node, served.dial, "draining")
             gate.opened.set()
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -9,7 +9,8 @@
 
 import pytest
 
-from cranespindle import api, simhost, wire
+from balancer import policy_api
+from balancer.simulator import adapter, wire_codec
 
 SAMPLE_BATCH = bytes.fromhex(
     "50000000 90bf68f501000000 03000000"
@@ -32,43 +33,49 @@
 
 
 def test_batch_of_the_page() -> None:
-    size, now, count = wire.BATCH.unpack_from(SAMPLE_BATCH)
+    size, now, count = wire_codec.BATCH.unpack_from(SAMPLE_BATCH)
     assert (size, now, count) == (len(SAMPLE_BATCH), 0x1F568BF90, 3)
-    events = list(wire.Decoder().events(SAMPLE_BATCH[16:], count))
+    events = list(wire_codec.Decoder().events(SAMPLE_BATCH[16:], count))
     rid = int.from_bytes(bytes.fromhex("c4913a5dfa790900"), "little")
     key = int.from_bytes(bytes.fromhex("640ad2557c3bf091"), "little")
-    assert events[0] == (3, api.Request(rid, 0, 0, key, 0x203B6DB90, 12_000_000, False))
-    assert events[1] == (3, api.Timer(0x4D))
-    assert events[2] == (5, api.Gone(int.from_bytes(bytes.fromhex("192b6f0e625f0b00"), "little")))
+    assert events[0] == (3, policy_api.Request(rid, 0, 0, key, 0x203B6DB90, 12_000_000, False))
+    assert events[1] == (3, policy_api.Timer(0x4D))
+    assert events[2] == (5, policy_api.Gone(int.from_bytes(bytes.fromhex("192b6f0e625f0b00"), "little")))
 
 
 def test_reply_of_the_page() -> None:
     rid = int.from_bytes(bytes.fromhex("c4913a5dfa790900"), "little")
-    actions: list[api.Action] = [
-        api.Send(rid, bytes.fromhex("0a124a078b13"), 80_000_000),
-        api.SetTimer(500_000_000, 77),
-        api.Log("two servers known"),
+    actions: list[policy_api.Action] = [
+        policy_api.Send(rid, bytes.fromhex("0a124a078b13"), 80_000_000),
+        policy_api.SetTimer(500_000_000, 77),
+        policy_api.Log("two servers known"),
     ]
-    assert wire.frame([wire.encode(3, a) for a in actions]) == SAMPLE_REPLY
+    assert wire_codec.frame([wire_codec.encode(3, a) for a in actions]) == SAMPLE_REPLY
 
 
 def test_list_and_its_number_reused_in_one_batch() -> None:
     again = bytes.fromhex("10 0000 00000000  17 0400 04 0000 2a00000000000000")
-    events = list(wire.Decoder().events(POOL_AND_SYNC + again, 4))
+    events = list(wire_codec.Decoder().events(POOL_AND_SYNC + again, 4))
     instance, first = events[0]
-    assert instance == 3 and isinstance(first, api.EndpointList) and first.kind == api.ListKind.CACHED
+    assert (
+        instance == 3
+        and isinstance(first, policy_api.EndpointList)
+        and first.kind == policy_api.ListKind.CACHED
+    )
     assert [e.share for e in first.endpoints] == [1.0, 1.5]
-    assert first.endpoints[1].started == 6_100_000_000 and first.endpoints[0].health == api.Health.READY
-    assert events[1] == (4, api.EndpointList(api.ListKind.FULL, ()))
+    assert (
+        first.endpoints[1].started == 6_100_000_000 and first.endpoints[0].health == policy_api.Health.READY
+    )
+    assert events[1] == (4, policy_api.EndpointList(policy_api.ListKind.FULL, ()))
 
 
 def test_completed_with_report() -> None:
     raw = bytes.fromhex(
         "18 0300 c4913a5dfa790900 00 0a124a07 8b13 0000 a0491a0100000000 01 03 00000c43 00006841 52b81e3f"
     )
-    [(_, event)] = wire.Decoder().events(raw, 1)
-    assert isinstance(event, api.Completed)
-    assert event.outcome == api.Outcome.OK and event.over and event.took == 18_500_000
+    [(_, event)] = wire_codec.Decoder().events(raw, 1)
+    assert isinstance(event, policy_api.Completed)
+    assert event.outcome == policy_api.Outcome.OK and event.over and event.took == 18_500_000
     assert event.report == pytest.approx((140.0, 14.5, 0.62))
 
 
@@ -87,8 +94,8 @@
     ],
 )
 def test_malformed_records_are_refused(raw: str, count: int, said: str) -> None:
-    with pytest.raises(wire.WireError, match=said):
-        list(wire.Decoder().events(bytes.fromhex(raw), count))
+    with pytest.raises(wire_codec.WireError, match=said):
+        list(wire_codec.Decoder().events(bytes.fromhex(raw), count))
 
 
 GOOD = {
@@ -97,11 +104,16 @@
 
 
 def test_settings_ignore_unknown_keys_and_live_without_optional_ones() -> None:
-    parsed = wire.settings(json.dumps(GOOD | {"Novel": [1]}).encode())
+    parsed = wire_codec.settings(json.dumps(GOOD | {"Novel": [1]}).encode())
     [cls] = parsed.classes
-    assert (cls.effect, cls.scope, cls.worth, cls.late_worth) == (api.Effect.KEYED, api.Scope.CELL, 2, 0)
+    assert (cls.effect, cls.scope, cls.worth, cls.late_worth) == (
+        policy_api.Effect.KEYED,
+        policy_api.Scope.CELL,
+        2,
+        0,
+    )
     assert parsed.streams == 1
-    assert wire.settings(json.dumps(GOOD | {"Limits": {"StreamsPerConn": 100}}).encode()).streams == 100
+    assert wire_codec.settings(json.dumps(GOOD | {"Limits": {"StreamsPerConn": 100}}).encode()).streams == 100
 
 
 @pytest.mark.parametrize(
@@ -118,22 +130,22 @@
     ],
 )
 def test_settings_that_make_no_sense_name_the_key(change: dict[str, object], named: str) -> None:
-    with pytest.raises(wire.WireError, match=named):
-        wire.settings(json.dumps(GOOD | change).encode())
+    with pytest.raises(wire_codec.WireError, match=named):
+        wire_codec.settings(json.dumps(GOOD | change).encode())
 
 
 def batch(*records: bytes) -> bytes:
     body = b"".join(records)
-    return wire.BATCH.pack(16 + len(body), 1_000_000_000, len(records)) + body
+    return wire_codec.BATCH.pack(16 + len(body), 1_000_000_000, len(records)) + body
 
 
 def attach(instance: int, conf: bytes) -> bytes:
-    return b"\x1a" + wire._ATTACH.pack(instance, 7, len(conf)) + conf
+    return b"\x1a" + wire_codec._ATTACH.pack(instance, 7, len(conf)) + conf
 
 
 def serve(raw: bytes) -> bytes:
     sink = io.BytesIO()
-    simhost.serve(io.BytesIO(raw), sink)
+    adapter.serve(io.BytesIO(raw), sink)
     return sink.getvalue()
 
 
@@ -146,7 +158,9 @@
     good = attach(3, json.dumps(GOOD).encode())
     reply = serve(batch(attach(2, b"{}"), good, stop, good))
     assert b"Categories" in reply and reply[8] == 25
-    assert wire.REPLY.unpack_from(reply)[0] == 3  # die, and a timer for each start of the other instance
+    assert (
+        wire_codec.REPLY.unpack_from(reply)[0] == 3
+    )  # die, and a timer for each start of the other instance
 
 
 @pytest.mark.parametrize(
@@ -154,7 +168,7 @@
 )
 def test_a_malformed_frame_ends_the_host_with_one_plain_line(raw: bytes) -> None:
     run = subprocess.run(
-        [sys.executable, "-m", "cranespindle.simhost"], input=raw, capture_output=True, check=False
+        [sys.executable, "-m", "balancer.simulator.adapter"], input=raw, capture_output=True, check=False
     )
     assert run.returncode == 2 and run.stdout == b""
     assert (
