--- a/balancer/__main__.py
+++ b/balancer/__main__.py
@@ -71,7 +71,7 @@
     told_to_stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, told_to_stop.set)
-    if config.peer_listen is not None and config.settings.peers:
+    if config.peer_listen is not None and config.settings.gossip_enabled:
         await loop.create_datagram_endpoint(lambda: Peers(config, host), local_addr=config.peer_listen)
     host.start(config.known)
     discovery = Discovery(config, host, loop)
@@ -90,7 +90,7 @@
 async def stop(config: Config, host: Host, frontend: Frontend, server: asyncio.AbstractServer) -> None:
     """Serve on, then let the clients go and finish what was taken; sooner if all clients have left."""
     loop = asyncio.get_running_loop()
-    longest = min(LONGEST, max(cls.limit for cls in config.settings.classes) / SECOND)
+    longest = min(LONGEST, max(cls.client_timeout_ns for cls in config.settings.classes) / SECOND)
     accepted = loop.time() + ACCEPT_ON
     end = max(accepted, loop.time() + longest + KILLED_AFTER - SPARE)
     host.end_within(end - LAST_ANSWERS - loop.time())
--- a/balancer/policy/balancer.py
+++ b/balancer/policy/balancer.py
@@ -13,7 +13,13 @@
 from struct import Struct, pack, unpack_from
 
 from balancer import policy_api
-from balancer.policy_api import Effect, Health, ListKind, Outcome, Scope
+from balancer.policy_api import (
+    AttemptOutcome,
+    DeduplicationScope,
+    EndpointHealth,
+    EndpointUpdateKind,
+    Idempotency,
+)
 
 SECOND = 1_000_000_000
 HOUR = 3600 * SECOND
@@ -139,7 +145,7 @@
 
     def update(self, entry: policy_api.Endpoint) -> None:
         self.zone, self.cell, self.health = entry.zone, entry.cell, entry.health
-        self.share, self.started = max(entry.share, 1e-3), entry.started
+        self.share, self.started = max(entry.weight, 1e-3), entry.started_at_ns
 
     def reset(self) -> None:
         self.pace = 1.0  # its latency over the mean of its classes, smoothed
@@ -179,9 +185,14 @@
         "stuck",
     )
 
-    def __init__(self, event: policy_api.Request, now: int) -> None:
-        self.id, self.cls, self.expires, self.arrived = event.id, event.cls, event.expires, now
-        self.key = event.key
+    def __init__(self, event: policy_api.RequestReceived, now: int) -> None:
+        self.id, self.cls, self.expires, self.arrived = (
+            event.request_id,
+            event.class_index,
+            event.expires_at_ns,
+            now,
+        )
+        self.key = event.key_hash
         self.attempts = self.sent = self.ran_at = 0
         self.member: Member | None = None  # where its last attempt went
         self.ran: Member | None = None  # where it first may have run
@@ -200,25 +211,25 @@
         self.classes = settings.classes
         rng = random.Random(seed)
         self.rand, self.sample, self.choices = rng.random, rng.sample, rng.choices
-        self.salt = mix(settings.instance)  # the subset outlives a restart
+        self.salt = mix(settings.instance_index)  # the subset outlives a restart
         self.out: list[policy_api.Action] = []
         self.pending: dict[int, Pending] = {}
         self.handlers = {
-            policy_api.Attached: self.on_attached,
-            policy_api.EndpointList: self.on_list,
-            policy_api.Request: self.on_request,
-            policy_api.Completed: self.on_completed,
-            policy_api.Gone: self.on_gone,
-            policy_api.Timer: self.on_timer,
+            policy_api.Started: self.on_attached,
+            policy_api.EndpointUpdate: self.on_list,
+            policy_api.RequestReceived: self.on_request,
+            policy_api.AttemptCompleted: self.on_completed,
+            policy_api.ClientDisconnected: self.on_gone,
+            policy_api.TimerFired: self.on_timer,
             policy_api.StreamStarted: self.on_gone,
-            policy_api.PeerMessage: self.on_peer,
-            policy_api.Probed: self.on_probed,
+            policy_api.GossipReceived: self.on_peer,
+            policy_api.HealthCheckCompleted: self.on_probed,
         }
         # list and drains
         self.members: dict[bytes, Member] = {}
-        self.subscribed = not settings.discovery_on_request
+        self.subscribed = not settings.polls_discovery
         self.ask_at = 0
-        self.ask_spread = min(ASK_MOST, ASK_SPREAD * settings.ask_within)
+        self.ask_spread = min(ASK_MOST, ASK_SPREAD * settings.discovery_poll_window_ns)
         # subset
         self.order: list[list[Member]] = [[], []]  # ready endpoints by rank: of this zone, of others
         self.subset: list[list[Member]] = [[], []]
@@ -233,7 +244,11 @@
         self.asking: dict[bytes, list[int]] = {}  # requests that wait for a probe's answer
         # Where sidecars share what they see, and so shed in time, asking costs more than it brings. Where no
         # server reports its load, a probe may be answered beside the queue: the quickest is then the nearest.
-        self.asks = settings.probes and not settings.peers and bool(settings.report_fields)
+        self.asks = (
+            settings.health_checks_enabled
+            and not settings.gossip_enabled
+            and bool(settings.load_report_fields)
+        )
         self.hop = [0, 0]  # the quickest answer to a probe, in this zone and from others
         # health
         self.latency = [[0.0, 0.0] for _ in self.classes]  # summed over the aim, and count; shared with peers
@@ -241,22 +256,22 @@
         self.base = [0.0] * len(self.classes)  # latency without wait: the mean's slowly rising minimum
         self.crossing = 0.0
         # cut
-        worths = {c.worth for c in self.classes}
+        worths = {c.priority_weight for c in self.classes}
         ranks = {worth: i for i, worth in enumerate(sorted(worths))}
-        self.business = [ranks[c.worth] for c in self.classes]
+        self.business = [ranks[c.priority_weight] for c in self.classes]
         self.top = len(ranks) * USER_LEVELS
         self.cut = 0.0
         self.histogram: dict[int, float] = {}
         self.spread = [0.0] * len(ranks)  # arrivals without keys, by business level; shared with peers
         # Evidence by the zone of the servers, shared with peers: waits over slack, how many, sends, answers.
-        self.evidence = [[0.0] * 4 for _ in range(settings.zones)]
+        self.evidence = [[0.0] * 4 for _ in range(settings.zone_count)]
         self.sends = self.cycles = self.calm = 0
         self.went = [0.0, 0.0]  # this sidecar's own sends and those that crossed; kept as evidence is
         self.breaks = 0.0  # share of the attempts that broke or found no connection, of members that are in
         self.hangs = 0.0  # share of the attempts that were stuck which came to nothing
         self.pressure, self.over = 0.0, OVER_LEAST + OVER_SERVICES * SERVICE_MOST
         self.cycle_from = 0
-        self.worth_mean = sum(c.worth for c in self.classes) / len(self.classes)
+        self.worth_mean = sum(c.priority_weight for c in self.classes) / len(self.classes)
         self.budget = 1.0
         self.try_left = [0] * len(self.classes)  # the longest that a first try has been given
 
@@ -270,55 +285,57 @@
 
     # ---- list and drains ----------------------------------------------------------------------------------
 
-    def on_attached(self, now: int, event: policy_api.Attached) -> None:
+    def on_attached(self, now: int, event: policy_api.Started) -> None:
         self.cycle_from = now
         self.ask_at = now + int(self.rand() * self.ask_spread)
         self.out.append(policy_api.SetTimer(1 + int(self.rand() * CYCLE), TICK))
 
-    def on_list(self, now: int, event: policy_api.EndpointList) -> None:
-        if event.kind == ListKind.FAILED:
-            self.subscribed = not self.settings.discovery_on_request
+    def on_list(self, now: int, event: policy_api.EndpointUpdate) -> None:
+        if event.kind == EndpointUpdateKind.DISCOVERY_FAILED:
+            self.subscribed = not self.settings.polls_discovery
             self.ask_at = now + int((ASK_LEAST + (1 - ASK_LEAST) * self.rand()) * self.ask_spread)
             return
-        self.subscribed |= event.kind != ListKind.CACHED
+        self.subscribed |= event.kind != EndpointUpdateKind.CACHED
         named = set()
         for entry in event.endpoints:
             named.add(entry.id)  # a list that fits the settings badly ends nothing:
-            entry = entry._replace(zone=min(entry.zone, self.settings.zones - 1))
+            entry = entry._replace(zone=min(entry.zone, self.settings.zone_count - 1))
             member = self.members.get(entry.id)
             if member is None:
                 rank = mix(int.from_bytes(entry.id, "little") ^ self.salt)
                 self.members[entry.id] = member = Member(entry, rank, len(self.classes))
             else:
-                if entry.started != member.started:
+                if entry.started_at_ns != member.started:
                     member.reset()
                 member.update(entry)
-        if event.kind != ListKind.DELTA:
+        if event.kind != EndpointUpdateKind.DELTA:
             for member in self.members.values():
                 if member.id not in named:
-                    member.health = Health.GONE
-        self.members = {k: m for k, m in self.members.items() if m.health != Health.GONE or m.inflight}
+                    member.health = EndpointHealth.REMOVED
+        self.members = {
+            k: m for k, m in self.members.items() if m.health != EndpointHealth.REMOVED or m.inflight
+        }
         self.rank()
 
     def subscribe(self, now: int) -> None:
         if not self.subscribed and now >= self.ask_at:
-            self.out.append(policy_api.Watch(True))
-            self.ask_at = now + self.settings.ask_within // 2  # should no reply come at all
+            self.out.append(policy_api.WatchEndpoints(True))
+            self.ask_at = now + self.settings.discovery_poll_window_ns // 2  # should no reply come at all
 
     # ---- subset and choice --------------------------------------------------------------------------------
 
     def rank(self) -> None:
         """Weighted rendezvous: each sidecar ranks endpoints by its own hash, so list changes move little."""
-        ready = [m for m in self.members.values() if m.health == Health.READY]
+        ready = [m for m in self.members.values() if m.health == EndpointHealth.READY]
         ready.sort(key=lambda m: (-log((m.rank + 1) / 2**64) / m.share, m.id))
-        zone = self.settings.zone
+        zone = self.settings.local_zone
         self.order = [[m for m in ready if m.zone == zone], [m for m in ready if m.zone != zone]]
         self.dirty = True
 
     def share(self) -> int:
         """How many members of a side may hold connections of ours: our share of what all servers accept."""
         sides = sum(map(bool, self.order)) or 1
-        return int(self.fan_in * sum(map(len, self.order)) / self.settings.instances / sides)
+        return int(self.fan_in * sum(map(len, self.order)) / self.settings.instance_count / sides)
 
     def size(self) -> int:
         """How many members a subset has: more as requests pile up, within our share of connections.
@@ -371,7 +388,7 @@
             self.best[side] = max(self.rate[side], self.best[side] * RATE_KEEP)
             if self.subset[side]:
                 cold = sum(self.warmth(m, now) for m in self.subset[side]) - len(warm)
-                least = 0.0 if warm else len(self.order[side]) / self.settings.instances * CYCLE / SECOND
+                least = 0.0 if warm else len(self.order[side]) / self.settings.instance_count * CYCLE / SECOND
                 missed = max(self.best[side] * cold, least) - self.answers[side] * self.gain[side]
                 if missed > 0:
                     self.credit[side] = min(max(1.0, missed), self.credit[side] + missed)
@@ -380,17 +397,21 @@
     def trim(self) -> None:
         """Close what is held to members that get nothing any more: kept, it would fill their tables."""
         kept = {m.id for subset in self.subset for m in subset}
-        if self.settings.warm_keys:
+        if self.settings.key_affinity:
             kept.update(m.id for side in (0, 1) for m in self.reach(side))
         for member in [m for m in self.linked.values() if m.id not in kept and not m.inflight]:
             del self.linked[member.id]
             member.opened = 0
-            if member.health == Health.READY:  # else the network code has closed it
-                self.out.append(policy_api.Disconnect(member.id))
+            if member.health == EndpointHealth.READY:  # else the network code has closed it
+                self.out.append(policy_api.CloseIdleConnections(member.id))
 
     def warmth(self, member: Member, now: int) -> float:
         """The share of its work that an endpoint can do at least, by the time since its start."""
-        age, least, span = now - member.started, self.settings.cold_from, self.settings.cold_for
+        age, least, span = (
+            now - member.started,
+            self.settings.slow_start_capacity,
+            self.settings.slow_start_duration_ns,
+        )
         return 1.0 if not member.started or age >= span else least + (1 - least) * max(age, 0) / span
 
     def expected(self, member: Member, cls: int, now: int) -> float:
@@ -419,15 +440,15 @@
         repeat that is bound to a group may go further, as few of it are near. Harm: a very popular key crowds
         its members.
         """
-        cls, key = self.classes[request.cls], request.key if self.settings.warm_keys else 0
-        within = request.ran if cls.effect == Effect.KEYED else None
+        cls, key = self.classes[request.cls], request.key if self.settings.key_affinity else 0
+        within = request.ran if cls.idempotency == Idempotency.IDEMPOTENCY_KEY else None
         members = [
             m
             for m in (self.order[side] if within else self.reach(side) if key else self.subset[side])
             if m is not request.member
             and m not in request.asked
             and self.warmth(m, now) >= 1
-            and (within is None or same(m, within, cls.scope))
+            and (within is None or same(m, within, cls.deduplication_scope))
             and (not (key or within) or m.out_until <= now)
         ]
         if key:
@@ -457,7 +478,7 @@
         """
         if near is None or far is None:
             return near or far
-        margin = self.settings.cross_price / OVER_LEAST
+        margin = self.settings.cross_zone_price / OVER_LEAST
         return far if self.load(far, cls, now) + margin < self.load(near, cls, now) else near
 
     def load(self, member: Member, cls: int, now: int) -> float:
@@ -467,11 +488,15 @@
         more from answer to answer than from member to member.
         """
         excess = max(0.0, self.failing(member, cls, now) - FAILS_USUAL)
-        return member.inflight + excess * self.failure(cls) / (self.mean[cls] or self.classes[cls].aim)
+        return member.inflight + excess * self.failure(cls) / (
+            self.mean[cls] or self.classes[cls].latency_objective_ns
+        )
 
     def failure(self, cls: int) -> float:
         """The time that a failure counts as."""
-        return self.classes[cls].aim * (UNSAFE_FAILS if self.classes[cls].effect == Effect.UNSAFE else 1.0)
+        return self.classes[cls].latency_objective_ns * (
+            UNSAFE_FAILS if self.classes[cls].idempotency == Idempotency.NOT_IDEMPOTENT else 1.0
+        )
 
     def cold(self, side: int, now: int) -> Member | None:
         """How much may a cold endpoint get? What a warm one answers us, times its warmth, as credit.
@@ -508,7 +533,10 @@
 
     def may_cross(self, cls: int) -> bool:
         """A crossing is worth its price only for requests worth more than it."""
-        return bool(self.subset[1]) and self.classes[cls].worth > self.settings.cross_price * self.worth_mean
+        return (
+            bool(self.subset[1])
+            and self.classes[cls].priority_weight > self.settings.cross_zone_price * self.worth_mean
+        )
 
     def ask(self, request: Pending, now: int) -> bool:
         """Ask a few idle members by probe whether they are; the quickest to answer gets the request.
@@ -534,27 +562,27 @@
             for member in sorted(drawn, key=lambda m: self.expected(m, request.cls, now))[:ASK]:
                 if member.id not in self.asking:
                     self.asking[member.id] = []
-                    self.out.append(policy_api.Probe(member.id))
+                    self.out.append(policy_api.StartHealthCheck(member.id))
                 self.asking[member.id].append(request.id)
                 request.asked.append(member)
                 request.open += 1
         if not request.asked:
             return False
         request.steps += 1
-        wait = ASK_TICKS * self.settings.tick + self.hop[far]
+        wait = ASK_TICKS * self.settings.scheduling_tick_ns + self.hop[far]
         self.out.append(policy_api.SetTimer(wait, request.id + 1))
         return True
 
-    def on_probed(self, now: int, event: policy_api.Probed) -> None:
-        waiting = self.asking.pop(event.endpoint, ())
-        member = self.members.get(event.endpoint)
+    def on_probed(self, now: int, event: policy_api.HealthCheckCompleted) -> None:
+        waiting = self.asking.pop(event.endpoint_id, ())
+        member = self.members.get(event.endpoint_id)
         if member is None:
             return
-        far, ok = member.zone != self.settings.zone, event.outcome == Outcome.OK
+        far, ok = member.zone != self.settings.local_zone, event.outcome == AttemptOutcome.SUCCESS
         if member.probing:
             self.readmit(member, ok, now)
         if ok:
-            self.hop[far] = min(self.hop[far] or event.took, event.took)
+            self.hop[far] = min(self.hop[far] or event.duration_ns, event.duration_ns)
         for rid in waiting:
             request = self.pending.get(rid)
             if request is None or request.attempts:
@@ -562,8 +590,8 @@
             request.open -= 1
             if ok and request.best is None:  # what else answers in this turn is compared with it
                 self.out.append(policy_api.SetTimer(1, rid + 1))
-            if ok and event.took - self.hop[far] < request.best_took - self.hop[request.best_far]:
-                request.best, request.best_took, request.best_far = member, event.took, far
+            if ok and event.duration_ns - self.hop[far] < request.best_took - self.hop[request.best_far]:
+                request.best, request.best_took, request.best_far = member, event.duration_ns, far
             if not request.open and request.best is not None:
                 self.decide(request, now)
 
@@ -571,49 +599,55 @@
         """Send a request for which members were asked, or ask on."""
         if now >= request.expires:
             self.finish(request, now)
-        elif request.best is not None and request.best.health == Health.READY:
+        elif request.best is not None and request.best.health == EndpointHealth.READY:
             self.launch(request, request.best, now)
         elif not self.ask(request, now):
             self.send(request, now)
 
     # ---- endpoint health ----------------------------------------------------------------------------------
 
-    def learn(self, member: Member, event: policy_api.Completed, request: Pending | None, now: int) -> None:
+    def learn(
+        self, member: Member, event: policy_api.AttemptCompleted, request: Pending | None, now: int
+    ) -> None:
         outcome = event.outcome
-        if outcome in (Outcome.CANCELLED, Outcome.MOOT, Outcome.WRONG):
+        if outcome in (AttemptOutcome.CANCELLED, AttemptOutcome.NOT_SENT, AttemptOutcome.CLIENT_ERROR):
             self.evidence[member.zone][SENT] -= 1
-            if outcome == Outcome.WRONG:
+            if outcome == AttemptOutcome.CLIENT_ERROR:
                 member.quiet = now  # it answers; the fault is the request's
             return
-        if outcome == Outcome.CONNECT_FAILED and now - self.fan_in_cut_at >= SECOND:
+        if outcome == AttemptOutcome.CONNECT_FAILED and now - self.fan_in_cut_at >= SECOND:
             self.fan_in, self.fan_in_cut_at = max(FAN_IN_LEAST, self.fan_in * FAN_IN_CUT), now
-        broken = outcome in (Outcome.CONNECT_FAILED, Outcome.RESET)
+        broken = outcome in (AttemptOutcome.CONNECT_FAILED, AttemptOutcome.CONNECTION_RESET)
         if member.out_until <= now:
             self.breaks += BREAKS_SMOOTH * (broken - self.breaks)
-        failed = outcome != Outcome.OK
-        if outcome == Outcome.TIMEOUT and self.hasty(request, event.took):
+        failed = outcome != AttemptOutcome.SUCCESS
+        if outcome == AttemptOutcome.TIMEOUT and self.hasty(request, event.duration_ns):
             self.evidence[member.zone][SENT] -= 1
             return  # the client had no time for any server's answer
         if request is not None:
             self.learn_class(member, request, failed, now)
-            if outcome == Outcome.TIMEOUT and self.overtaken(request):
+            if outcome == AttemptOutcome.TIMEOUT and self.overtaken(request):
                 self.evidence[member.zone][SENT] -= 1
                 return  # it serves: the failure is the request's, or its class's
-            drains = outcome in (Outcome.FULL, Outcome.TIMEOUT) and member.out_until > now  # no sign of load
-            self.measure(member, event.took, Outcome.ERROR if drains else outcome, request)
+            drains = (
+                outcome in (AttemptOutcome.REJECTED, AttemptOutcome.TIMEOUT) and member.out_until > now
+            )  # no sign of load
+            self.measure(
+                member, event.duration_ns, AttemptOutcome.SERVER_ERROR if drains else outcome, request
+            )
         member.fails += SMOOTH * (failed - member.fails)
         member.heard = member.quiet = now
         if not failed:
             member.streak = member.ejections = 0
             member.good = now
-            side = member.zone != self.settings.zone
+            side = member.zone != self.settings.local_zone
             if self.warmth(member, now) >= 1:
                 self.answers[side] += 1
                 self.credit[side] = min(1.0, self.credit[side] + self.gain[side])
             return
         member.streak += 1
         # One that errs answers: passed over while others hold less (`load`), it is there once they are full.
-        if member.out_until > now or outcome == Outcome.ERROR:
+        if member.out_until > now or outcome == AttemptOutcome.SERVER_ERROR:
             return
         # Of hundreds of requests a second some break, or fail three times in a row, at endpoints that are
         # well or fail in part: out for that, they would leave their load to the few that remain.
@@ -622,7 +656,7 @@
             many = self.breaks > BREAKS_FEW and now - member.good < FORGET
             row = min(FAILS_TO_EJECT, round(log(BREAKS_CHANCE) / log(self.breaks))) if many else 1
         else:  # one that turns all away for long drains, and the list has not said so yet
-            row = FULL_TO_EJECT if outcome == Outcome.FULL else FAILS_TO_EJECT
+            row = FULL_TO_EJECT if outcome == AttemptOutcome.REJECTED else FAILS_TO_EJECT
         if now - member.good > PROVEN and member.streak >= row:
             self.eject(member, now)
 
@@ -634,12 +668,12 @@
         their work would be lost. Covers requests, connections and classes that hang while their endpoint
         serves. Harm: some long ones run twice, within the budget of further attempts.
         """
-        calm = self.settings.can_cancel and self.pressure <= self.over / 2
+        calm = self.settings.attempts_can_be_cancelled and self.pressure <= self.over / 2
         if self.hangs < HANGS or self.rand() > HANGS_TRIED:
             return
-        safe = self.classes[request.cls].effect == Effect.SAFE
-        if calm and safe and self.worth_resending(request, Outcome.CANCELLED, now):
-            self.out.append(policy_api.Cancel(request.id, request.attempts - 1))
+        safe = self.classes[request.cls].idempotency == Idempotency.IDEMPOTENT
+        if calm and safe and self.worth_resending(request, AttemptOutcome.CANCELLED, now):
+            self.out.append(policy_api.CancelAttempt(request.id, request.attempts - 1))
 
     def learn_class(self, member: Member, request: Pending, failed: bool, now: int) -> None:
         """What becomes of the class there. A request that is stuck has been taken for failed already."""
@@ -667,7 +701,10 @@
 
         Counted like other time-outs, clients in a hurry ejected sound members and shed everybody else.
         """
-        usual = [base or cls.aim * BASE_GUESS for base, cls in zip(self.base, self.classes, strict=True)]
+        usual = [
+            base or cls.latency_objective_ns * BASE_GUESS
+            for base, cls in zip(self.base, self.classes, strict=True)
+        ]
         return took < HASTY * (usual[request.cls] if request is not None else min(usual))
 
     def eject(self, member: Member, now: int) -> None:
@@ -679,15 +716,17 @@
     def examine(self, now: int) -> None:
         """Let silent members go out, and ask those that may come back by a probe before a request does."""
         for member in self.members.values():
-            if member.health != Health.READY:
+            if member.health != EndpointHealth.READY:
                 continue
             if member.out_until <= now:
                 if member.inflight >= SILENT_LEAST and now - member.quiet > SILENT_FOR:
                     self.eject(member, now)
-            elif self.settings.probes and member.out_until <= now + CYCLE and not member.probing:
+            elif (
+                self.settings.health_checks_enabled and member.out_until <= now + CYCLE and not member.probing
+            ):
                 member.probing = True
                 member.out_until = now + 2 * SECOND  # at the latest; the answer decides
-                self.out.append(policy_api.Probe(member.id))
+                self.out.append(policy_api.StartHealthCheck(member.id))
 
     def readmit(self, member: Member, ok: bool, now: int) -> None:
         member.probing = False
@@ -699,13 +738,13 @@
     def measure(self, member: Member, took: int, outcome: int, request: Pending) -> None:
         """Put an outcome into the class means, the endpoint's pace and this cycle's evidence of waiting."""
         cls = request.cls
-        aim = self.classes[cls].aim
-        if outcome in (Outcome.TIMEOUT, Outcome.FULL):
+        aim = self.classes[cls].latency_objective_ns
+        if outcome in (AttemptOutcome.TIMEOUT, AttemptOutcome.REJECTED):
             wait = 1.0
-        elif outcome != Outcome.OK:
+        elif outcome != AttemptOutcome.SUCCESS:
             # A dead or erring endpoint says nothing of load: it must not shed what the others can serve.
             self.evidence[member.zone][SENT] -= 1
-            if outcome == Outcome.CONNECT_FAILED and member.zone != self.settings.zone:
+            if outcome == AttemptOutcome.CONNECT_FAILED and member.zone != self.settings.local_zone:
                 self.crossing *= 1 - SPILL_STEP * 4  # a zone cut off shows no waits, and would draw ever more
             return
         else:
@@ -715,14 +754,14 @@
             member.pace = member.pace + SMOOTH * (pace - member.pace) if member.heard else pace
             wait = min(2.0, self.wait(request, took))
         self.witness(member, request, wait)
-        self.evidence[member.zone][DONE] += outcome == Outcome.OK
+        self.evidence[member.zone][DONE] += outcome == AttemptOutcome.SUCCESS
 
     def wait(self, request: Pending, took: int) -> float:
         """What an attempt has waited, as a share of the class slack.
 
         Without the part for the connection, three first answers of a start shed half of all for some seconds.
         """
-        aim = self.classes[request.cls].aim
+        aim = self.classes[request.cls].latency_objective_ns
         base = self.base[request.cls] or aim * BASE_GUESS
         return (took - base - request.connects * HANDSHAKE * aim) / (aim - base)
 
@@ -735,18 +774,18 @@
 
     # ---- admission cut ------------------------------------------------------------------------------------
 
-    def level(self, event: policy_api.Request, now: int) -> tuple[int, float]:
+    def level(self, event: policy_api.RequestReceived, now: int) -> tuple[int, float]:
         """The request's level (business x 128 + user), and its place within the level for a smooth cut."""
-        business = self.business[event.cls]
+        business = self.business[event.class_index]
         salt = mix(now // HOUR)
-        if event.key:
-            level = business * USER_LEVELS + mix(event.key ^ salt) % USER_LEVELS
+        if event.key_hash:
+            level = business * USER_LEVELS + mix(event.key_hash ^ salt) % USER_LEVELS
             self.histogram[level] = self.histogram.get(level, 0.0) + 1
             return level, 0.5
         # Of keyless requests one sidecar sees few user levels: the fleet's mass counts as even over all. A
         # tenant is hashed with the sidecar's number: by itself it would put much traffic on one level.
         self.spread[business] += 1
-        place = mix(self.settings.instance ^ mix(event.tenant ^ salt))
+        place = mix(self.settings.instance_index ^ mix(event.tenant_index ^ salt))
         return business * USER_LEVELS + place % USER_LEVELS, (place >> 7) / 2**57
 
     def segments(self) -> list[tuple[int, int, float]]:
@@ -802,7 +841,7 @@
             self.cut = float(at)
         self.cut = 0.0
 
-    def on_timer(self, now: int, event: policy_api.Timer) -> None:
+    def on_timer(self, now: int, event: policy_api.TimerFired) -> None:
         if event.token != TICK:
             request = self.pending.get(event.token - 1)
             if request is not None and not request.attempts:
@@ -834,7 +873,7 @@
                     self.learn_class(member, request, True, now)
                     request.stuck = True
                     self.give_up(request, now)
-        enough = EVIDENCE_POOLED if self.settings.peers else EVIDENCE
+        enough = EVIDENCE_POOLED if self.settings.gossip_enabled else EVIDENCE
         seen = sum(e[SEEN] for e in self.evidence)
         if self.sends and seen < enough and now - self.cycle_from < CYCLE_MOST:
             self.tell()
@@ -845,12 +884,12 @@
         self.spread = [mass * HISTOGRAM_KEEP for mass in self.spread]
         for i, (total, count) in enumerate(self.latency):
             if count >= enough:
-                aim = self.classes[i].aim
+                aim = self.classes[i].latency_objective_ns
                 self.mean[i] = mean = total / count * aim
                 # A mean over few answers strays low, and its minimum with it: hence pooled, over seconds.
                 self.base[i] = min(mean, self.base[i] * BASE_DRIFT or mean, aim * BASE_MOST)
             self.latency[i] = [total * LATENCY_KEEP, count * LATENCY_KEEP]
-        shares = [b / (c.aim - b) for b, c in zip(self.base, self.classes, strict=True) if b]
+        shares = [b / (c.latency_objective_ns - b) for b, c in zip(self.base, self.classes, strict=True) if b]
         if shares:
             self.over = OVER_LEAST + OVER_SERVICES * min(SERVICE_MOST, sum(shares) / len(shares))
         keep = min(POOL_KEEP_MOST, max(POOL_KEEP, 1 - seen / EVIDENCE_FULL))
@@ -862,7 +901,7 @@
 
     def view(self, own: bool) -> tuple[float, float]:
         """Of the servers of this zone or of the others: mean wait over slack, and answers for each send."""
-        zone = self.settings.zone
+        zone = self.settings.local_zone
         parts = [e for z, e in enumerate(self.evidence) if (z == zone) == own]
         waits, seen, sent, done = (sum(e[i] for e in parts) for i in range(4))
         return (waits / seen if seen > 0.5 else 0.0), (done / sent if sent > 0.5 else 1.0)
@@ -877,7 +916,7 @@
         # Where other zones wait less, traffic crosses before any is shed: the more the waits differ, beyond
         # what a price is worth, and home as they even out. By the time passed, as sparse cycles are long.
         if self.order[1]:
-            ahead = max(-0.5, min(2.0, (local - remote - self.settings.cross_price) / self.over))
+            ahead = max(-0.5, min(2.0, (local - remote - self.settings.cross_zone_price) / self.over))
             step = SPILL_STEP * (now - self.cycle_from) / CYCLE * ahead
             self.crossing = min(1.0, max(0.0, self.crossing + step))
         if self.pressure > self.over:
@@ -906,19 +945,19 @@
         A sidecar with a request a second has no view of its own in time; without peers it waits for one.
         """
         settings = self.settings
-        if not settings.peers or settings.instances < 2:
+        if not settings.gossip_enabled or settings.instance_count < 2:
             return
         for row in self.pooled():
             row[:] = [min(x / (1 + PEERS), TOLD_MOST) for x in row]
         told = [x for row in self.pooled() for x in row]
-        body = HEAD.pack(settings.zone, self.cut if self.cycles >= SETTLED else -1.0)
+        body = HEAD.pack(settings.local_zone, self.cut if self.cycles >= SETTLED else -1.0)
         body += pack(f"<{len(told)}e", *told)
         for _ in range(PEERS):
-            peer = int(self.rand() * (settings.instances - 1))
-            self.out.append(policy_api.Tell(peer + (peer >= settings.instance), body))
+            peer = int(self.rand() * (settings.instance_count - 1))
+            self.out.append(policy_api.SendGossip(peer + (peer >= settings.instance_index), body))
 
-    def on_peer(self, now: int, event: policy_api.PeerMessage) -> None:
-        body, rows = event.body, self.pooled()
+    def on_peer(self, now: int, event: policy_api.GossipReceived) -> None:
+        body, rows = event.payload, self.pooled()
         count = sum(map(len, rows))
         if len(body) != HEAD.size + 2 * count:
             return
@@ -932,18 +971,18 @@
             return
         for row, more in zip(rows, heard, strict=True):
             row[:] = [x + y for x, y in zip(row, more, strict=True)]
-        if zone == self.settings.zone and cut >= 0:  # a restarted sidecar takes up the fleet's cut
+        if zone == self.settings.local_zone and cut >= 0:  # a restarted sidecar takes up the fleet's cut
             self.cut += (PEER_MIX if self.cycles >= SETTLED else 1.0) * (cut - self.cut)
             self.cycles = max(self.cycles, SETTLED)
 
     # ---- attempts and final answers -----------------------------------------------------------------------
 
-    def on_request(self, now: int, event: policy_api.Request) -> None:
+    def on_request(self, now: int, event: policy_api.RequestReceived) -> None:
         level, place = self.level(event, now)
         request = Pending(event, now)
-        self.worth_mean += 0.01 * (self.classes[event.cls].worth - self.worth_mean)
-        self.pending[event.id] = request
-        if event.expires <= now or self.useless(event, now):
+        self.worth_mean += 0.01 * (self.classes[event.class_index].priority_weight - self.worth_mean)
+        self.pending[event.request_id] = request
+        if event.expires_at_ns <= now or self.useless(event, now):
             self.finish(request, now)
         elif level + place < self.cut:
             if (cold := self.earned(request, now)) is not None:
@@ -955,13 +994,17 @@
             if not self.asks or not self.ask(request, now):
                 self.send(request, now)
 
-    def useless(self, event: policy_api.Request, now: int) -> bool:
+    def useless(self, event: policy_api.RequestReceived, now: int) -> bool:
         """Whether this repeat came so late, by the time left of the one deadline, that no answer earns."""
-        cls, left = self.classes[event.cls], event.expires - now
-        if not event.repeat:
-            self.try_left[event.cls] = max(self.try_left[event.cls], left)
+        cls, left = self.classes[event.class_index], event.expires_at_ns - now
+        if not event.is_retry:
+            self.try_left[event.class_index] = max(self.try_left[event.class_index], left)
             return False
-        return not cls.late_worth and left < self.try_left[event.cls] and cls.limit - left >= cls.aim
+        return (
+            not cls.late_answer_value
+            and left < self.try_left[event.class_index]
+            and cls.client_timeout_ns - left >= cls.latency_objective_ns
+        )
 
     def send(self, request: Pending, now: int) -> None:
         if self.dirty:
@@ -984,7 +1027,7 @@
         if not member.inflight:
             member.quiet = now
         member.inflight += 1
-        if connects := member.inflight > member.opened * self.settings.streams:
+        if connects := member.inflight > member.opened * self.settings.streams_per_connection:
             member.opened += 1
             self.linked[member.id] = member
         request.connects = connects
@@ -993,11 +1036,11 @@
         self.crowd()
         self.evidence[member.zone][SENT] += 1
         self.went[0] += 1
-        self.went[1] += member.zone != self.settings.zone
+        self.went[1] += member.zone != self.settings.local_zone
         latest = 0  # a connection may come up late, and repeats are dropped for so long only
-        if request.ran is not None and self.classes[request.cls].effect == Effect.KEYED:
-            latest = request.ran_at + self.classes[request.cls].window
-        self.out.append(policy_api.Send(request.id, member.id, self.patience(request, now), latest))
+        if request.ran is not None and self.classes[request.cls].idempotency == Idempotency.IDEMPOTENCY_KEY:
+            latest = request.ran_at + self.classes[request.cls].deduplication_window_ns
+        self.out.append(policy_api.StartAttempt(request.id, member.id, self.patience(request, now), latest))
         if self.sends % CYCLE_COUNT == 0:
             self.cycle(now)
 
@@ -1010,29 +1053,29 @@
     def patience(self, request: Pending, now: int) -> int:
         """How long to wait for this attempt; 0: until the client gives up."""
         cls = self.classes[request.cls]
-        left = request.arrived + cls.aim - now
+        left = request.arrived + cls.latency_objective_ns - now
         # Members that were asked and still answer late have a queue, built of what they hold beyond the aim.
-        brief = not cls.late_worth or (self.asks and self.pressure > self.over / 2)
+        brief = not cls.late_answer_value or (self.asks and self.pressure > self.over / 2)
         if brief and 0 < left < request.expires - now:
             return left
         return 0
 
-    def on_completed(self, now: int, event: policy_api.Completed) -> None:
-        request = self.pending.get(event.id)
-        member = self.members.get(event.endpoint)
+    def on_completed(self, now: int, event: policy_api.AttemptCompleted) -> None:
+        request = self.pending.get(event.request_id)
+        member = self.members.get(event.endpoint_id)
         if member is not None and member.inflight:
             member.inflight -= 1
             self.flying -= 1
             self.learn(member, event, request, now)
-            if member.health == Health.GONE and not member.inflight:
+            if member.health == EndpointHealth.REMOVED and not member.inflight:
                 del self.members[member.id]
-        if request is None or event.over:
-            self.pending.pop(event.id, None)
+        if request is None or event.request_finished:
+            self.pending.pop(event.request_id, None)
             return
-        if request.ran is None and event.outcome not in policy_api.NEVER_RAN:
+        if request.ran is None and event.outcome not in policy_api.OUTCOMES_NEVER_EXECUTED:
             request.ran, request.ran_at = request.member, request.sent
         # One that is wrong fails anywhere: six servers refused each, and seemed to fail.
-        hopeless = event.outcome in (Outcome.MOOT, Outcome.WRONG)
+        hopeless = event.outcome in (AttemptOutcome.NOT_SENT, AttemptOutcome.CLIENT_ERROR)
         if not hopeless and self.worth_resending(request, event.outcome, now):
             self.budget -= 1
             self.send(request, now)
@@ -1043,29 +1086,36 @@
         cls = self.classes[request.cls]
         if request.attempts >= self.settings.max_attempts or self.budget < 1 or now >= request.expires:
             return False
-        repeatable = cls.effect == Effect.KEYED and now < request.ran_at + cls.window
-        if request.ran is not None and cls.effect != Effect.SAFE and not repeatable:
+        repeatable = (
+            cls.idempotency == Idempotency.IDEMPOTENCY_KEY
+            and now < request.ran_at + cls.deduplication_window_ns
+        )
+        if request.ran is not None and cls.idempotency != Idempotency.IDEMPOTENT and not repeatable:
             return False
-        if outcome != Outcome.CONNECT_FAILED and self.pressure > self.over:
+        if outcome != AttemptOutcome.CONNECT_FAILED and self.pressure > self.over:
             return False  # never into overload
-        useful = request.expires if cls.late_worth else min(request.arrived + cls.aim, request.expires)
+        useful = (
+            request.expires
+            if cls.late_answer_value
+            else min(request.arrived + cls.latency_objective_ns, request.expires)
+        )
         return now + self.base[request.cls] < useful
 
     def finish(self, request: Pending, now: int) -> None:
         """The final answer: declined where a repeat is harmless, else failed."""
         del self.pending[request.id]
         cls = self.classes[request.cls]
-        if request.ran is None or cls.effect == Effect.SAFE:
+        if request.ran is None or cls.idempotency == Idempotency.IDEMPOTENT:
             # Once no answer can count, the advice is to stay away for the rest of the client's time.
-            late = not cls.late_worth and now >= request.arrived + cls.aim
-            advice = min(cls.limit if late else STAY_AWAY, self.settings.retry_after_max)
-            self.out.append(policy_api.Refuse(request.id, advice))
+            late = not cls.late_answer_value and now >= request.arrived + cls.latency_objective_ns
+            advice = min(cls.client_timeout_ns if late else STAY_AWAY, self.settings.max_retry_after_ns)
+            self.out.append(policy_api.RejectRequest(request.id, advice))
         else:
-            self.out.append(policy_api.Fail(request.id))
+            self.out.append(policy_api.FailRequest(request.id))
 
-    def on_gone(self, now: int, event: policy_api.Gone | policy_api.StreamStarted) -> None:
+    def on_gone(self, now: int, event: policy_api.ClientDisconnected | policy_api.StreamStarted) -> None:
         """The client left, or a stream started: that is the client's, has no deadline and is never resent."""
-        self.pending.pop(event.id, None)
+        self.pending.pop(event.request_id, None)
 
 
 def faded(since: int, now: int) -> float:
@@ -1075,5 +1125,5 @@
 
 def same(one: Member, other: Member, scope: int) -> bool:
     """Whether two endpoints drop each other's repeats of a keyed request."""
-    near = one.zone == other.zone and (scope == Scope.ZONE or one.cell == other.cell)
-    return scope == Scope.ALL or near
+    near = one.zone == other.zone and (scope == DeduplicationScope.ZONE or one.cell == other.cell)
+    return scope == DeduplicationScope.ALL or near
--- a/balancer/sidecar/configuration.py
+++ b/balancer/sidecar/configuration.py
@@ -24,9 +24,9 @@
 SPARE_SOCKETS = 28
 MEMORY_LEAST = 64  # MB, where none is told
 _HEALTHS = {
-    "up": policy_api.Health.READY,
-    "draining": policy_api.Health.DRAINING,
-    "removed": policy_api.Health.GONE,
+    "up": policy_api.EndpointHealth.READY,
+    "draining": policy_api.EndpointHealth.DRAINING,
+    "removed": policy_api.EndpointHealth.REMOVED,
 }
 
 
@@ -132,10 +132,10 @@
         peers=tuple(_parse_address(peer, "peers") for peer in peers),
         peers_all=_address(top, "peers_all") if top.get("peers_all") else None,
         settings=replace(
-            settings, streams=1
+            settings, streams_per_connection=1
         ),  # whatever the simulator's carry, HTTP/1.1 carries one at a time
         names=names,
-        reports=bool(settings.report_fields),
+        reports=bool(settings.load_report_fields),
         connect_timeout=connect_timeout,
         idle_limit=idle_limit,
         known=known,
@@ -185,11 +185,11 @@
         endpoint = policy_api.Endpoint(
             id=endpoint_id(host),
             zone=names.zones.get(str(entry.get("site")), 0),
-            kind=names.kinds.get(str(entry.get("class")), 0),
+            machine_class=names.kinds.get(str(entry.get("class")), 0),
             cell=int(entry.get("block", 0)),
             health=_HEALTHS[health],
-            share=_finite(entry.get("share", 1.0)),
-            started=int(entry.get("born_ms", 0)) * 1_000_000,
+            weight=_finite(entry.get("share", 1.0)),
+            started_at_ns=int(entry.get("born_ms", 0)) * 1_000_000,
         )
         return Host(endpoint, _parse_address(entry.get("dial"), f"dial of {host}"))
     except (TypeError, ValueError, OverflowError, ConfigError) as problem:
--- a/balancer/sidecar/discovery_client.py
+++ b/balancer/sidecar/discovery_client.py
@@ -47,7 +47,7 @@
 class Discovery:
     def __init__(self, config: Config, host: Host, loop: asyncio.AbstractEventLoop) -> None:
         self._address, self._names, self._host, self._loop = config.discovery, config.names, host, loop
-        self._pushed = not config.settings.discovery_on_request
+        self._pushed = not config.settings.polls_discovery
         self._hold, self._grace = (HOLD_PUSHED, GRACE_PUSHED) if self._pushed else (HOLD, GRACE)
         self._connect_timeout = self._grace  # a call whose connection came up late still has its whole hold
         self._rand = random.Random(config.seed).random
@@ -110,7 +110,9 @@
                         spoilt = isinstance(problem, CallSpoilt)
                         continue
                     self._watcher = None
-                    self._host.post(policy_api.EndpointList(policy_api.ListKind.FAILED, ()))
+                    self._host.post(
+                        policy_api.EndpointUpdate(policy_api.EndpointUpdateKind.DISCOVERY_FAILED, ())
+                    )
                     return
                 await asyncio.sleep(RETRY)
                 continue
@@ -132,7 +134,7 @@
             self._take(await self._call("", FIRST_ASKED))
         except CallFailed as problem:
             log.debug("discovery: %s", problem)
-            self._host.post(policy_api.EndpointList(policy_api.ListKind.FAILED, ()))
+            self._host.post(policy_api.EndpointUpdate(policy_api.EndpointUpdateKind.DISCOVERY_FAILED, ()))
 
     def _take(self, told: HostList) -> bool:
         """Pass a list on; whether it held anything new."""
@@ -140,13 +142,16 @@
             self._seq = told.seq
             if not self._pushed:
                 # The decisions wait for an answer to their call, even for an empty one.
-                self._host.learn(told, policy_api.ListKind.DELTA)
+                self._host.learn(told, policy_api.EndpointUpdateKind.DELTA)
             return False
         if told.whole and told.seq == self._seq and self._pushed and not self._anew:
             return False
         self._seq = told.seq
         self._anew = self._anew and not told.whole
-        self._host.learn(told, policy_api.ListKind.FULL if told.whole else policy_api.ListKind.DELTA)
+        self._host.learn(
+            told,
+            policy_api.EndpointUpdateKind.SNAPSHOT if told.whole else policy_api.EndpointUpdateKind.DELTA,
+        )
         return True
 
     async def _call(self, query: str, timeout: float) -> HostList:
--- a/balancer/sidecar/dispatcher.py
+++ b/balancer/sidecar/dispatcher.py
@@ -15,7 +15,7 @@
 
 from balancer import policy_api
 from balancer.policy.balancer import Balancer
-from balancer.policy_api import Effect, Outcome
+from balancer.policy_api import AttemptOutcome, Idempotency
 from balancer.sidecar.configuration import SECOND, Config, HostList
 from balancer.sidecar.upstream.connection import Answer, Attempt, Upstream
 
@@ -104,7 +104,7 @@
 class Host:
     def __init__(self, config: Config, loop: asyncio.AbstractEventLoop, clock: Clock) -> None:
         self._settings = config.settings
-        self._longest = max(cls.limit for cls in config.settings.classes)
+        self._longest = max(cls.client_timeout_ns for cls in config.settings.classes)
         self._loop, self.now = loop, clock.now
         self._balancer = Balancer(config.settings, config.seed)
         self.upstream = Upstream(config, loop, clock.now)
@@ -117,17 +117,17 @@
         self._events: deque[policy_api.Event] = deque()
         self._busy = False
         self._actions: dict[type, Callable[[Any], None]] = {
-            policy_api.Send: self._send,
-            policy_api.Refuse: self._refuse,
-            policy_api.Fail: self._fail,
-            policy_api.Cancel: self._cancel,
+            policy_api.StartAttempt: self._send,
+            policy_api.RejectRequest: self._refuse,
+            policy_api.FailRequest: self._fail,
+            policy_api.CancelAttempt: self._cancel,
             policy_api.SetTimer: self._set_timer,
-            policy_api.Probe: self._probe,
-            policy_api.Log: self._log,
-            policy_api.Disconnect: lambda a: self.upstream.disconnect(a.endpoint),
-            policy_api.Watch: lambda a: self.watch(a.on),
-            policy_api.Fetch: lambda a: self.fetch(),
-            policy_api.Tell: lambda a: self.tell(a.peer, a.body),
+            policy_api.StartHealthCheck: self._probe,
+            policy_api.WriteLog: self._log,
+            policy_api.CloseIdleConnections: lambda a: self.upstream.disconnect(a.endpoint_id),
+            policy_api.WatchEndpoints: lambda a: self.watch(a.enabled),
+            policy_api.FetchEndpoints: lambda a: self.fetch(),
+            policy_api.SendGossip: lambda a: self.tell(a.recipient_index, a.payload),
         }
         # Set by the parts that do them.
         self.watch: Callable[[bool], None] = lambda on: None
@@ -138,13 +138,13 @@
     # ---- events
 
     def start(self, known: HostList) -> None:
-        self.post(policy_api.Attached())
-        self.learn(known, policy_api.ListKind.CACHED)
+        self.post(policy_api.Started())
+        self.learn(known, policy_api.EndpointUpdateKind.CACHED)
 
     def learn(self, told: HostList, kind: int) -> None:
         self.listed = self.listed or bool(told.hosts)
-        self.upstream.learn(told.hosts, whole=kind != policy_api.ListKind.DELTA)
-        self.post(policy_api.EndpointList(kind, tuple(host.endpoint for host in told.hosts)))
+        self.upstream.learn(told.hosts, whole=kind != policy_api.EndpointUpdateKind.DELTA)
+        self.post(policy_api.EndpointUpdate(kind, tuple(host.endpoint for host in told.hosts)))
 
     def post(self, event: policy_api.Event) -> None:
         """Take an event. What an action brings about at once waits until the other actions are done."""
@@ -189,7 +189,7 @@
         self._names.add(incoming.name)
         request.deadline = self._loop.call_later((expires - now) / SECOND, self._at_deadline, request)
         self.post(
-            policy_api.Request(
+            policy_api.RequestReceived(
                 rid, incoming.cls, incoming.tenant, incoming.key, expires, incoming.hint, incoming.repeat
             )
         )
@@ -214,7 +214,7 @@
         still waits for its connection must not begin: nobody wants it any more."""
         if (request := self._conclude(rid)) is not None:
             self._settle(request)
-            self.post(policy_api.Gone(rid))
+            self.post(policy_api.ClientDisconnected(rid))
             if request.attempt is not None:
                 request.attempt.withdraw()
 
@@ -227,7 +227,7 @@
     def _payload(self, request: Open) -> bytes:
         # The connection may have taken its time. The attempt ends before anything of it is written.
         if self._left(request) and request.attempt is not None:
-            request.attempt.abandon(Outcome.MOOT)
+            request.attempt.abandon(AttemptOutcome.NOT_SENT)
         return request.payload(self.now)
 
     def _at_deadline(self, request: Open) -> None:
@@ -238,14 +238,14 @@
         if request.attempt is not None:
             # Of a client in a hurry an answer is still likely; beyond the aim the endpoint is behind, and an
             # end may spare it the work.
-            aim = self._settings.classes[request.incoming.cls].aim
+            aim = self._settings.classes[request.incoming.cls].latency_objective_ns
             request.outlived = True
             request.attempt.outlive((request.sent + aim - self.now()) / SECOND, partial(self._freed, request))
         if not request.answered:
             # The decisions answer each request by now; whatever keeps them from it, none is lost.
             log.error("request %d was left unanswered until its deadline", request.id)
-            self._fail(policy_api.Fail(request.id))
-            self.post(policy_api.Gone(request.id))
+            self._fail(policy_api.FailRequest(request.id))
+            self.post(policy_api.ClientDisconnected(request.id))
 
     def _freed(self, request: Open) -> None:
         request.outlived = False
@@ -258,7 +258,7 @@
                 self._names.discard(request.incoming.name)
                 if (
                     request.may_have_run
-                    and self._settings.classes[request.incoming.cls].effect != Effect.SAFE
+                    and self._settings.classes[request.incoming.cls].idempotency != Idempotency.IDEMPOTENT
                 ):
                     self._spent[request.incoming.name] = self.now() + self._longest
             if request.deadline is not None:
@@ -275,8 +275,8 @@
 
     # ---- actions
 
-    def _send(self, action: policy_api.Send) -> None:
-        request, now = self._open.get(action.id), self.now()
+    def _send(self, action: policy_api.StartAttempt) -> None:
+        request, now = self._open.get(action.request_id), self.now()
         if request is None or request.answered or request.attempt is not None or now >= request.expires:
             self._moot(action, request)
             return
@@ -284,64 +284,80 @@
             self._moot(action, request)
             return
         number, request.attempts = request.attempts, request.attempts + 1
-        request.sent, request.endpoint = now, action.endpoint
-        request.until = min(request.expires, now + action.timeout) if action.timeout else request.expires
+        request.sent, request.endpoint = now, action.endpoint_id
+        request.until = (
+            min(request.expires, now + action.timeout_ns) if action.timeout_ns else request.expires
+        )
         # The connection may come up when this time is over, before the loop has called its end.
-        latest = min(action.latest or request.until, request.until)
+        latest = min(action.start_before_ns or request.until, request.until)
         done = partial(self._completed, request, number)
         payload = partial(self._payload, request)
-        attempt = self.upstream.attempt(action.endpoint, payload, done, latest)
+        attempt = self.upstream.attempt(action.endpoint_id, payload, done, latest)
         if attempt is None:
-            done(Outcome.CONNECT_FAILED, None)
+            done(AttemptOutcome.CONNECT_FAILED, None)
             return
         request.attempt = attempt
         if request.until < request.expires:
-            request.patience = self._loop.call_later(action.timeout / SECOND, attempt.time_out)
+            request.patience = self._loop.call_later(action.timeout_ns / SECOND, attempt.time_out)
         attempt.start()
 
-    def _moot(self, action: policy_api.Send, request: Open | None) -> None:
+    def _moot(self, action: policy_api.StartAttempt, request: Open | None) -> None:
         over = request is None or request.answered
         number = request.attempts if request else 0
-        self.post(policy_api.Completed(action.id, number, action.endpoint, Outcome.MOOT, 0, over, ()))
+        self.post(
+            policy_api.AttemptCompleted(
+                action.request_id, number, action.endpoint_id, AttemptOutcome.NOT_SENT, 0, over, ()
+            )
+        )
 
     def _completed(self, request: Open, number: int, outcome: int, answer: Answer | None) -> None:
         request.attempt, request.last = None, outcome
-        request.may_have_run |= outcome not in policy_api.NEVER_RAN
+        request.may_have_run |= outcome not in policy_api.OUTCOMES_NEVER_EXECUTED
         if request.patience is not None:
             request.patience.cancel()
             request.patience = None
-        if outcome == Outcome.OK and answer is not None and self._conclude(request.id) is not None:
+        if (
+            outcome == AttemptOutcome.SUCCESS
+            and answer is not None
+            and self._conclude(request.id) is not None
+        ):
             request.client.serve(answer)
         over = request.answered
         self._settle(request)
         took, report = self.now() - request.sent, self.upstream.report(answer)
-        self.post(policy_api.Completed(request.id, number, request.endpoint, outcome, took, over, report))
+        self.post(
+            policy_api.AttemptCompleted(request.id, number, request.endpoint, outcome, took, over, report)
+        )
 
-    def _refuse(self, action: policy_api.Refuse) -> None:
-        if (request := self._conclude(action.id)) is not None:
-            request.client.refuse(action.stay_away)
+    def _refuse(self, action: policy_api.RejectRequest) -> None:
+        if (request := self._conclude(action.request_id)) is not None:
+            request.client.refuse(action.retry_after_ns)
             self._settle(request)
 
-    def _fail(self, action: policy_api.Fail) -> None:
-        if (request := self._conclude(action.id)) is not None:
-            request.client.fail(request.last == Outcome.TIMEOUT)
+    def _fail(self, action: policy_api.FailRequest) -> None:
+        if (request := self._conclude(action.request_id)) is not None:
+            request.client.fail(request.last == AttemptOutcome.TIMEOUT)
             self._settle(request)
 
-    def _cancel(self, action: policy_api.Cancel) -> None:
-        request = self._open.get(action.id)
-        if request is not None and request.attempt is not None and request.attempts - 1 == action.attempt:
-            request.attempt.abandon(Outcome.CANCELLED)
+    def _cancel(self, action: policy_api.CancelAttempt) -> None:
+        request = self._open.get(action.request_id)
+        if (
+            request is not None
+            and request.attempt is not None
+            and request.attempts - 1 == action.attempt_index
+        ):
+            request.attempt.abandon(AttemptOutcome.CANCELLED)
 
     def _set_timer(self, action: policy_api.SetTimer) -> None:
-        self._loop.call_later(action.delay / SECOND, self.post, policy_api.Timer(action.token))
+        self._loop.call_later(action.delay_ns / SECOND, self.post, policy_api.TimerFired(action.token))
 
-    def _probe(self, action: policy_api.Probe) -> None:
+    def _probe(self, action: policy_api.StartHealthCheck) -> None:
         self.upstream.probe(
-            action.endpoint,
+            action.endpoint_id,
             lambda outcome, took, report: self.post(
-                policy_api.Probed(action.endpoint, outcome, took, report)
+                policy_api.HealthCheckCompleted(action.endpoint_id, outcome, took, report)
             ),
         )
 
-    def _log(self, action: policy_api.Log) -> None:
+    def _log(self, action: policy_api.WriteLog) -> None:
         log.info("%s", action.text)
--- a/balancer/sidecar/gossip_transport.py
+++ b/balancer/sidecar/gossip_transport.py
@@ -33,7 +33,7 @@
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         number = self._numbers.get((addr[0], addr[1]))
         if number is not None and len(data) <= MESSAGE_MOST:  # else it is no peer's
-            self._host.post(policy_api.PeerMessage(number, data))
+            self._host.post(policy_api.GossipReceived(number, data))
 
     def error_received(self, exc: Exception) -> None:
         """A peer that is down shows as an error of the socket; messages may be lost, so nothing is due."""
--- a/balancer/sidecar/http_request.py
+++ b/balancer/sidecar/http_request.py
@@ -39,9 +39,9 @@
     b"upgrade",
 }
 METHODS = {
-    policy_api.Effect.SAFE: (b"GET", False),
-    policy_api.Effect.KEYED: (b"POST", True),
-    policy_api.Effect.UNSAFE: (b"POST", False),
+    policy_api.Idempotency.IDEMPOTENT: (b"GET", False),
+    policy_api.Idempotency.IDEMPOTENCY_KEY: (b"POST", True),
+    policy_api.Idempotency.NOT_IDEMPOTENT: (b"POST", False),
 }
 
 
@@ -131,7 +131,9 @@
 
     def __init__(self, config: Config) -> None:
         classes = config.settings.classes
-        self._classes = {c.name.encode(): (i, c.limit, *METHODS[c.effect]) for i, c in enumerate(classes)}
+        self._classes = {
+            c.name.encode(): (i, c.client_timeout_ns, *METHODS[c.idempotency]) for i, c in enumerate(classes)
+        }
         self._tenants = {t.name.encode(): i for i, t in enumerate(config.settings.tenants)}
 
     def check(self, head: Head, body: bytes) -> Incoming:
--- a/balancer/sidecar/upstream/connection.py
+++ b/balancer/sidecar/upstream/connection.py
@@ -14,7 +14,7 @@
 
 import httptools
 
-from balancer.policy_api import EndpointId, Health, Outcome
+from balancer.policy_api import AttemptOutcome, EndpointHealth, EndpointId
 from balancer.sidecar.configuration import SECOND, Address, Config, Host
 
 BODY_MOST = 64 * 1024
@@ -294,7 +294,9 @@
         elif rest > 0 or self._upstream.room():
             self._connect = self._upstream.loop.create_task(self._open(rest))
         else:
-            self._end(Outcome.MOOT, None)  # the lack of room is ours: it says nothing of the endpoint
+            self._end(
+                AttemptOutcome.NOT_SENT, None
+            )  # the lack of room is ours: it says nothing of the endpoint
 
     def abandon(self, outcome: int) -> None:
         """Stop waiting: the connection closes before anything else happens for the request."""
@@ -310,14 +312,14 @@
             self._upstream.outlived.add(self)
             done, self._done = self._done, None
             if done is not None:
-                done(Outcome.MOOT, None)
+                done(AttemptOutcome.NOT_SENT, None)
 
     def time_out(self) -> None:
         """Its own time is over, which may find it while it still connects."""
         if self._connect is not None:
             self.withdraw()
         else:
-            self.abandon(Outcome.MOOT if self._unsent() else Outcome.TIMEOUT)
+            self.abandon(AttemptOutcome.NOT_SENT if self._unsent() else AttemptOutcome.TIMEOUT)
 
     def outlive(self, seconds: float, freed: Callable[[], None]) -> None:
         """Stop waiting as its request is over, but let the connection live if the answer comes in this time.
@@ -327,7 +329,7 @@
         """
         # Not written, it never ran. Nor does that speak against the endpoint: the connect has time left.
         unsent = self._unsent()
-        outcome = Outcome.MOOT if self._connect is not None or unsent else Outcome.TIMEOUT
+        outcome = AttemptOutcome.NOT_SENT if self._connect is not None or unsent else AttemptOutcome.TIMEOUT
         if self._cut_off is not None:
             self._cut_off.cancel()
         if self._connection is not None and (seconds <= 0 or unsent):
@@ -349,12 +351,12 @@
 
     def _too_late(self) -> None:
         if self._unsent():
-            self.abandon(Outcome.MOOT)
+            self.abandon(AttemptOutcome.NOT_SENT)
 
     def _give_up(self) -> None:
         if self._connection is not None:
             self._connection.close()
-        self._end(Outcome.TIMEOUT, None)
+        self._end(AttemptOutcome.TIMEOUT, None)
 
     async def _open(self, rest: float) -> None:
         """Wait for a connection: one that rests, which is cheaper than a handshake, else a new one."""
@@ -375,14 +377,14 @@
             if connection is not None:
                 self._upstream.give(self._pool, connection)
         elif connection is None:
-            self._end(Outcome.MOOT if ours else Outcome.CONNECT_FAILED, None)
-        elif self._pool.health != Health.READY:
+            self._end(AttemptOutcome.NOT_SENT if ours else AttemptOutcome.CONNECT_FAILED, None)
+        elif self._pool.health != EndpointHealth.READY:
             # It began to drain or went while the connection came up: nothing new may go to it.
             connection.close()
-            self._end(Outcome.CONNECT_FAILED, None)
+            self._end(AttemptOutcome.CONNECT_FAILED, None)
         elif self._latest and self._upstream.now() >= self._latest:
             self._upstream.give(self._pool, connection)
-            self._end(Outcome.MOOT, None)
+            self._end(AttemptOutcome.NOT_SENT, None)
         else:
             self._write(connection)
 
@@ -399,7 +401,7 @@
                 return connection, ours
             if connection is not None:
                 connection.close()
-            if self._done is None or self._pool.health != Health.READY:
+            if self._done is None or self._pool.health != EndpointHealth.READY:
                 return None, False
             if not self._upstream.room():
                 return None, True
@@ -407,7 +409,7 @@
     def _write(self, connection: Connection) -> None:
         self._connection = connection
         if not connection.send(self._payload(), self._answered):
-            self._end(Outcome.CONNECT_FAILED, None)
+            self._end(AttemptOutcome.CONNECT_FAILED, None)
         elif self._latest and connection.unsent:  # its last byte must not go out later either
             seconds = max(0, self._latest - self._upstream.now()) / SECOND
             self._cut_off = self._upstream.loop.call_later(seconds, self._too_late)
@@ -434,14 +436,14 @@
 def outcome_of(answer: Answer | None) -> int:
     """What is not plainly declined or served may have run."""
     if answer is None:
-        return Outcome.RESET
+        return AttemptOutcome.CONNECTION_RESET
     if answer.status == 200:
-        return Outcome.OK
+        return AttemptOutcome.SUCCESS
     if answer.status in (503, 504) and answer.header(b"srv-declined") == b"1":
-        return Outcome.FULL
+        return AttemptOutcome.REJECTED
     if 400 <= answer.status < 500 and answer.status not in NOT_THE_REQUEST:
-        return Outcome.WRONG
-    return Outcome.ERROR
+        return AttemptOutcome.CLIENT_ERROR
+    return AttemptOutcome.SERVER_ERROR
 
 
 class Upstream:
@@ -449,7 +451,7 @@
         self.loop, self.now = loop, now
         self._idle_most = int(config.idle_limit * IDLE_SHARE)
         self._connect_timeout = config.connect_timeout / SECOND
-        self._fields = config.settings.report_fields
+        self._fields = config.settings.load_report_fields
         path = "/metrics/load" if config.reports else "/alive"
         self._probe = f"GET {path} HTTP/1.1\r\nHost: backend.local\r\n\r\n".encode()
         self._most = config.upstream_most
@@ -473,14 +475,16 @@
             if pool.dial != host.dial:
                 self._drop_idle(pool)
             pool.dial, pool.health = host.dial, host.endpoint.health
-            if pool.health != Health.READY:
+            if pool.health != EndpointHealth.READY:
                 self._drop_idle(pool)
         if whole:
             for endpoint, pool in self._pools.items():
                 if endpoint not in named:
-                    pool.health = Health.GONE
+                    pool.health = EndpointHealth.REMOVED
                     self._drop_idle(pool)
-        self._pools = {key: pool for key, pool in self._pools.items() if pool.health != Health.GONE}
+        self._pools = {
+            key: pool for key, pool in self._pools.items() if pool.health != EndpointHealth.REMOVED
+        }
 
     def disconnect(self, endpoint: EndpointId) -> None:
         if (pool := self._pools.get(endpoint)) is not None:
@@ -503,7 +507,7 @@
         """A new attempt, not yet started; None where the endpoint wants nothing new. With its connection up
         only at the clock `latest` (0: none) or after it, it is not written."""
         pool = self._pools.get(endpoint)
-        if pool is None or pool.health != Health.READY:
+        if pool is None or pool.health != EndpointHealth.READY:
             return None
         return Attempt(self, pool, payload, done, latest)
 
@@ -514,15 +518,15 @@
             timer.cancel()
             self._probes.discard(attempt)
             if answer is not None and answer.status == 503:
-                outcome = Outcome.FULL
+                outcome = AttemptOutcome.REJECTED
             done(outcome, self.now() - began, self.report(answer, body=True))
 
         attempt = self.attempt(endpoint, lambda: self._probe, ended)
         if attempt is None:
-            done(Outcome.CONNECT_FAILED, 0, ())
+            done(AttemptOutcome.CONNECT_FAILED, 0, ())
             return
         self._probes.add(attempt)
-        timer = self.loop.call_later(PROBE_TIMEOUT, attempt.abandon, Outcome.TIMEOUT)
+        timer = self.loop.call_later(PROBE_TIMEOUT, attempt.abandon, AttemptOutcome.TIMEOUT)
         attempt.start()
 
     def report(self, answer: Answer | None, body: bool = False) -> tuple[float, ...]:
@@ -563,7 +567,7 @@
         return min((c.idle_since + REST - self.now() for c in pool.idle), default=0) / SECOND
 
     def give(self, pool: Pool, connection: Connection) -> None:
-        if pool.health == Health.READY and connection.dial == pool.dial and connection.usable():
+        if pool.health == EndpointHealth.READY and connection.dial == pool.dial and connection.usable():
             connection.idle_since = now = self.now()
             pool.idle.append(connection)
             # The newest is used first, so the surplus gathers at the old end; the last one stays.
--- a/balancer/simulator/adapter.py
+++ b/balancer/simulator/adapter.py
@@ -35,7 +35,7 @@
             try:
                 if isinstance(event, wire_codec.Attach):
                     balancer = instances[number] = Balancer(wire_codec.settings(event.conf), event.seed)
-                    actions = balancer.handle(now, policy_api.Attached())
+                    actions = balancer.handle(now, policy_api.Started())
                 elif (held := instances.get(number)) is not None:
                     actions = held.handle(now, event)
                 else:
--- a/balancer/simulator/wire_codec.py
+++ b/balancer/simulator/wire_codec.py
@@ -21,14 +21,18 @@
 _A_DROP, _A_BARE, _A_FLAG = Struct("<BHQB"), Struct("<BH"), Struct("<BHB")
 _A_ENDPOINT, _A_TELL, _A_TEXT = Struct("<BH6s"), Struct("<BHHH"), Struct("<BHH")
 
-OUTCOMES = {0: 0, 13: 1, 8: 2, 4: 3, 14: 4, 10: 5, 1: 6, 9: 7}  # the wire's code: policy_api.Outcome
-LIST_KINDS = {0: 0, 2: 1, 3: 2, 4: 3}  # the wire's code: policy_api.ListKind
+OUTCOMES = {0: 0, 13: 1, 8: 2, 4: 3, 14: 4, 10: 5, 1: 6, 9: 7}  # the wire's code: policy_api.AttemptOutcome
+LIST_KINDS = {0: 0, 2: 1, 3: 2, 4: 3}  # the wire's code: policy_api.EndpointUpdateKind
 _EFFECTS = {
-    "retryable": policy_api.Effect.SAFE,
-    "dedup": policy_api.Effect.KEYED,
-    "fragile": policy_api.Effect.UNSAFE,
+    "retryable": policy_api.Idempotency.IDEMPOTENT,
+    "dedup": policy_api.Idempotency.IDEMPOTENCY_KEY,
+    "fragile": policy_api.Idempotency.NOT_IDEMPOTENT,
+}
+_SCOPES = {
+    "all": policy_api.DeduplicationScope.ALL,
+    "zone": policy_api.DeduplicationScope.ZONE,
+    "cell": policy_api.DeduplicationScope.CELL,
 }
-_SCOPES = {"all": policy_api.Scope.ALL, "zone": policy_api.Scope.ZONE, "cell": policy_api.Scope.CELL}
 _HEALTHS = (0, 1, 2)
 
 
@@ -102,17 +106,21 @@
         if kind and number not in self._lists:
             raise WireError(f"list {number} was never defined")
         entries = self._lists[number] if kind else ()
-        return at + 13, instance, policy_api.EndpointList(LIST_KINDS[kind], entries)
+        return at + 13, instance, policy_api.EndpointUpdate(LIST_KINDS[kind], entries)
 
     def _inbound(self, b: bytes, at: int) -> Any:
         instance, rid, cls, tenant, key, expires, hint, marks = _INBOUND.unpack_from(b, at)
         hint = hint if marks & 1 else 0
-        return at + 41, instance, policy_api.Request(rid, cls, tenant, key, expires, hint, bool(marks & 2))
+        return (
+            at + 41,
+            instance,
+            policy_api.RequestReceived(rid, cls, tenant, key, expires, hint, bool(marks & 2)),
+        )
 
     def _memo(self, b: bytes, at: int) -> Any:
         instance, sender, n = _MEMO.unpack_from(b, at)
         at += 8
-        return at + n, instance, policy_api.PeerMessage(sender, b[at : at + n])
+        return at + n, instance, policy_api.GossipReceived(sender, b[at : at + n])
 
     def _completed(self, b: bytes, at: int) -> Any:
         instance, rid, attempt, endpoint, status, took, over, n = _COMPLETED.unpack_from(b, at)
@@ -122,12 +130,12 @@
         return (
             at + 4 * n,
             instance,
-            policy_api.Completed(rid, attempt, endpoint, outcome, took, over != 0, report),
+            policy_api.AttemptCompleted(rid, attempt, endpoint, outcome, took, over != 0, report),
         )
 
     def _gone(self, b: bytes, at: int) -> Any:
         instance, rid = _GONE.unpack_from(b, at)
-        return at + 10, instance, policy_api.Gone(rid)
+        return at + 10, instance, policy_api.ClientDisconnected(rid)
 
     def _opened(self, b: bytes, at: int) -> Any:
         instance, rid, _, _, _ = _OPENED.unpack_from(b, at)
@@ -135,13 +143,13 @@
 
     def _ring(self, b: bytes, at: int) -> Any:
         instance, token = _RING.unpack_from(b, at)
-        return at + 10, instance, policy_api.Timer(token)
+        return at + 10, instance, policy_api.TimerFired(token)
 
     def _check(self, b: bytes, at: int) -> Any:
         instance, endpoint, status, took, n = _CHECK.unpack_from(b, at)
         at += 19
         report = _FLOATS[n].unpack_from(b, at) if n else ()
-        return at + 4 * n, instance, policy_api.Probed(endpoint, _outcome(status), took, report)
+        return at + 4 * n, instance, policy_api.HealthCheckCompleted(endpoint, _outcome(status), took, report)
 
     def _stop(self, b: bytes, at: int) -> Any:
         return at + 2, _STOP.unpack_from(b, at)[0], STOP
@@ -183,17 +191,19 @@
 
 
 _WRITERS: dict[type, Callable[[int, Any], bytes]] = {
-    policy_api.Send: lambda i, a: _A_DELIVER.pack(16, i, a.id, a.endpoint, a.timeout),
-    policy_api.Refuse: lambda i, a: _A_DECLINE.pack(17, i, a.id, a.stay_away),
-    policy_api.Fail: lambda i, a: _A_ID.pack(18, i, a.id),
-    policy_api.Cancel: lambda i, a: _A_DROP.pack(19, i, a.id, a.attempt),
-    policy_api.SetTimer: lambda i, a: _A_DECLINE.pack(20, i, a.delay, a.token),
-    policy_api.Probe: lambda i, a: _A_ENDPOINT.pack(21, i, a.endpoint),
-    policy_api.Disconnect: lambda i, a: _A_ENDPOINT.pack(22, i, a.endpoint),
-    policy_api.Tell: lambda i, a: _A_TELL.pack(23, i, a.peer & 0xFFFF, len(a.body)) + a.body,
-    policy_api.Log: lambda i, a: _text(24, i, a.text),
-    policy_api.Watch: lambda i, a: _A_FLAG.pack(26, i, a.on),
-    policy_api.Fetch: lambda i, a: _A_BARE.pack(27, i),
+    policy_api.StartAttempt: lambda i, a: _A_DELIVER.pack(16, i, a.request_id, a.endpoint_id, a.timeout_ns),
+    policy_api.RejectRequest: lambda i, a: _A_DECLINE.pack(17, i, a.request_id, a.retry_after_ns),
+    policy_api.FailRequest: lambda i, a: _A_ID.pack(18, i, a.request_id),
+    policy_api.CancelAttempt: lambda i, a: _A_DROP.pack(19, i, a.request_id, a.attempt_index),
+    policy_api.SetTimer: lambda i, a: _A_DECLINE.pack(20, i, a.delay_ns, a.token),
+    policy_api.StartHealthCheck: lambda i, a: _A_ENDPOINT.pack(21, i, a.endpoint_id),
+    policy_api.CloseIdleConnections: lambda i, a: _A_ENDPOINT.pack(22, i, a.endpoint_id),
+    policy_api.SendGossip: lambda i, a: (
+        _A_TELL.pack(23, i, a.recipient_index & 0xFFFF, len(a.payload)) + a.payload
+    ),
+    policy_api.WriteLog: lambda i, a: _text(24, i, a.text),
+    policy_api.WatchEndpoints: lambda i, a: _A_FLAG.pack(26, i, a.enabled),
+    policy_api.FetchEndpoints: lambda i, a: _A_BARE.pack(27, i),
 }
 
 
@@ -221,32 +231,32 @@
     )
     return policy_api.Settings(
         classes=classes,
-        instance=int(number(top, "Position", 0)),
-        instances=int(number(top, "NInstances", 1, low=1)),
-        zone=int(number(top, "Zone", 0)),
-        zones=max(1, len(_list(top, "Azs"))),
+        instance_index=int(number(top, "Position", 0)),
+        instance_count=int(number(top, "NInstances", 1, low=1)),
+        local_zone=int(number(top, "Zone", 0)),
+        zone_count=max(1, len(_list(top, "Azs"))),
         tenants=tenants,
-        over_share_worth=number(top, "OverShareWorth", 1),
-        discovery_on_request=top.get("Discovery") == "on_request",
-        ask_within=int(number(rules, "AskWithinNs", 10_000_000_000)),
-        cold_from=number(rules, "ColdFrom", 1),
-        cold_for=int(number(rules, "ColdNs", 0)),
-        fall_multiple=number(rules, "FallMultiple", 2),
+        over_quota_weight=number(top, "OverShareWorth", 1),
+        polls_discovery=top.get("Discovery") == "on_request",
+        discovery_poll_window_ns=int(number(rules, "AskWithinNs", 10_000_000_000)),
+        slow_start_capacity=number(rules, "ColdFrom", 1),
+        slow_start_duration_ns=int(number(rules, "ColdNs", 0)),
+        cold_overload_multiple=number(rules, "FallMultiple", 2),
         max_attempts=int(number(limits, "MaxAttempts", 1, low=1)),
-        streams=int(number(limits, "StreamsPerConn", 1, low=1)),
-        can_cancel=bool(limits.get("Cancel")),
-        parallel_tries=bool(limits.get("ParallelTries")),
-        peers=bool(limits.get("Peers")),
-        probes=bool(limits.get("Probes")),
-        retry_after_max=int(number(limits, "MaxRetryAfterNs", 0)) if limits.get("RetryAfter") else 0,
-        report_fields=() if stats.get("Via") == "off" else fields,
-        cross_price=number(prices, "CrossZone", 0),
+        streams_per_connection=int(number(limits, "StreamsPerConn", 1, low=1)),
+        attempts_can_be_cancelled=bool(limits.get("Cancel")),
+        concurrent_attempts_allowed=bool(limits.get("ParallelTries")),
+        gossip_enabled=bool(limits.get("Peers")),
+        health_checks_enabled=bool(limits.get("Probes")),
+        max_retry_after_ns=int(number(limits, "MaxRetryAfterNs", 0)) if limits.get("RetryAfter") else 0,
+        load_report_fields=() if stats.get("Via") == "off" else fields,
+        cross_zone_price=number(prices, "CrossZone", 0),
         handshake_price=number(prices, "Handshake", 0),
         connection_price=number(prices, "Connection", 0),
-        waste_price=number(prices, "Waste", 0),
-        worth_by_work=top.get("WorthBy") == "work",
-        warm_keys=bool(part(top, "Extra").get("WarmKeys")),
-        tick=int(number(top, "TickNs", 5_000_000, low=1)),
+        wasted_work_price=number(prices, "Waste", 0),
+        weight_by_work=top.get("WorthBy") == "work",
+        key_affinity=bool(part(top, "Extra").get("WarmKeys")),
+        scheduling_tick_ns=int(number(top, "TickNs", 5_000_000, low=1)),
     )
 
 
@@ -260,14 +270,14 @@
         raise WireError(f"settings: KeyScope is {scope!r}")
     return policy_api.RequestClass(
         name=str(c.get("Name", "")),
-        aim=int(number(c, "AimNs", low=1)),
-        limit=int(number(c, "HardLimitNs", low=1)),
-        worth=number(c, "Importance", 0),
-        late_worth=number(c, "LateWorth", 0),
-        effect=_EFFECTS[effect],
-        scope=_SCOPES[scope],
-        window=int(number(c, "WindowNs", 0)),
-        aim_stretch=number(c, "AimStretch", 0),
+        latency_objective_ns=int(number(c, "AimNs", low=1)),
+        client_timeout_ns=int(number(c, "HardLimitNs", low=1)),
+        priority_weight=number(c, "Importance", 0),
+        late_answer_value=number(c, "LateWorth", 0),
+        idempotency=_EFFECTS[effect],
+        deduplication_scope=_SCOPES[scope],
+        deduplication_window_ns=int(number(c, "WindowNs", 0)),
+        objective_stretch=number(c, "AimStretch", 0),
     )
 
 
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -16,7 +16,7 @@
 
 from balancer import policy_api
 from balancer.policy.balancer import Balancer
-from balancer.policy_api import Health, ListKind, Outcome
+from balancer.policy_api import AttemptOutcome, EndpointHealth, EndpointUpdateKind
 from tests.helpers import MS, SECOND, START
 
 HANDSHAKE_WORK = 25 * MS
@@ -47,9 +47,12 @@
 
     def warmth(self, now: int, config: policy_api.Settings) -> float:
         age = now - self.started
-        if not self.started or age >= config.cold_for:
+        if not self.started or age >= config.slow_start_duration_ns:
             return 1.0
-        return config.cold_from + (1 - config.cold_from) * max(age, 0) / config.cold_for
+        return (
+            config.slow_start_capacity
+            + (1 - config.slow_start_capacity) * max(age, 0) / config.slow_start_duration_ns
+        )
 
 
 @dataclass
@@ -70,7 +73,9 @@
 
     def __init__(self, fleet: Fleet, instance: int, zone: int) -> None:
         self.fleet, self.instance = fleet, instance
-        self.config = replace(fleet.config, instance=instance, instances=fleet.instances, zone=zone)
+        self.config = replace(
+            fleet.config, instance_index=instance, instance_count=fleet.instances, local_zone=zone
+        )
         self.idle: dict[bytes, list[int]] = defaultdict(list)  # since when each connection stands idle
         self.calls: dict[int, tuple[Call, int]] = {}  # by request: the call, and when its time is up
         self.start()
@@ -83,28 +88,35 @@
         self.life = next(self.fleet.lives)
         self.balancer = Balancer(self.config, self.fleet.rng.getrandbits(32))
         self.attempts: dict[int, int] = {}  # the attempt that is out, by request
-        self.give(policy_api.Attached())
-        self.give(policy_api.EndpointList(ListKind.CACHED, tuple(map(self.fleet.entry, self.fleet.servers))))
+        self.give(policy_api.Started())
+        self.give(
+            policy_api.EndpointUpdate(
+                EndpointUpdateKind.CACHED, tuple(map(self.fleet.entry, self.fleet.servers))
+            )
+        )
 
     def give(self, event: policy_api.Event) -> None:
         for action in self.balancer.handle(self.fleet.now, event):
             self.carry_out(action)
 
     def carry_out(self, action: policy_api.Action) -> None:
-        if isinstance(action, policy_api.Send):
+        if isinstance(action, policy_api.StartAttempt):
             self.send(action)
-        elif isinstance(action, policy_api.Refuse | policy_api.Fail):
-            call, _ = self.calls.pop(action.id)
+        elif isinstance(action, policy_api.RejectRequest | policy_api.FailRequest):
+            call, _ = self.calls.pop(action.request_id)
             self.fleet.unserved(self, call, action)
         elif isinstance(action, policy_api.SetTimer):
-            self.after(action.delay, partial(self.give, policy_api.Timer(action.token)))
-        elif isinstance(action, policy_api.Probe):
-            up = self.fleet.by_id[action.endpoint].up
-            outcome = Outcome.OK if up else Outcome.CONNECT_FAILED
-            self.after(2 * HOP, partial(self.give, policy_api.Probed(action.endpoint, outcome, 2 * HOP, ())))
-        elif isinstance(action, policy_api.Disconnect):
-            server = self.fleet.by_id[action.endpoint]
-            server.connections -= len(self.idle.pop(action.endpoint, ()))
+            self.after(action.delay_ns, partial(self.give, policy_api.TimerFired(action.token)))
+        elif isinstance(action, policy_api.StartHealthCheck):
+            up = self.fleet.by_id[action.endpoint_id].up
+            outcome = AttemptOutcome.SUCCESS if up else AttemptOutcome.CONNECT_FAILED
+            self.after(
+                2 * HOP,
+                partial(self.give, policy_api.HealthCheckCompleted(action.endpoint_id, outcome, 2 * HOP, ())),
+            )
+        elif isinstance(action, policy_api.CloseIdleConnections):
+            server = self.fleet.by_id[action.endpoint_id]
+            server.connections -= len(self.idle.pop(action.endpoint_id, ()))
 
     def after(self, delay: int, do: Callable[[], None]) -> None:
         life = self.life
@@ -114,7 +126,7 @@
         number = next(self.fleet.numbers)
         expires = min(call.deadline, self.fleet.now + self.fleet.patience)
         self.calls[number] = call, expires
-        self.give(policy_api.Request(number, 0, 0, call.key, expires, 0, False))
+        self.give(policy_api.RequestReceived(number, 0, 0, call.key, expires, 0, False))
 
     def connected(self, server: Server) -> bool | None:
         """Whether a request finds a connection (True), opens one (False), or is refused one (None)."""
@@ -133,54 +145,62 @@
         server.most = max(server.most, server.connections)
         return False
 
-    def send(self, action: policy_api.Send) -> None:
-        call, expires = self.calls[action.id]
-        server, begun = self.fleet.by_id[action.endpoint], self.fleet.now
+    def send(self, action: policy_api.StartAttempt) -> None:
+        call, expires = self.calls[action.request_id]
+        server, begun = self.fleet.by_id[action.endpoint_id], self.fleet.now
         number = next(self.fleet.numbers)
-        self.attempts[action.id] = number
+        self.attempts[action.request_id] = number
         server.sent.append(begun)
         life = self.life
 
         def end(outcome: int) -> None:
             alive = life == self.life
-            if alive and outcome == Outcome.OK:
+            if alive and outcome == AttemptOutcome.SUCCESS:
                 self.idle[server.id].append(self.fleet.now)
-            elif outcome != Outcome.CONNECT_FAILED:
+            elif outcome != AttemptOutcome.CONNECT_FAILED:
                 server.connections -= 1
-            if not alive or self.attempts.get(action.id) != number:
+            if not alive or self.attempts.get(action.request_id) != number:
                 return
-            del self.attempts[action.id]
-            over = outcome == Outcome.OK and self.calls.pop(action.id, None) is not None
+            del self.attempts[action.request_id]
+            over = outcome == AttemptOutcome.SUCCESS and self.calls.pop(action.request_id, None) is not None
             if over:
                 call.served = self.fleet.now
             took = self.fleet.now - begun
-            self.give(policy_api.Completed(action.id, 0, action.endpoint, outcome, took, over, ()))
+            self.give(
+                policy_api.AttemptCompleted(action.request_id, 0, action.endpoint_id, outcome, took, over, ())
+            )
 
         def late() -> None:
-            if self.attempts.get(action.id) == number:
-                del self.attempts[action.id]  # its connection is closed when the server is done with it
+            if self.attempts.get(action.request_id) == number:
+                del self.attempts[
+                    action.request_id
+                ]  # its connection is closed when the server is done with it
                 took = self.fleet.now - begun
                 self.give(
-                    policy_api.Completed(action.id, 0, action.endpoint, Outcome.TIMEOUT, took, False, ())
+                    policy_api.AttemptCompleted(
+                        action.request_id, 0, action.endpoint_id, AttemptOutcome.TIMEOUT, took, False, ()
+                    )
                 )
 
         found = self.connected(server)
         if found is None:
-            self.after(2 * HOP, lambda: end(Outcome.CONNECT_FAILED))
+            self.after(2 * HOP, lambda: end(AttemptOutcome.CONNECT_FAILED))
             return
         if not found:
             self.fleet.work(server, HANDSHAKE_WORK, None)
-        hop = HOP if server.zone == self.config.zone else 8 * HOP
-        wait = min(expires - begun, action.timeout or expires - begun)
+        hop = HOP if server.zone == self.config.local_zone else 8 * HOP
+        wait = min(expires - begun, action.timeout_ns or expires - begun)
         self.after(wait, late)
 
         def arrive() -> None:
             if not server.up:
                 return  # silence: the time-out ends it
             if len(server.queue) >= server.queue_most:
-                self.fleet.after(hop, lambda: end(Outcome.FULL))
+                self.fleet.after(hop, lambda: end(AttemptOutcome.REJECTED))
             else:
-                self.fleet.work(server, call.work, lambda: self.fleet.after(hop, lambda: end(Outcome.OK)))
+                self.fleet.work(
+                    server, call.work, lambda: self.fleet.after(hop, lambda: end(AttemptOutcome.SUCCESS))
+                )
 
         self.fleet.after(hop if found else 3 * hop, arrive)
 
@@ -193,11 +213,11 @@
         self.now, self.numbers, self.lives = START, count(1), count(1)
         self.servers = list(servers)
         self.by_id = {server.id: server for server in self.servers}
-        self.patience = config.classes[0].limit
+        self.patience = config.classes[0].client_timeout_ns
         self.retries = 0  # further tries of a client that is refused
         self.calls: list[Call] = []
         self.queue: list[tuple[int, int, Callable[[], None]]] = []
-        self.sidecars = [Sidecar(self, number, number % config.zones) for number in range(sidecars)]
+        self.sidecars = [Sidecar(self, number, number % config.zone_count) for number in range(sidecars)]
         # Some send several times as much as others.
         self.weights = [self.rng.expovariate(1) + 0.25 for _ in self.sidecars]
 
@@ -223,18 +243,18 @@
             begun = START + int(at * SECOND)
             key = 1 + int(keys * self.rng.random() ** 2)
             drawn = int(work * min(4.0, self.rng.expovariate(1)))
-            call = Call(begun, key, drawn, begun + self.config.classes[0].limit)
+            call = Call(begun, key, drawn, begun + self.config.classes[0].client_timeout_ns)
             self.calls.append(call)
             self.at(at, partial(sidecar.ask, call))
 
-    def entry(self, server: Server, health: int = Health.READY) -> policy_api.Endpoint:
+    def entry(self, server: Server, health: int = EndpointHealth.READY) -> policy_api.Endpoint:
         return policy_api.Endpoint(server.id, server.zone, 0, 0, health, 1.0, server.started)
 
     def tell(self, servers: Iterable[Server]) -> None:
         """All sidecars hear of these at once."""
         entries = tuple(map(self.entry, servers))
         for sidecar in self.sidecars:
-            sidecar.give(policy_api.EndpointList(ListKind.DELTA, entries))
+            sidecar.give(policy_api.EndpointUpdate(EndpointUpdateKind.DELTA, entries))
 
     def restart(self, servers: Iterable[Server]) -> None:
         """Come back cold, and be told of."""
@@ -244,14 +264,16 @@
             server.sent.clear()
         self.tell(chosen)
 
-    def unserved(self, sidecar: Sidecar, call: Call, action: policy_api.Refuse | policy_api.Fail) -> None:
-        if isinstance(action, policy_api.Refuse) and call.tries <= self.retries:
+    def unserved(
+        self, sidecar: Sidecar, call: Call, action: policy_api.RejectRequest | policy_api.FailRequest
+    ) -> None:
+        if isinstance(action, policy_api.RejectRequest) and call.tries <= self.retries:
             call.tries += 1
-            wait = max(action.stay_away, self.rng.randrange(100 * MS, 400 * MS))
+            wait = max(action.retry_after_ns, self.rng.randrange(100 * MS, 400 * MS))
             if self.now + wait < call.deadline:
                 sidecar.after(wait, lambda: sidecar.ask(call))
                 return
-        call.refused = isinstance(action, policy_api.Refuse)
+        call.refused = isinstance(action, policy_api.RejectRequest)
 
     def work(self, server: Server, work: int, done: Callable[[], None] | None) -> None:
         if server.busy >= server.cores:
@@ -272,7 +294,7 @@
         """The share of the calls of these seconds that was answered within the aim."""
         first, last = START + int(since * SECOND), START + int(until * SECOND)
         calls = [call for call in self.calls if first <= call.arrived < last]
-        aim = self.config.classes[0].aim
+        aim = self.config.classes[0].latency_objective_ns
         return sum(call.served > 0 and call.served - call.arrived <= aim for call in calls) / max(
             1, len(calls)
         )
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -14,7 +14,7 @@
 
 def test_idle_members_come_first() -> None:
     b = Bench(settings(), servers=20)
-    size = len({b.sent().endpoint for _ in range(balance.SUBSET_FREE)})
+    size = len({b.sent().endpoint_id for _ in range(balance.SUBSET_FREE)})
     assert size == balance.SUBSET_FREE
 
 
@@ -32,7 +32,7 @@
 
 def test_a_burst_within_a_cycle_grows_the_subset_at_once() -> None:
     b = Bench(settings(connection_price=0.05), servers=40)
-    used = Counter(b.sent().endpoint for _ in range(40))  # as at a start: nothing has been answered yet
+    used = Counter(b.sent().endpoint_id for _ in range(40))  # as at a start: nothing has been answered yet
     assert len(used) > 3 * balance.SUBSET_LEAST and max(used.values()) <= 4, used
 
 
@@ -42,8 +42,9 @@
     before = {m.id for m in b.balancer.subset[0]}
     gone = next(iter(before))
     b.give(
-        policy_api.EndpointList(
-            policy_api.ListKind.DELTA, (endpoint(int.from_bytes(gone, "little"), policy_api.Health.GONE),)
+        policy_api.EndpointUpdate(
+            policy_api.EndpointUpdateKind.DELTA,
+            (endpoint(int.from_bytes(gone, "little"), policy_api.EndpointHealth.REMOVED),),
         )
     )
     b.sent()
@@ -59,11 +60,17 @@
     for _ in range(400):
         b.now += 20 * MS
         send = b.sent()
-        drawn[send.endpoint] += 1
-        took = 2 * MS if send.endpoint == bad else 60 * MS
-        b.answer(send, policy_api.Outcome.ERROR if send.endpoint == bad else policy_api.Outcome.OK, took)
-        if send.endpoint == bad:
-            b.give(policy_api.Gone(send.id))
+        drawn[send.endpoint_id] += 1
+        took = 2 * MS if send.endpoint_id == bad else 60 * MS
+        b.answer(
+            send,
+            policy_api.AttemptOutcome.SERVER_ERROR
+            if send.endpoint_id == bad
+            else policy_api.AttemptOutcome.SUCCESS,
+            took,
+        )
+        if send.endpoint_id == bad:
+            b.give(policy_api.ClientDisconnected(send.request_id))
     assert drawn[bad] < 400 / 8 / 3, drawn
 
 
@@ -74,20 +81,28 @@
     for _ in range(40):
         b.now += 50 * MS
         send = b.sent()
-        b.answer(send, policy_api.Outcome.ERROR if send.endpoint == bad else policy_api.Outcome.OK)
-        if send.endpoint == bad:
-            b.give(policy_api.Gone(send.id))
+        b.answer(
+            send,
+            policy_api.AttemptOutcome.SERVER_ERROR
+            if send.endpoint_id == bad
+            else policy_api.AttemptOutcome.SUCCESS,
+        )
+        if send.endpoint_id == bad:
+            b.give(policy_api.ClientDisconnected(send.request_id))
     b.now += 2 * SECOND  # longer than it takes to be ejected for not serving
     member = b.balancer.members[bad]
     for _ in range(12):
         b.balancer.learn(
-            member, policy_api.Completed(0, 0, bad, policy_api.Outcome.ERROR, 5 * MS, True, ()), None, b.now
+            member,
+            policy_api.AttemptCompleted(0, 0, bad, policy_api.AttemptOutcome.SERVER_ERROR, 5 * MS, True, ()),
+            None,
+            b.now,
         )
     assert member.out_until <= b.now
     b.tick()
-    first = [b.sent().endpoint for _ in range(12)]
+    first = [b.sent().endpoint_id for _ in range(12)]
     assert bad not in first
-    assert bad in [b.sent().endpoint for _ in range(300)]
+    assert bad in [b.sent().endpoint_id for _ in range(300)]
 
 
 def test_of_idle_members_the_quickest_is_taken() -> None:
@@ -95,13 +110,13 @@
     quick = (5).to_bytes(6, "little")
     for _ in range(2):  # with the first answers the mean of the class is known, with the next each one's pace
         out = [b.sent() for _ in range(8)]
-        assert len({send.endpoint for send in out}) == 8
+        assert len({send.endpoint_id for send in out}) == 8
         for send in out:
-            b.answer(send, took=20 * MS if send.endpoint == quick else 60 * MS)
+            b.answer(send, took=20 * MS if send.endpoint_id == quick else 60 * MS)
         b.tick()
     for _ in range(20):
         send = b.sent()
-        assert send.endpoint == quick
+        assert send.endpoint_id == quick
         b.answer(send, took=20 * MS)
 
 
@@ -113,8 +128,8 @@
         if i % 10 == 0:
             b.tick(0.25)
         send = b.sent()
-        drawn[send.endpoint] += 1
-        b.answer(send, took=300 * MS if send.endpoint == slow else 60 * MS)
+        drawn[send.endpoint_id] += 1
+        b.answer(send, took=300 * MS if send.endpoint_id == slow else 60 * MS)
     assert drawn[slow] < 600 / 8 / 2 and len(drawn) == 8
 
 
@@ -124,9 +139,9 @@
     for _ in range(300):
         b.now += 5 * MS
         action = b.ask()
-        if isinstance(action, policy_api.Send):
-            b.answer(action, policy_api.Outcome.CONNECT_FAILED, 3 * MS)
-    assert isinstance(b.ask(), policy_api.Send)
+        if isinstance(action, policy_api.StartAttempt):
+            b.answer(action, policy_api.AttemptOutcome.CONNECT_FAILED, 3 * MS)
+    assert isinstance(b.ask(), policy_api.StartAttempt)
     assert len(b.balancer.subset[0]) >= balance.SUBSET_FREE // 2
 
 
@@ -137,7 +152,7 @@
     b.tick()
     assert b.balancer.size() > 2 * 8
     for send in sends:
-        b.answer(send, policy_api.Outcome.RESET)
+        b.answer(send, policy_api.AttemptOutcome.CONNECTION_RESET)
     assert sum(m.out_until > b.now for m in b.balancer.members.values()) > 4
     b.balancer.refill(b.now)
     assert len(b.balancer.subset[0]) == 4
@@ -148,25 +163,36 @@
     one = (1).to_bytes(6, "little")
     out = b.balancer.members[one]
     for _ in range(20):
-        for outcome in (policy_api.Outcome.OK, policy_api.Outcome.RESET):
+        for outcome in (policy_api.AttemptOutcome.SUCCESS, policy_api.AttemptOutcome.CONNECTION_RESET):
             b.now += 10 * MS
-            b.balancer.learn(out, policy_api.Completed(0, 0, one, outcome, 10 * MS, False, ()), None, b.now)
+            b.balancer.learn(
+                out, policy_api.AttemptCompleted(0, 0, one, outcome, 10 * MS, False, ()), None, b.now
+            )
         assert not out.out_until
     for _ in range(balance.FAILS_TO_EJECT):  # in part it fails often, at hundreds of requests a second
         b.balancer.learn(
-            out, policy_api.Completed(0, 0, one, policy_api.Outcome.ERROR, MS, False, ()), None, b.now
+            out,
+            policy_api.AttemptCompleted(0, 0, one, policy_api.AttemptOutcome.SERVER_ERROR, MS, False, ()),
+            None,
+            b.now,
         )
     assert not out.out_until
     for _ in range(balance.FAILS_TO_EJECT):
         b.now += balance.PROVEN
         b.balancer.learn(
-            out, policy_api.Completed(0, 0, one, policy_api.Outcome.RESET, MS, False, ()), None, b.now
+            out,
+            policy_api.AttemptCompleted(0, 0, one, policy_api.AttemptOutcome.CONNECTION_RESET, MS, False, ()),
+            None,
+            b.now,
         )
     assert out.out_until > b.now
     b.now += HOUR
     out.out_until = out.streak = 0  # silent since: a break is all that is known of it
     b.balancer.learn(
-        out, policy_api.Completed(0, 0, one, policy_api.Outcome.RESET, MS, False, ()), None, b.now
+        out,
+        policy_api.AttemptCompleted(0, 0, one, policy_api.AttemptOutcome.CONNECTION_RESET, MS, False, ()),
+        None,
+        b.now,
     )
     assert out.out_until > b.now
 
@@ -176,15 +202,21 @@
 
     def row(usual: bool) -> int:
         """How many in a row eject a member that served a second ago."""
-        b = Bench(settings(request_class(late_worth=0.5), max_attempts=1), servers=8)
+        b = Bench(settings(request_class(late_answer_value=0.5), max_attempts=1), servers=8)
         for turn in range(400):
             b.now += 20 * MS
             broke = usual and turn % 3 == 0
-            b.answer(b.sent(), policy_api.Outcome.CONNECT_FAILED if broke else policy_api.Outcome.OK, 15 * MS)
+            b.answer(
+                b.sent(),
+                policy_api.AttemptOutcome.CONNECT_FAILED if broke else policy_api.AttemptOutcome.SUCCESS,
+                15 * MS,
+            )
         [member] = [m for m in b.balancer.members.values() if m.id == (1).to_bytes(6, "little")]
         member.ejections = member.out_until = member.streak = 0
         member.good, b.now = b.now, b.now + SECOND
-        lost = policy_api.Completed(0, 0, member.id, policy_api.Outcome.CONNECT_FAILED, 150 * MS, False, ())
+        lost = policy_api.AttemptCompleted(
+            0, 0, member.id, policy_api.AttemptOutcome.CONNECT_FAILED, 150 * MS, False, ()
+        )
         for count in range(1, 9):
             b.balancer.learn(member, lost, None, b.now)
             if member.out_until > b.now:
@@ -200,14 +232,14 @@
     b = Bench(settings(), servers=8)
     one = (1).to_bytes(6, "little")
     drains = b.balancer.members[one]
-    turned_away = policy_api.Completed(0, 0, one, policy_api.Outcome.FULL, MS, False, ())
+    turned_away = policy_api.AttemptCompleted(0, 0, one, policy_api.AttemptOutcome.REJECTED, MS, False, ())
     b.now += SECOND
     for _ in range(balance.FULL_TO_EJECT):
         assert not drains.out_until
         b.balancer.learn(drains, turned_away, None, b.now)
     assert drains.out_until > b.now
     send = b.sent()
-    b.balancer.learn(drains, turned_away, b.balancer.pending[send.id], b.now)
+    b.balancer.learn(drains, turned_away, b.balancer.pending[send.request_id], b.now)
     assert sum(e[balance.SEEN] for e in b.balancer.evidence) == 0
 
 
@@ -218,12 +250,12 @@
     for _ in range(8):
         b.answer(b.sent())
     bad.fails, bad.heard, b.balancer.mean = 0.6, b.now, [50 * MS]
-    drawn = Counter(b.sent().endpoint for _ in range(12))
+    drawn = Counter(b.sent().endpoint_id for _ in range(12))
     assert drawn[bad.id] <= 1, drawn
 
 
 def test_what_can_not_be_tried_again_keeps_away_from_members_that_fail_in_part() -> None:
-    unsafe = request_class(effect=policy_api.Effect.UNSAFE)
+    unsafe = request_class(idempotency=policy_api.Idempotency.NOT_IDEMPOTENT)
     b = Bench(settings(request_class(), unsafe), servers=4)
     one = b.balancer.members[(1).to_bytes(6, "little")]
     one.fails, one.heard = 0.3, b.now
@@ -233,16 +265,22 @@
 def test_nothing_new_goes_to_a_draining_or_gone_endpoint() -> None:
     b = Bench(settings(), servers=2)
     one, two = (n.to_bytes(6, "little") for n in (1, 2))
-    b.give(policy_api.EndpointList(policy_api.ListKind.DELTA, (endpoint(1, policy_api.Health.DRAINING),)))
-    assert {b.sent().endpoint for _ in range(20)} == {two}
-    b.list_of(endpoint(1), kind=policy_api.ListKind.FULL)  # two is missing from a complete list: gone
-    assert {b.sent().endpoint for _ in range(20)} == {one}
-    b.list_of(kind=policy_api.ListKind.FULL)
-    assert isinstance(b.ask(), policy_api.Refuse)
+    b.give(
+        policy_api.EndpointUpdate(
+            policy_api.EndpointUpdateKind.DELTA, (endpoint(1, policy_api.EndpointHealth.DRAINING),)
+        )
+    )
+    assert {b.sent().endpoint_id for _ in range(20)} == {two}
+    b.list_of(
+        endpoint(1), kind=policy_api.EndpointUpdateKind.SNAPSHOT
+    )  # two is missing from a complete list: gone
+    assert {b.sent().endpoint_id for _ in range(20)} == {one}
+    b.list_of(kind=policy_api.EndpointUpdateKind.SNAPSHOT)
+    assert isinstance(b.ask(), policy_api.RejectRequest)
 
 
 def test_a_silent_member_goes_out_and_a_probe_brings_it_back() -> None:
-    b = Bench(settings(probes=True, peers=True, instances=2), servers=4)
+    b = Bench(settings(health_checks_enabled=True, gossip_enabled=True, instance_count=2), servers=4)
     silent = b.balancer.members[(1).to_bytes(6, "little")]
     silent.inflight, silent.quiet = balance.SILENT_LEAST, b.now
     b.tick()
@@ -253,13 +291,13 @@
     while not probed:
         b.balancer.refill(b.now)
         assert silent not in b.balancer.subset[0]
-        probed = [a for a in b.tick(0.1) if isinstance(a, policy_api.Probe)]
-    assert probed == [policy_api.Probe(silent.id)]
-    b.give(policy_api.Probed(silent.id, policy_api.Outcome.TIMEOUT, 500 * MS, ()))
+        probed = [a for a in b.tick(0.1) if isinstance(a, policy_api.StartHealthCheck)]
+    assert probed == [policy_api.StartHealthCheck(silent.id)]
+    b.give(policy_api.HealthCheckCompleted(silent.id, policy_api.AttemptOutcome.TIMEOUT, 500 * MS, ()))
     assert silent.out_until > b.now + balance.EJECT_FIRST
-    while not [a for a in b.tick(0.1) if isinstance(a, policy_api.Probe)]:
+    while not [a for a in b.tick(0.1) if isinstance(a, policy_api.StartHealthCheck)]:
         pass
-    b.give(policy_api.Probed(silent.id, policy_api.Outcome.OK, 5 * MS, ()))
+    b.give(policy_api.HealthCheckCompleted(silent.id, policy_api.AttemptOutcome.SUCCESS, 5 * MS, ()))
     b.balancer.refill(b.now)
     assert silent in b.balancer.subset[0]
 
@@ -270,16 +308,16 @@
         b.answer(b.sent())
     b.tick()
     send, other = b.sent(), b.sent()
-    b.balancer.members[send.endpoint].out_until = b.now + 9 * SECOND
+    b.balancer.members[send.endpoint_id].out_until = b.now + 9 * SECOND
     b.now += SECOND
     b.balancer.cycle(b.now)
-    assert not b.balancer.pending[send.id].counted and b.balancer.pending[other.id].counted
+    assert not b.balancer.pending[send.request_id].counted and b.balancer.pending[other.request_id].counted
 
 
 def test_a_gone_member_is_forgotten_with_its_last_attempt() -> None:
     b = Bench(settings(), servers=2)
     sends = [b.sent() for _ in range(4)]
-    b.list_of(kind=policy_api.ListKind.FULL)
+    b.list_of(kind=policy_api.EndpointUpdateKind.SNAPSHOT)
     assert len(b.balancer.members) == 2
     for send in sends:
         b.answer(send)
@@ -289,18 +327,18 @@
 def answered(b: Bench) -> bytes:
     """One request, answered at once where it is sent."""
     action = b.ask()
-    if not isinstance(action, policy_api.Send):
+    if not isinstance(action, policy_api.StartAttempt):
         return b""
     b.answer(action)
-    return action.endpoint
+    return action.endpoint_id
 
 
 def test_a_cold_endpoint_gets_its_warmth_of_what_a_warm_one_answers() -> None:
     """Many independent sidecars together must not push over an endpoint that has just started."""
     sent = Counter[bool]()
     for seed in range(100):
-        b = Bench(settings(instance=seed, instances=100), servers=0, seed=seed)
-        b.list_of(*(endpoint(n, started=START - SECOND if n == 1 else 0) for n in range(1, 9)))
+        b = Bench(settings(instance_index=seed, instance_count=100), servers=0, seed=seed)
+        b.list_of(*(endpoint(n, started_at_ns=START - SECOND if n == 1 else 0) for n in range(1, 9)))
         for _ in range(40):
             sent[answered(b) == (1).to_bytes(6, "little")] += 1
     fair, warmth = 4000 / 8, 0.3 + 0.7 / 8
@@ -309,7 +347,7 @@
 
 def test_with_no_warm_member_cold_ones_get_a_trickle() -> None:
     odd = Bench(settings(), servers=0)
-    odd.list_of(endpoint(1, started=START + 9 * SECOND))  # a start in the future: just started
+    odd.list_of(endpoint(1, started_at_ns=START + 9 * SECOND))  # a start in the future: just started
     assert not answered(odd)  # and none at once, as all sidecars would
     sent = 0
     for _ in range(12):
@@ -324,12 +362,15 @@
         for _ in range(8):
             answered(b)
         b.tick(0.25)
-    b.list_of(*(endpoint(n, started=b.now if n == 1 else 0) for n in range(1, 9)))
+    b.list_of(*(endpoint(n, started_at_ns=b.now if n == 1 else 0) for n in range(1, 9)))
     cold = 0
     for turn in range(16):  # four seconds in which no warm one answers
         b.tick(0.25)
         for key in range(1, 21):  # of many users, so that the cut lets some pass
-            if isinstance(send := b.ask(key=100 * turn + key), policy_api.Send) and send.endpoint[0] == 1:
+            if (
+                isinstance(send := b.ask(key=100 * turn + key), policy_api.StartAttempt)
+                and send.endpoint_id[0] == 1
+            ):
                 cold += 1
                 b.answer(send)
     warmth = 0.3 + 0.7 / 4  # on the mean of this time
@@ -341,74 +382,76 @@
     b = Bench(settings(), servers=8)
     for _ in range(100):
         answered(b)
-    b.list_of(*(endpoint(n, started=b.now if n < 5 else 0) for n in range(1, 9)))
+    b.list_of(*(endpoint(n, started_at_ns=b.now if n < 5 else 0) for n in range(1, 9)))
     assert answered(b)[0] >= 5
 
 
 def test_a_storm_that_is_not_answered_earns_cold_members_nothing() -> None:
     """A part of what is sent, in a storm of retries, was four times what cold servers could do."""
-    b = Bench(settings(request_class(late_worth=0.5), max_attempts=1), servers=0)
-    b.list_of(*(endpoint(n, started=START - SECOND if n == 1 else 0) for n in range(1, 9)))
+    b = Bench(settings(request_class(late_answer_value=0.5), max_attempts=1), servers=0)
+    b.list_of(*(endpoint(n, started_at_ns=START - SECOND if n == 1 else 0) for n in range(1, 9)))
     for _ in range(400):
-        if isinstance(send := b.ask(), policy_api.Send):
-            assert send.endpoint[0] != 1
-            b.answer(send, policy_api.Outcome.FULL, MS)
+        if isinstance(send := b.ask(), policy_api.StartAttempt):
+            assert send.endpoint_id[0] != 1
+            b.answer(send, policy_api.AttemptOutcome.REJECTED, MS)
 
 
 def test_a_restart_forgets_what_was_known() -> None:
     b = Bench(settings(), servers=1)
     member = next(iter(b.balancer.members.values()))
-    b.answer(b.sent(), policy_api.Outcome.ERROR)
+    b.answer(b.sent(), policy_api.AttemptOutcome.SERVER_ERROR)
     assert member.fails > 0
-    b.give(policy_api.EndpointList(policy_api.ListKind.DELTA, (endpoint(1, started=b.now),)))
+    b.give(
+        policy_api.EndpointUpdate(policy_api.EndpointUpdateKind.DELTA, (endpoint(1, started_at_ns=b.now),))
+    )
     assert member.fails == 0 and not member.heard
 
 
 def test_zones_local_first_and_crossing_only_for_enough_worth() -> None:
-    cheap, dear = request_class(worth=1.0), request_class(worth=9.0)
-    b = Bench(settings(cheap, dear, zones=2, cross_price=0.4), servers=0)
+    cheap, dear = request_class(priority_weight=1.0), request_class(priority_weight=9.0)
+    b = Bench(settings(cheap, dear, zone_count=2, cross_zone_price=0.4), servers=0)
     b.list_of(*(endpoint(n, zone=n % 2) for n in range(1, 17)))
-    assert all(b.sent(1).endpoint[0] % 2 == 0 for _ in range(8))
+    assert all(b.sent(1).endpoint_id[0] % 2 == 0 for _ in range(8))
     b.balancer.crossing = 1.0
-    assert all(b.sent(1).endpoint[0] % 2 == 1 for _ in range(8))
-    assert all(b.sent(0).endpoint[0] % 2 == 0 for _ in range(8))  # not worth its crossing
+    assert all(b.sent(1).endpoint_id[0] % 2 == 1 for _ in range(8))
+    assert all(b.sent(0).endpoint_id[0] % 2 == 0 for _ in range(8))  # not worth its crossing
 
 
 def test_far_members_that_hold_less_take_what_the_near_ones_would_queue() -> None:
     """Two near servers once held eighty requests, up to the connections they take, while seven idled."""
-    b = Bench(settings(zones=2, cross_price=0.016, connection_price=0.06), servers=0)
+    b = Bench(settings(zone_count=2, cross_zone_price=0.016, connection_price=0.06), servers=0)
     b.list_of(*(endpoint(n, zone=int(n > 2)) for n in range(1, 10)))
-    near = [b.sent().endpoint[0] <= 2 for _ in range(45)]
+    near = [b.sent().endpoint_id[0] <= 2 for _ in range(45)]
     assert all(near[:2])  # idle ones at home come first
     assert 8 <= sum(near) <= 12
     assert max(m.inflight for m in b.balancer.members.values()) <= 6
 
 
 def test_a_crossing_that_costs_much_waits_for_a_larger_difference() -> None:
-    b = Bench(settings(zones=2, cross_price=0.3), servers=0)
+    b = Bench(settings(zone_count=2, cross_zone_price=0.3), servers=0)
     b.list_of(*(endpoint(n, zone=int(n > 2)) for n in range(1, 10)))
-    assert all(b.sent().endpoint[0] <= 2 for _ in range(6))
-    assert not all(b.sent().endpoint[0] <= 2 for _ in range(6))
+    assert all(b.sent().endpoint_id[0] <= 2 for _ in range(6))
+    assert not all(b.sent().endpoint_id[0] <= 2 for _ in range(6))
 
 
 def test_discovery_is_asked_in_time_and_again_after_a_failure() -> None:
-    b = Bench(settings(discovery_on_request=True, ask_within=10 * SECOND))
+    b = Bench(settings(polls_discovery=True, discovery_poll_window_ns=10 * SECOND))
     asked: list[int] = []
     for _ in range(80):
-        if any(isinstance(a, policy_api.Watch) for a in b.tick(0.25)):
+        if any(isinstance(a, policy_api.WatchEndpoints) for a in b.tick(0.25)):
             asked.append(b.now)
-            b.give(policy_api.EndpointList(policy_api.ListKind.FAILED, ()))
+            b.give(policy_api.EndpointUpdate(policy_api.EndpointUpdateKind.DISCOVERY_FAILED, ()))
     gaps = [later - earlier for earlier, later in zip([START, *asked], asked, strict=False)]
     assert len(asked) >= 3 and max(gaps) < 10 * SECOND
-    b.give(policy_api.EndpointList(policy_api.ListKind.DELTA, ()))
-    assert not any(isinstance(a, policy_api.Watch) for _ in range(60) for a in b.tick(0.25))
+    b.give(policy_api.EndpointUpdate(policy_api.EndpointUpdateKind.DELTA, ()))
+    assert not any(isinstance(a, policy_api.WatchEndpoints) for _ in range(60) for a in b.tick(0.25))
 
 
 def test_first_subscriptions_are_spread() -> None:
     first = set()
     for seed in range(20):
-        b = Bench(settings(discovery_on_request=True), seed=seed)
-        while not any(isinstance(a, policy_api.Watch) for a in b.tick(0.25)):
+        b = Bench(settings(polls_discovery=True), seed=seed)
+        while not any(isinstance(a, policy_api.WatchEndpoints) for a in b.tick(0.25)):
             pass
         first.add(b.now)
     assert len(first) > 5
@@ -436,8 +479,12 @@
     """After a bulk restart most of a subset is cold; draws among the rest sent one six times too much."""
     sent = Counter[int]()
     for seed in range(100):
-        b = Bench(settings(instance=seed, instances=100, fall_multiple=2.5), servers=0, seed=seed)
-        b.list_of(*(endpoint(n, started=START - SECOND if n <= 6 else 0) for n in range(1, 9)))
+        b = Bench(
+            settings(instance_index=seed, instance_count=100, cold_overload_multiple=2.5),
+            servers=0,
+            seed=seed,
+        )
+        b.list_of(*(endpoint(n, started_at_ns=START - SECOND if n <= 6 else 0) for n in range(1, 9)))
         for _ in range(12):
             sent[int.from_bytes(answered(b), "little")] += 1
     fair = 1200 * (0.3 + 0.7 / 8) / 2  # all goes to the two warm ones or by what they answer
@@ -446,26 +493,26 @@
 
 
 def test_a_cold_endpoint_gets_no_further_attempts() -> None:
-    b = Bench(settings(request_class(late_worth=0.5)), servers=0)
-    b.list_of(endpoint(1), *(endpoint(n, started=START - 4 * SECOND) for n in range(2, 9)))
+    b = Bench(settings(request_class(late_answer_value=0.5)), servers=0)
+    b.list_of(endpoint(1), *(endpoint(n, started_at_ns=START - 4 * SECOND) for n in range(2, 9)))
     for _ in range(40):
-        if isinstance(send := b.ask(), policy_api.Send) and send.endpoint[0] == 1:
-            again = b.answer(send, policy_api.Outcome.ERROR, 5 * MS)
-            assert not any(isinstance(a, policy_api.Send) for a in again)
+        if isinstance(send := b.ask(), policy_api.StartAttempt) and send.endpoint_id[0] == 1:
+            again = b.answer(send, policy_api.AttemptOutcome.SERVER_ERROR, 5 * MS)
+            assert not any(isinstance(a, policy_api.StartAttempt) for a in again)
 
 
-ASKING = dict(probes=True, zones=2, report_fields=("rif",))
+ASKING = dict(health_checks_enabled=True, zone_count=2, load_report_fields=("rif",))
 
 
 def probes(actions: list[policy_api.Action]) -> list[bytes]:
-    return [a.endpoint for a in actions if isinstance(a, policy_api.Probe)]
+    return [a.endpoint_id for a in actions if isinstance(a, policy_api.StartHealthCheck)]
 
 
 def asking(left: int = 3 * SECOND, **changes: object) -> tuple[Bench, list[bytes]]:
     """A sidecar that has just taken request 1, and the members that it asked."""
-    b = Bench(settings(request_class(late_worth=0.5), **(ASKING | changes)), servers=0)
+    b = Bench(settings(request_class(late_answer_value=0.5), **(ASKING | changes)), servers=0)
     b.list_of(*(endpoint(n, zone=n % 2) for n in range(1, 17)))
-    return b, probes(b.give(policy_api.Request(1, 0, 0, 0, b.now + left, 0, False)))
+    return b, probes(b.give(policy_api.RequestReceived(1, 0, 0, 0, b.now + left, 0, False)))
 
 
 def test_the_quickest_of_the_members_asked_gets_the_request() -> None:
@@ -474,55 +521,61 @@
     assert len(asked) == 2 and all(e[0] % 2 == 0 for e in asked)
     b.now += 5 * MS
     assert not any(
-        isinstance(a, policy_api.Send)
-        for a in b.give(policy_api.Probed(asked[0], policy_api.Outcome.OK, 9 * MS, ()))
+        isinstance(a, policy_api.StartAttempt)
+        for a in b.give(
+            policy_api.HealthCheckCompleted(asked[0], policy_api.AttemptOutcome.SUCCESS, 9 * MS, ())
+        )
     )
-    [send] = b.give(policy_api.Probed(asked[1], policy_api.Outcome.OK, 2 * MS, ()))
-    assert isinstance(send, policy_api.Send) and send.endpoint == asked[1]
+    [send] = b.give(policy_api.HealthCheckCompleted(asked[1], policy_api.AttemptOutcome.SUCCESS, 2 * MS, ()))
+    assert isinstance(send, policy_api.StartAttempt) and send.endpoint_id == asked[1]
 
 
 def test_silent_members_get_nothing_and_others_are_asked() -> None:
     b, asked = asking()
     b.now += 20 * MS
-    more = probes(b.give(policy_api.Timer(2)))
+    more = probes(b.give(policy_api.TimerFired(2)))
     assert more and not set(more) & set(asked)
     assert {e[0] % 2 for e in more} == {0, 1}  # the other zone too, as nobody near is idle
     b.now += 5 * MS
-    b.give(policy_api.Probed(more[0], policy_api.Outcome.OK, 3 * MS, ()))
-    [send] = b.give(policy_api.Timer(2))
-    assert isinstance(send, policy_api.Send) and send.endpoint == more[0]
+    b.give(policy_api.HealthCheckCompleted(more[0], policy_api.AttemptOutcome.SUCCESS, 3 * MS, ()))
+    [send] = b.give(policy_api.TimerFired(2))
+    assert isinstance(send, policy_api.StartAttempt) and send.endpoint_id == more[0]
 
 
 def test_asking_ends_and_the_request_is_sent_or_answered() -> None:
     b, _ = asking()
     for _ in range(8):
         b.now += 30 * MS
-        if sends := [a for a in b.give(policy_api.Timer(2)) if isinstance(a, policy_api.Send)]:
+        if sends := [a for a in b.give(policy_api.TimerFired(2)) if isinstance(a, policy_api.StartAttempt)]:
             break
     assert sends and b.now - START <= 250 * MS
     late, _ = asking()
     late.now += 4 * SECOND  # a sidecar that stood still: its client has left
-    [final] = late.give(policy_api.Timer(2))
-    assert isinstance(final, policy_api.Refuse)
+    [final] = late.give(policy_api.TimerFired(2))
+    assert isinstance(final, policy_api.RejectRequest)
 
 
 def test_nothing_is_held_that_a_stand_still_could_lose() -> None:
     """A sidecar that stood still for two seconds once held two requests unsent until their clients left."""
     b, asked = asking(left=2 * SECOND)
-    assert not asked and isinstance(b.actions[0], policy_api.Send)
+    assert not asked and isinstance(b.actions[0], policy_api.StartAttempt)
 
 
 def test_a_member_that_drains_while_asked_gets_nothing() -> None:
     b, asked = asking()
     b.give(
-        policy_api.EndpointList(
-            policy_api.ListKind.DELTA,
-            tuple(endpoint(e[0], policy_api.Health.DRAINING, zone=e[0] % 2) for e in asked),
+        policy_api.EndpointUpdate(
+            policy_api.EndpointUpdateKind.DELTA,
+            tuple(endpoint(e[0], policy_api.EndpointHealth.DRAINING, zone=e[0] % 2) for e in asked),
         )
     )
-    actions = [a for e in asked for a in b.give(policy_api.Probed(e, policy_api.Outcome.OK, 2 * MS, ()))]
-    actions += b.give(policy_api.Timer(2))
-    assert not any(isinstance(a, policy_api.Send) and a.endpoint in asked for a in actions)
+    actions = [
+        a
+        for e in asked
+        for a in b.give(policy_api.HealthCheckCompleted(e, policy_api.AttemptOutcome.SUCCESS, 2 * MS, ()))
+    ]
+    actions += b.give(policy_api.TimerFired(2))
+    assert not any(isinstance(a, policy_api.StartAttempt) and a.endpoint_id in asked for a in actions)
 
 
 def test_members_that_hold_a_request_are_not_asked_and_the_one_that_holds_least_gets_it() -> None:
@@ -530,28 +583,32 @@
     b, _ = asking()
     b.list_of(*(endpoint(n, zone=n % 2) for n in range(1, 5)))  # two near, two far
     b.balancer.crossing = 0.0
-    sends: list[policy_api.Send] = []
+    sends: list[policy_api.StartAttempt] = []
     for rid in range(2, 12):
-        actions = b.give(policy_api.Request(rid, 0, 0, 0, b.now + 3 * SECOND, 0, False))
+        actions = b.give(policy_api.RequestReceived(rid, 0, 0, 0, b.now + 3 * SECOND, 0, False))
         while asked := probes(actions):
             b.now += 2 * MS
             actions = [
-                a for e in asked for a in b.give(policy_api.Probed(e, policy_api.Outcome.OK, 2 * MS, ()))
+                a
+                for e in asked
+                for a in b.give(
+                    policy_api.HealthCheckCompleted(e, policy_api.AttemptOutcome.SUCCESS, 2 * MS, ())
+                )
             ]
-            actions += b.give(policy_api.Timer(rid + 1))
-        sends += [a for a in actions if isinstance(a, policy_api.Send)]
-    held = Counter(send.endpoint for send in sends)
+            actions += b.give(policy_api.TimerFired(rid + 1))
+        sends += [a for a in actions if isinstance(a, policy_api.StartAttempt)]
+    held = Counter(send.endpoint_id for send in sends)
     assert held.total() == 10 and len(held) == 4 and max(held.values()) <= 4, held
 
 
 def test_nobody_is_asked_where_peers_share_or_probes_are_not_allowed() -> None:
-    for changes in ({"peers": True}, {"probes": False}, {"report_fields": ()}):
+    for changes in ({"gossip_enabled": True}, {"health_checks_enabled": False}, {"load_report_fields": ()}):
         assert asking(**changes)[1] == []
 
 
 def test_traffic_crosses_by_the_difference_of_waits() -> None:
     """With one zone at ten requests a server and the other at one, half the fleet once choked."""
-    b, _ = asking(cross_price=0.1)
+    b, _ = asking(cross_zone_price=0.1)
     b.balancer.evidence = [[6.0, 10.0, 10.0, 10.0], [0.0, 10.0, 10.0, 10.0]]
     b.balancer.steer(b.now + SECOND)
     risen = b.balancer.crossing
@@ -565,10 +622,10 @@
     """A server that met a key does much less work for it; by sidecars' own subsets each met all keys."""
     met: dict[int, set[bytes]] = {7: set(), 8: set(), 9: set()}
     for seed in range(12):
-        b = Bench(settings(warm_keys=True, instance=seed, instances=12), servers=40, seed=seed)
+        b = Bench(settings(key_affinity=True, instance_index=seed, instance_count=12), servers=40, seed=seed)
         for key, members in met.items():
             send = b.sent(key=key)
-            members.add(send.endpoint)
+            members.add(send.endpoint_id)
             b.answer(send)
     assert all(len(members) <= balance.KEY_MEMBERS for members in met.values())
     assert len(set.union(*met.values())) > balance.KEY_MEMBERS
@@ -576,20 +633,20 @@
 
 def test_of_hundreds_of_sidecars_each_keeps_to_its_share_of_what_servers_accept() -> None:
     """Keys and a grown subset took each to all servers: every table of connections was full."""
-    b = Bench(settings(warm_keys=True, instances=100), servers=50)
+    b = Bench(settings(key_affinity=True, instance_count=100), servers=50)
     share = int(balance.FAN_IN * 50 / 100)
-    met = {b.sent(key=key).endpoint for key in range(1, 200)}
+    met = {b.sent(key=key).endpoint_id for key in range(1, 200)}
     assert len(met) == share == len(b.balancer.linked)
 
 
 def test_a_refused_connect_makes_the_share_smaller_for_a_while() -> None:
-    b = Bench(settings(warm_keys=True, instances=100), servers=50)
+    b = Bench(settings(key_affinity=True, instance_count=100), servers=50)
     for _ in range(5):  # in one second: one full table refuses several
-        b.answer(b.sent(), policy_api.Outcome.CONNECT_FAILED, MS)
+        b.answer(b.sent(), policy_api.AttemptOutcome.CONNECT_FAILED, MS)
     assert b.balancer.fan_in == pytest.approx(balance.FAN_IN * balance.FAN_IN_CUT)
     for _ in range(20):
         b.now += SECOND
-        b.answer(b.sent(), policy_api.Outcome.CONNECT_FAILED, MS)
+        b.answer(b.sent(), policy_api.AttemptOutcome.CONNECT_FAILED, MS)
     assert b.balancer.fan_in == balance.FAN_IN_LEAST
     for _ in range(10):
         b.tick(2)
@@ -605,23 +662,31 @@
         b.answer(send)
     closed = []
     for _ in range(400):
-        closed += [a.endpoint for a in b.tick(0.25) if isinstance(a, policy_api.Disconnect)]
+        closed += [a.endpoint_id for a in b.tick(0.25) if isinstance(a, policy_api.CloseIdleConnections)]
     assert held > 20 and len(b.balancer.linked) <= balance.SUBSET_FREE + 2
     assert len(set(closed)) == len(closed) == held - len(b.balancer.linked)
-    assert sends[0].endpoint not in closed  # its attempt is out
+    assert sends[0].endpoint_id not in closed  # its attempt is out
 
 
 def test_a_started_stream_is_the_clients() -> None:
     """It has no deadline: it is no wait, and its break is not answered with another attempt."""
-    b = Bench(settings(request_class(late_worth=0.5)), servers=8)
+    b = Bench(settings(request_class(late_answer_value=0.5)), servers=8)
     send = b.sent()
-    assert b.give(policy_api.StreamStarted(send.id)) == []
+    assert b.give(policy_api.StreamStarted(send.request_id)) == []
     b.now += 30 * SECOND
     b.tick()
     assert b.balancer.cut == 0 and not b.balancer.pending
     assert (
         b.give(
-            policy_api.Completed(send.id, 0, send.endpoint, policy_api.Outcome.RESET, 30 * SECOND, True, ())
+            policy_api.AttemptCompleted(
+                send.request_id,
+                0,
+                send.endpoint_id,
+                policy_api.AttemptOutcome.CONNECTION_RESET,
+                30 * SECOND,
+                True,
+                (),
+            )
         )
         == []
     )
@@ -630,11 +695,11 @@
 
 def test_failed_connects_bring_traffic_home() -> None:
     """A zone that is cut off shows no waits: by their difference alone it would draw ever more."""
-    b = Bench(settings(zones=2), servers=0)
+    b = Bench(settings(zone_count=2), servers=0)
     b.list_of(*(endpoint(n, zone=n % 2) for n in range(1, 17)))
     b.balancer.crossing = 1.0
     for _ in range(10):
-        if isinstance(send := b.ask(), policy_api.Send) and send.endpoint[0] % 2:
-            b.answer(send, policy_api.Outcome.CONNECT_FAILED, MS)
-            b.give(policy_api.Gone(send.id))
+        if isinstance(send := b.ask(), policy_api.StartAttempt) and send.endpoint_id[0] % 2:
+            b.answer(send, policy_api.AttemptOutcome.CONNECT_FAILED, MS)
+            b.give(policy_api.ClientDisconnected(send.request_id))
     assert b.balancer.crossing < 0.6
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -40,7 +40,7 @@
 
 
 def completed(event: policy_api.Event) -> bool:
-    return isinstance(event, policy_api.Completed)
+    return isinstance(event, policy_api.AttemptCompleted)
 
 
 class Gate:
@@ -74,9 +74,11 @@
             client = await node.client()
             assert (await client.ask(request(deadline="0.2")))[0] == 503
             assert len(node.host.upstream.outlived) == 1
-            assert (await node.event(completed)).outcome == policy_api.Outcome.TIMEOUT
-            moot = await node.event(lambda e: isinstance(e, policy_api.Completed) and e.attempt == 1)
-            assert moot.outcome == policy_api.Outcome.MOOT
+            assert (await node.event(completed)).outcome == policy_api.AttemptOutcome.TIMEOUT
+            moot = await node.event(
+                lambda e: isinstance(e, policy_api.AttemptCompleted) and e.attempt_index == 1
+            )
+            assert moot.outcome == policy_api.AttemptOutcome.NOT_SENT
             assert one.connections + other.connections == 1
 
     run(test())
@@ -92,8 +94,8 @@
             client.writer.write(request("post", rid="9b1f"))
             await gate.reached.wait()
             client.writer.close()
-            await node.event(lambda e: isinstance(e, policy_api.Gone))
-            assert (await node.event(completed)).outcome == policy_api.Outcome.MOOT
+            await node.event(lambda e: isinstance(e, policy_api.ClientDisconnected))
+            assert (await node.event(completed)).outcome == policy_api.AttemptOutcome.NOT_SENT
             assert not node.host.knows(b"9b1f") and not node.host._open
             gate.opened.set()
             other = await node.client()
@@ -123,10 +125,10 @@
             while not one.seen and not other.seen:
                 await asyncio.sleep(0)
             client.writer.close()
-            await node.event(lambda e: isinstance(e, policy_api.Gone))
+            await node.event(lambda e: isinstance(e, policy_api.ClientDisconnected))
             left.set()
             ended = await node.event(completed)
-            assert (ended.outcome, ended.over) == (policy_api.Outcome.FULL, True)
+            assert (ended.outcome, ended.request_finished) == (policy_api.AttemptOutcome.REJECTED, True)
             assert not node.host._open and len(one.seen) + len(other.seen) == 1
 
     run(test())
@@ -155,7 +157,7 @@
                 await asyncio.sleep(0)
             client.writer.transport.abort() if ending == "flooded" else client.writer.close()
             for _ in range(asked):
-                gone = await node.event(lambda e: isinstance(e, policy_api.Gone))
+                gone = await node.event(lambda e: isinstance(e, policy_api.ClientDisconnected))
                 node.events.remove(gone)
             assert not node.host._open
             gate.opened.set()
@@ -193,7 +195,7 @@
             [pool] = upstream._pools.values()
             assert len(pool.idle) == 1 and upstream.rest(pool) == REST / SECOND
             client.writer.write(request("post"))
-            await node.event(lambda e: isinstance(e, policy_api.Request) and e.id == 2)
+            await node.event(lambda e: isinstance(e, policy_api.RequestReceived) and e.request_id == 2)
             told.set()
             assert (await client.answer())[::2] == (200, b"2")  # on a connection of its own
             assert len(served) == 2
@@ -223,9 +225,9 @@
             client, other = await node.client(), await node.client()
             assert (await client.ask(request()))[0] == 200
             client.writer.write(request())
-            await node.event(lambda e: isinstance(e, policy_api.Request) and e.id == 2)
+            await node.event(lambda e: isinstance(e, policy_api.RequestReceived) and e.request_id == 2)
             client.writer.close()
-            await node.event(lambda e: isinstance(e, policy_api.Gone))
+            await node.event(lambda e: isinstance(e, policy_api.ClientDisconnected))
             go_on.set()
             while upstream.outlived:
                 await asyncio.sleep(0)
@@ -293,11 +295,11 @@
                 node.host.now = node.host.upstream.now = lambda: clock() + 2 * SECOND
             gate.opened.set()
             code, _, _ = await client.answer()
-            again = await node.event(lambda e: completed(e) and e.attempt == 1)
+            again = await node.event(lambda e: completed(e) and e.attempt_index == 1)
             if late:
-                assert (code, again.outcome) == (502, policy_api.Outcome.MOOT)
+                assert (code, again.outcome) == (502, policy_api.AttemptOutcome.NOT_SENT)
             else:
-                assert (code, again.outcome) == (200, policy_api.Outcome.OK)
+                assert (code, again.outcome) == (200, policy_api.AttemptOutcome.SUCCESS)
             assert len(one.seen) + len(other.seen) == (1 if late else 2)
 
     run(test())
@@ -331,7 +333,7 @@
             client = await node.client()
             assert (await client.ask(request("post", rid="9b1f")))[0] == 503
             told = {"seq": 2, "whole": True, "hosts": [entry("s-1", served.dial)]}
-            node.host.learn(config.host_list(told, node.config.names), policy_api.ListKind.FULL)
+            node.host.learn(config.host_list(told, node.config.names), policy_api.EndpointUpdateKind.SNAPSHOT)
             assert (await client.ask(request("post", rid="9b1f")))[0] == 200
 
     run(test())
@@ -344,7 +346,7 @@
 
 
 def listed(kind: int) -> Callable[[policy_api.Event], bool]:
-    return lambda event: isinstance(event, policy_api.EndpointList) and event.kind == kind
+    return lambda event: isinstance(event, policy_api.EndpointUpdate) and event.kind == kind
 
 
 SPOILT = [
@@ -383,9 +385,9 @@
             node.discovery._connect_timeout = WAIT
             first_comes.append(lambda: setattr(node.discovery, "_hold", WAIT))  # the others may be slow
             node.discovery.watch(True)
-            told = await node.event(listed(policy_api.ListKind.DELTA))
-            assert told.endpoints[0].health == policy_api.Health.DRAINING
-            assert not [e for e in node.events if listed(policy_api.ListKind.FAILED)(e)]
+            told = await node.event(listed(policy_api.EndpointUpdateKind.DELTA))
+            assert told.endpoints[0].health == policy_api.EndpointHealth.DRAINING
+            assert not [e for e in node.events if listed(policy_api.EndpointUpdateKind.DISCOVERY_FAILED)(e)]
             assert [call.split(b"&")[0] for call in calls[:2]] == [b"/discovery/hosts?from=1"] * 2
 
     run(test())
@@ -405,7 +407,7 @@
         ):
             node.discovery._grace = node.discovery._connect_timeout = WAIT
             node.discovery.watch(True)
-            await node.event(listed(policy_api.ListKind.FAILED))
+            await node.event(listed(policy_api.EndpointUpdateKind.DISCOVERY_FAILED))
             assert len(served.seen) == (2 if answer == SPOILT[1] else 1)
 
     run(test())
@@ -436,9 +438,9 @@
             await old.wait()
             host, _, port = after.dial.rpartition(":")
             node.discovery.move((host, int(port)))
-            told = await node.event(listed(policy_api.ListKind.FULL))
+            told = await node.event(listed(policy_api.EndpointUpdateKind.SNAPSHOT))
             assert told.endpoints[0].id == config.endpoint_id("s-2")
-            assert not [e for e in node.events if listed(policy_api.ListKind.FAILED)(e)]
+            assert not [e for e in node.events if listed(policy_api.EndpointUpdateKind.DISCOVERY_FAILED)(e)]
             assert [seen.line.split()[1] for seen in after.seen[:4]] == [b"/discovery/hosts"] * 4
             assert len(before.seen) == 1
 
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -42,7 +42,7 @@
 def paths(asked: bool, ask_within: int) -> dict[str, float]:
     """Seconds from when discovery can be reached to when a change is heard. At the worst the call that ends
     so was begun just before; the one that follows goes well."""
-    module = balance.Balancer(rules(discovery_on_request=asked, ask_within=ask_within), 1)
+    module = balance.Balancer(rules(polls_discovery=asked, discovery_poll_window_ns=ask_within), 1)
     if asked:
         call, connect = discovery.HOLD + discovery.GRACE, discovery.GRACE
         first, again = discovery.FIRST_ASKED, discovery.RETRY_ASKED_MOST
@@ -100,13 +100,13 @@
     first: set[int] = set()
     again: set[int] = set()
     for seed in range(40):
-        b = Bench(rules(discovery_on_request=True, ask_within=ask_within), seed=seed)
+        b = Bench(rules(polls_discovery=True, discovery_poll_window_ns=ask_within), seed=seed)
         for waits in (first, again):
             if waits is again:
-                b.give(policy_api.EndpointList(policy_api.ListKind.FAILED, ()))
+                b.give(policy_api.EndpointUpdate(policy_api.EndpointUpdateKind.DISCOVERY_FAILED, ()))
             since = b.now
             while not any(
-                isinstance(action, policy_api.Watch) for action in b.tick(balance.CYCLE / SECOND / 5)
+                isinstance(action, policy_api.WatchEndpoints) for action in b.tick(balance.CYCLE / SECOND / 5)
             ):
                 assert b.now - since <= balance.ASK_MOST, "put off for too long"
             waits.add(b.now - since)
@@ -237,8 +237,8 @@
 
 
 def drained(event: policy_api.Event) -> bool:
-    return isinstance(event, policy_api.EndpointList) and any(
-        told.health == policy_api.Health.DRAINING for told in event.endpoints
+    return isinstance(event, policy_api.EndpointUpdate) and any(
+        told.health == policy_api.EndpointHealth.DRAINING for told in event.endpoints
     )
 
 
@@ -266,7 +266,9 @@
                 begin(node, asked)
                 await node.event(drained)
                 reported = [
-                    e for e in node.events if e == policy_api.EndpointList(policy_api.ListKind.FAILED, ())
+                    e
+                    for e in node.events
+                    if e == policy_api.EndpointUpdate(policy_api.EndpointUpdateKind.DISCOVERY_FAILED, ())
                 ]
         assert calls.failed == ([kind] if kind else [])
         # A failed call is reported once, and the decisions call again; one that may have told they never see.
@@ -329,7 +331,9 @@
                     await asyncio.sleep(0.001)
                 assert new.lines[0] == b"GET /discovery/hosts HTTP/1.1"
                 assert not [
-                    e for e in node.events if e == policy_api.EndpointList(policy_api.ListKind.FAILED, ())
+                    e
+                    for e in node.events
+                    if e == policy_api.EndpointUpdate(policy_api.EndpointUpdateKind.DISCOVERY_FAILED, ())
                 ]
                 assert new.connections == 1
 
@@ -395,7 +399,10 @@
             await arrived.wait()
             node.discovery.fetch()
             await node.event(
-                lambda e: isinstance(e, policy_api.EndpointList) and e.kind == policy_api.ListKind.FULL
+                lambda e: (
+                    isinstance(e, policy_api.EndpointUpdate)
+                    and e.kind == policy_api.EndpointUpdateKind.SNAPSHOT
+                )
             )
             fetched.set()
             await node.event(drained)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -18,12 +18,12 @@
 def test_after_a_burst_a_fleet_recovers_and_stays_under_the_caps_of_connections(seed: int) -> None:
     """By warm keys and grown subsets each sidecar reached each server: full tables, a cut that stayed up."""
     config = settings(
-        request_class(late_worth=0.5, limit=2500 * MS),
-        warm_keys=True,
-        probes=True,
+        request_class(late_answer_value=0.5, client_timeout_ns=2500 * MS),
+        key_affinity=True,
+        health_checks_enabled=True,
         connection_price=0.06,
         handshake_price=0.06,
-        retry_after_max=3000 * MS,
+        max_retry_after_ns=3000 * MS,
     )
     fleet = Fleet(config, 90, [Server(n) for n in range(1, 41)], seed)
     fleet.retries = 1
@@ -39,15 +39,15 @@
 
 
 COLD = settings(
-    request_class(late_worth=0.5, limit=2500 * MS),
-    cold_from=0.31,
-    cold_for=8500 * MS,
-    fall_multiple=3.0,
-    probes=True,
-    warm_keys=True,
+    request_class(late_answer_value=0.5, client_timeout_ns=2500 * MS),
+    slow_start_capacity=0.31,
+    slow_start_duration_ns=8500 * MS,
+    cold_overload_multiple=3.0,
+    health_checks_enabled=True,
+    key_affinity=True,
     connection_price=0.06,
     handshake_price=0.06,
-    retry_after_max=3000 * MS,
+    max_retry_after_ns=3000 * MS,
 )
 FALL = 3 * SECOND  # the time over which what a cold server gets is summed up
 
@@ -56,13 +56,13 @@
     """The most that a cold server got in any window, as a share of what it takes with a little for chance."""
     worst, window = 0.0, deque[int]()
     for at in server.sent:
-        if at - server.started >= fleet.config.cold_for:
+        if at - server.started >= fleet.config.slow_start_duration_ns:
             break
         window.append(at)
         while window[0] <= at - FALL:
             window.popleft()
         rate = server.warmth(window[0], fleet.config) * server.cores / WORK
-        budget = fleet.config.fall_multiple * rate * FALL
+        budget = fleet.config.cold_overload_multiple * rate * FALL
         worst = max(worst, len(window) / (budget + 2 * budget**0.5 + 2))
     return worst
 
@@ -71,7 +71,7 @@
     """Twelve servers at seven tenths of what they can do; in the fourth second some come back cold."""
     zones = 3 if case == "far" else 1
     servers = [Server(n, zone=n % zones, cap=200) for n in range(1, 13)]
-    fleet = Fleet(replace(COLD, zones=zones), sidecars, servers, seed=sidecars)
+    fleet = Fleet(replace(COLD, zone_count=zones), sidecars, servers, seed=sidecars)
     cold = {"far": servers[:1], "all": servers}.get(case, servers[:4])
     usual = 0.7 * len(servers) * 3 * SECOND / WORK
     fleet.retries = 2 if case == "retries" else 0
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -42,7 +42,7 @@
 
 
 def gone(node: Sidecar) -> int:
-    return sum(isinstance(event, policy_api.Gone) for event in node.events)
+    return sum(isinstance(event, policy_api.ClientDisconnected) for event in node.events)
 
 
 async def until(condition: Any) -> None:
@@ -104,8 +104,10 @@
             await until(lambda: gone(node) == asked)
             await until(lambda: not node.host._open)
             assert not served.seen
-            moot = [e for e in node.events if isinstance(e, policy_api.Completed)]
-            assert [(e.outcome, e.over) for e in moot] == [(policy_api.Outcome.MOOT, True)] * asked
+            moot = [e for e in node.events if isinstance(e, policy_api.AttemptCompleted)]
+            assert [(e.outcome, e.request_finished) for e in moot] == [
+                (policy_api.AttemptOutcome.NOT_SENT, True)
+            ] * asked
             node.host.upstream.connect = connect  # type: ignore[method-assign]
             other = await node.client()
             assert (await other.ask(request(rid="77")))[0] == 200
@@ -136,7 +138,7 @@
 
             def leaves(now: int, event: policy_api.Event) -> list[policy_api.Action]:
                 # The client goes as the first attempt's end is told: whatever is decided now comes later.
-                if isinstance(event, policy_api.Completed) and peer.socket.fileno() >= 0:
+                if isinstance(event, policy_api.AttemptCompleted) and peer.socket.fileno() >= 0:
                     peer.leave(how)
                 return handle(now, event)
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -16,7 +16,7 @@
 import pytest
 
 from balancer import policy_api
-from balancer.policy_api import Outcome
+from balancer.policy_api import AttemptOutcome
 from balancer.sidecar import configuration as config
 from balancer.sidecar.configuration import SECOND
 from balancer.sidecar.downstream.listener import PIPELINE_MOST
@@ -49,11 +49,13 @@
 
 
 def completed(event: policy_api.Event) -> bool:
-    return isinstance(event, policy_api.Completed)
+    return isinstance(event, policy_api.AttemptCompleted)
 
 
 def probed(name: str) -> Callable[[policy_api.Event], bool]:
-    return lambda e: isinstance(e, policy_api.Probed) and e.endpoint == config.endpoint_id(name)
+    return lambda e: (
+        isinstance(e, policy_api.HealthCheckCompleted) and e.endpoint_id == config.endpoint_id(name)
+    )
 
 
 def test_a_request_goes_on_unchanged_and_its_answer_comes_back_unchanged() -> None:
@@ -144,9 +146,9 @@
 @pytest.mark.parametrize(
     ("problem", "outcome"),
     [
-        (OSError(errno.EMFILE, "no descriptor"), Outcome.MOOT),
-        (ConnectionRefusedError(errno.ECONNREFUSED, "refused"), Outcome.CONNECT_FAILED),
-        (TimeoutError(), Outcome.CONNECT_FAILED),
+        (OSError(errno.EMFILE, "no descriptor"), AttemptOutcome.NOT_SENT),
+        (ConnectionRefusedError(errno.ECONNREFUSED, "refused"), AttemptOutcome.CONNECT_FAILED),
+        (TimeoutError(), AttemptOutcome.CONNECT_FAILED),
     ],
 )
 def test_what_this_machine_lacks_is_no_failure_of_the_endpoint(problem: OSError, outcome: int) -> None:
@@ -181,23 +183,29 @@
 
 CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 UNSURE = [
-    (hang_up, Outcome.RESET),
-    (broken, Outcome.RESET),
-    (answering(b"HTTP/1.1 200 OK\r\n\r\n" + b"x" * (ANSWER_MOST + 1)), Outcome.RESET),
-    (answering(b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nand so on"), Outcome.RESET),
-    (answering(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 3\r\n\r\nabcd"), Outcome.RESET),
-    (answering(b"HTTP/1.1 200 OK\r\nX: " + b"x" * (HEAD_MOST + 1)), Outcome.RESET),
-    (answering(b"HTTP/1.1 103 Early Hints\r\nX: y\r\n\r\n" * 2000), Outcome.RESET),
-    (answering(CHUNKED + b"1;" + b"x" * 3 * ANSWER_MOST), Outcome.RESET),
-    (answering(CHUNKED[:-2] + b"Content-Length: 4\r\n\r\nabcd"), Outcome.RESET),
-    (answering(b"\x00\xff noise"), Outcome.RESET),
-    (answering(status(500)), Outcome.ERROR),
-    (answering(status(503)), Outcome.ERROR),
-    (answering(status(503, b"Srv-Declined: 0")), Outcome.ERROR),
-    (answering(status(404, b"Srv-Declined: 1")), Outcome.WRONG),
-    (answering(status(429)), Outcome.ERROR),
-    (answering(ok(b"x" * (ANSWER_MOST + 1))), Outcome.RESET),
-    (answering(CHUNKED + b"4000\r\n%s\r\n" % (b"x" * 0x4000) * 65), Outcome.RESET),
+    (hang_up, AttemptOutcome.CONNECTION_RESET),
+    (broken, AttemptOutcome.CONNECTION_RESET),
+    (answering(b"HTTP/1.1 200 OK\r\n\r\n" + b"x" * (ANSWER_MOST + 1)), AttemptOutcome.CONNECTION_RESET),
+    (
+        answering(b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nand so on"),
+        AttemptOutcome.CONNECTION_RESET,
+    ),
+    (
+        answering(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 3\r\n\r\nabcd"),
+        AttemptOutcome.CONNECTION_RESET,
+    ),
+    (answering(b"HTTP/1.1 200 OK\r\nX: " + b"x" * (HEAD_MOST + 1)), AttemptOutcome.CONNECTION_RESET),
+    (answering(b"HTTP/1.1 103 Early Hints\r\nX: y\r\n\r\n" * 2000), AttemptOutcome.CONNECTION_RESET),
+    (answering(CHUNKED + b"1;" + b"x" * 3 * ANSWER_MOST), AttemptOutcome.CONNECTION_RESET),
+    (answering(CHUNKED[:-2] + b"Content-Length: 4\r\n\r\nabcd"), AttemptOutcome.CONNECTION_RESET),
+    (answering(b"\x00\xff noise"), AttemptOutcome.CONNECTION_RESET),
+    (answering(status(500)), AttemptOutcome.SERVER_ERROR),
+    (answering(status(503)), AttemptOutcome.SERVER_ERROR),
+    (answering(status(503, b"Srv-Declined: 0")), AttemptOutcome.SERVER_ERROR),
+    (answering(status(404, b"Srv-Declined: 1")), AttemptOutcome.CLIENT_ERROR),
+    (answering(status(429)), AttemptOutcome.SERVER_ERROR),
+    (answering(ok(b"x" * (ANSWER_MOST + 1))), AttemptOutcome.CONNECTION_RESET),
+    (answering(CHUNKED + b"4000\r\n%s\r\n" % (b"x" * 0x4000) * 65), AttemptOutcome.CONNECTION_RESET),
 ]
 
 
@@ -213,7 +221,7 @@
             code, _, _ = await client.ask(request("post"))
             assert code in (502, 504)
             assert len(served.seen) + len(other.seen) == 1
-            [event] = [e for e in node.events if isinstance(e, policy_api.Completed)]
+            [event] = [e for e in node.events if isinstance(e, policy_api.AttemptCompleted)]
             assert event.outcome == outcome
 
     run(test())
@@ -239,7 +247,7 @@
                 code, _, body = await client.ask(request("post"))
                 assert (code, body, len(served.seen)) == (200, b"done", n)
             event = await node.event(completed)
-            assert event.outcome == Outcome.OK and event.report == ()
+            assert event.outcome == AttemptOutcome.SUCCESS and event.load_report == ()
             assert served.connections == (2 if len(raw) > len(ok()) and raw.startswith(ok()) else 1)
 
     run(test())
@@ -254,7 +262,7 @@
             client = await node.client()
             assert (await client.ask(request("post")))[0] == 503
             event = await node.event(completed)
-            assert event.outcome == Outcome.FULL and not event.over
+            assert event.outcome == AttemptOutcome.REJECTED and not event.request_finished
 
     run(test())
 
@@ -264,7 +272,7 @@
         async with sidecar(dead_dial()) as node:
             client = await node.client()
             assert (await client.ask(request("post")))[0] == 503
-            assert (await node.event(completed)).outcome == Outcome.CONNECT_FAILED
+            assert (await node.event(completed)).outcome == AttemptOutcome.CONNECT_FAILED
 
     run(test())
 
@@ -276,7 +284,7 @@
             client = await node.client()
             assert (await client.ask(request(cls, deadline="1")))[0] == code
             await served.seen[0].left.wait()  # the connection is closed: nothing is waited for any more
-            assert (await node.event(completed)).outcome == Outcome.TIMEOUT
+            assert (await node.event(completed)).outcome == AttemptOutcome.TIMEOUT
 
     run(test())
 
@@ -290,8 +298,8 @@
             client = await node.client()
             node.host.now = lambda: 77 * SECOND
             client.writer.write(request(deadline=deadline))
-            taken = await node.event(lambda e: isinstance(e, policy_api.Request))
-            assert taken.expires == 77 * SECOND + left * 1_000_000
+            taken = await node.event(lambda e: isinstance(e, policy_api.RequestReceived))
+            assert taken.expires_at_ns == 77 * SECOND + left * 1_000_000
 
     run(test())
 
@@ -355,9 +363,9 @@
             assert attempt is not None
             attempt.start()
             told = {"seq": 2, "whole": False, "hosts": [entry("s-0", served.dial, "draining")]}
-            node.host.learn(config.host_list(told, node.config.names), policy_api.ListKind.DELTA)
+            node.host.learn(config.host_list(told, node.config.names), policy_api.EndpointUpdateKind.DELTA)
             await ended.wait()
-            assert outcomes == [Outcome.CONNECT_FAILED] and served.seen == []
+            assert outcomes == [AttemptOutcome.CONNECT_FAILED] and served.seen == []
             assert node.host.upstream.attempt(config.endpoint_id("s-0"), request, done) is None
 
     run(test())
@@ -376,9 +384,9 @@
             client.writer.write(request())
             await served.arrived.wait()
             client.writer.close()
-            await node.event(lambda e: isinstance(e, policy_api.Gone))
+            await node.event(lambda e: isinstance(e, policy_api.ClientDisconnected))
             go_on.set()
-            assert (await node.event(completed)).over
+            assert (await node.event(completed)).request_finished
             other = await node.client()
             assert (await other.ask(request()))[0] == 200
             assert served.connections == 1 and len(served.seen) == 2
@@ -394,12 +402,14 @@
             event = await node.event(completed)
             for again in (
                 event,
-                policy_api.Gone(event.id),
-                policy_api.Timer(event.id + 1),
-                policy_api.Timer(77),
+                policy_api.ClientDisconnected(event.request_id),
+                policy_api.TimerFired(event.request_id + 1),
+                policy_api.TimerFired(77),
             ):
                 node.host.post(again)
-            node.host._send(policy_api.Send(event.id, event.endpoint, 0))  # over: must not go out
+            node.host._send(
+                policy_api.StartAttempt(event.request_id, event.endpoint_id, 0)
+            )  # over: must not go out
             assert (await client.ask(request()))[0] == 200 and len(served.seen) == 2
 
     run(test())
@@ -431,7 +441,10 @@
 
 def test_a_real_connection_carries_one_request_at_a_time_whatever_the_settings_say() -> None:
     limits = {"Limits": {"StreamsPerConn": 100}}
-    assert config.parse(configuration(dead_dial(), settings=SETTINGS | limits)).settings.streams == 1
+    assert (
+        config.parse(configuration(dead_dial(), settings=SETTINGS | limits)).settings.streams_per_connection
+        == 1
+    )
 
 
 def test_up_tells_whether_any_endpoint_is_known() -> None:
@@ -442,7 +455,7 @@
             client = await node.client()
             assert (await client.ask(up))[0] == 503
             told = {"seq": 2, "whole": True, "hosts": [entry("s-0", dead_dial())]}
-            node.host.learn(config.host_list(told, node.config.names), policy_api.ListKind.FULL)
+            node.host.learn(config.host_list(told, node.config.names), policy_api.EndpointUpdateKind.SNAPSHOT)
             assert (await client.ask(up))[0] == 200
 
     run(test())
@@ -456,10 +469,10 @@
     async def test() -> None:
         async with endpoint(script) as served, sidecar(served.dial, dead_dial()) as node:
             for name in ("s-0", "s-1"):
-                node.host._probe(policy_api.Probe(config.endpoint_id(name)))
+                node.host._probe(policy_api.StartHealthCheck(config.endpoint_id(name)))
             good, bad = [await node.event(probed(name)) for name in ("s-0", "s-1")]
-            assert (good.outcome, good.report) == (Outcome.OK, (140, 14.5, 0.5))
-            assert (bad.outcome, bad.report) == (Outcome.CONNECT_FAILED, ())
+            assert (good.outcome, good.load_report) == (AttemptOutcome.SUCCESS, (140, 14.5, 0.5))
+            assert (bad.outcome, bad.load_report) == (AttemptOutcome.CONNECT_FAILED, ())
 
     run(test())
 
@@ -614,7 +627,7 @@
         ):
             upstream = node.host.upstream
             told = {"seq": 2, "whole": False, "hosts": [entry("s-1", other.dial)]}
-            node.host.learn(config.host_list(told, node.config.names), policy_api.ListKind.DELTA)
+            node.host.learn(config.host_list(told, node.config.names), policy_api.EndpointUpdateKind.DELTA)
             outcomes: asyncio.Queue[int] = asyncio.Queue()
 
             def start(name: str) -> None:
@@ -625,12 +638,14 @@
                 attempt.start()
 
             start("s-1")
-            assert await outcomes.get() == Outcome.OK  # its connection is idle now, and the only one allowed
+            assert (
+                await outcomes.get() == AttemptOutcome.SUCCESS
+            )  # its connection is idle now, and the only one allowed
             start("s-0")
             await served.arrived.wait()
             start("s-1")
             # The lack of room is this sidecar's: it must not look like a failure of the endpoint.
-            assert await outcomes.get() == Outcome.MOOT and len(other.seen) == 1
+            assert await outcomes.get() == AttemptOutcome.NOT_SENT and len(other.seen) == 1
 
     run(test())
 
@@ -696,10 +711,13 @@
             node.discovery._grace = node.discovery._connect_timeout = WAIT
             node.discovery.start()
             full = await node.event(
-                lambda e: isinstance(e, policy_api.EndpointList) and e.kind == policy_api.ListKind.FULL
+                lambda e: (
+                    isinstance(e, policy_api.EndpointUpdate)
+                    and e.kind == policy_api.EndpointUpdateKind.SNAPSHOT
+                )
             )
             assert [e.id for e in full.endpoints] == [config.endpoint_id("s-2")]
-            lists = [e for e in node.events if isinstance(e, policy_api.EndpointList)]
+            lists = [e for e in node.events if isinstance(e, policy_api.EndpointUpdate)]
             assert [e.kind for e in lists] == [1, 2, 2, 3]
             assert [e.endpoints[0].health for e in lists] == [1, 1, 2, 1]
             while len(calls) < 11:
@@ -725,7 +743,10 @@
         async with endpoint(script) as served, sidecar("127.0.0.1:9", discovery=served.dial) as node:
             node.discovery.start()
             await node.event(
-                lambda e: isinstance(e, policy_api.EndpointList) and e.kind == policy_api.ListKind.FULL
+                lambda e: (
+                    isinstance(e, policy_api.EndpointUpdate)
+                    and e.kind == policy_api.EndpointUpdateKind.SNAPSHOT
+                )
             )
             assert calls[0].left.is_set() and len(calls) >= 2
 
@@ -733,7 +754,9 @@
 
 
 def full_list(event: policy_api.Event) -> bool:
-    return isinstance(event, policy_api.EndpointList) and event.kind == policy_api.ListKind.FULL
+    return (
+        isinstance(event, policy_api.EndpointUpdate) and event.kind == policy_api.EndpointUpdateKind.SNAPSHOT
+    )
 
 
 def test_a_new_address_of_discovery_is_asked_for_the_whole_list_at_once() -> None:
@@ -791,9 +814,9 @@
     assert [(h.endpoint.id, h.endpoint.health) for h in told.hosts] == [
         (
             config.endpoint_id("s-2"),
-            policy_api.Health.DRAINING,
+            policy_api.EndpointHealth.DRAINING,
         ),  # that it drains is plain, whatever its address
-        (config.endpoint_id("s-1"), policy_api.Health.READY),
+        (config.endpoint_id("s-1"), policy_api.EndpointHealth.READY),
     ]
 
 
@@ -821,8 +844,8 @@
             assert heard == [b"to one", b"to all", b"last"]
             stranger.sendto(b"no peer", address)
             other.sendto(b"a peer", address)
-            event = await node.event(lambda e: isinstance(e, policy_api.PeerMessage))
-            assert event == policy_api.PeerMessage(1, b"a peer")
+            event = await node.event(lambda e: isinstance(e, policy_api.GossipReceived))
+            assert event == policy_api.GossipReceived(1, b"a peer")
             transport.close()
         other.close()
         stranger.close()
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -124,7 +124,7 @@
                 waiting[-1].writer.write(request())
                 await hung.get()
             ticks = len(node.events)
-            while node.events[ticks:].count(policy_api.Timer(0)) < 6:
+            while node.events[ticks:].count(policy_api.TimerFired(0)) < 6:
                 for name in ("half", "whole"):
                     await answer_post(name)
                     await ask_post()
--- a/tests/test_policy_characterization.py
+++ b/tests/test_policy_characterization.py
@@ -44,28 +44,42 @@
     "silent",
 )
 ACTION_TYPES = (
-    policy_api.Send,
-    policy_api.Refuse,
-    policy_api.Fail,
-    policy_api.Cancel,
+    policy_api.StartAttempt,
+    policy_api.RejectRequest,
+    policy_api.FailRequest,
+    policy_api.CancelAttempt,
     policy_api.SetTimer,
-    policy_api.Watch,
-    policy_api.Fetch,
-    policy_api.Probe,
-    policy_api.Disconnect,
-    policy_api.Tell,
-    policy_api.Log,
+    policy_api.WatchEndpoints,
+    policy_api.FetchEndpoints,
+    policy_api.StartHealthCheck,
+    policy_api.CloseIdleConnections,
+    policy_api.SendGossip,
+    policy_api.WriteLog,
 )
 
 READ = policy_api.RequestClass("read", 300 * MS, 1500 * MS, 1.0, 0.5)
 BROWSE = policy_api.RequestClass("browse", 150 * MS, 600 * MS, 0.3)
 CHANGE = policy_api.RequestClass(
-    "change", 500 * MS, 2500 * MS, 3.0, 0.0, policy_api.Effect.KEYED, policy_api.Scope.ZONE, 900 * MS
+    "change",
+    500 * MS,
+    2500 * MS,
+    3.0,
+    0.0,
+    policy_api.Idempotency.IDEMPOTENCY_KEY,
+    policy_api.DeduplicationScope.ZONE,
+    900 * MS,
 )
 MOVE = policy_api.RequestClass(
-    "move", 400 * MS, 2000 * MS, 3.0, 0.2, policy_api.Effect.KEYED, policy_api.Scope.CELL, 5 * SECOND
+    "move",
+    400 * MS,
+    2000 * MS,
+    3.0,
+    0.2,
+    policy_api.Idempotency.IDEMPOTENCY_KEY,
+    policy_api.DeduplicationScope.CELL,
+    5 * SECOND,
 )
-BILL = policy_api.RequestClass("bill", 600 * MS, 3000 * MS, 6.0, 0.1, policy_api.Effect.UNSAFE)
+BILL = policy_api.RequestClass("bill", 600 * MS, 3000 * MS, 6.0, 0.1, policy_api.Idempotency.NOT_IDEMPOTENT)
 SEARCH = policy_api.RequestClass("search", 2 * SECOND, 3 * SECOND, 1.0, 0.5)
 CLASSES = (READ, BROWSE, CHANGE, MOVE, BILL)
 
@@ -84,21 +98,26 @@
 
 
 SCENARIOS = {
-    "one_zone": Scenario(policy_api.Settings(CLASSES, cold_from=0.3, cold_for=6 * SECOND, max_attempts=5), 1),
+    "one_zone": Scenario(
+        policy_api.Settings(
+            CLASSES, slow_start_capacity=0.3, slow_start_duration_ns=6 * SECOND, max_attempts=5
+        ),
+        1,
+    ),
     "three_zones_priced": Scenario(
         policy_api.Settings(
             CLASSES,
-            instance=3,
-            instances=40,
-            zones=3,
-            cold_from=0.4,
-            cold_for=8 * SECOND,
+            instance_index=3,
+            instance_count=40,
+            zone_count=3,
+            slow_start_capacity=0.4,
+            slow_start_duration_ns=8 * SECOND,
             max_attempts=4,
-            can_cancel=True,
-            cross_price=0.05,
+            attempts_can_be_cancelled=True,
+            cross_zone_price=0.05,
             handshake_price=0.06,
             connection_price=0.06,
-            retry_after_max=3 * SECOND,
+            max_retry_after_ns=3 * SECOND,
         ),
         2,
         requests_per_second=60.0,
@@ -106,35 +125,41 @@
     "polled_lists_and_health_checks": Scenario(
         policy_api.Settings(
             CLASSES,
-            discovery_on_request=True,
-            ask_within=2 * SECOND,
+            polls_discovery=True,
+            discovery_poll_window_ns=2 * SECOND,
             max_attempts=3,
-            probes=True,
-            can_cancel=True,
-            zones=2,
-            cross_price=0.02,
-            cold_from=0.2,
-            cold_for=5 * SECOND,
+            health_checks_enabled=True,
+            attempts_can_be_cancelled=True,
+            zone_count=2,
+            cross_zone_price=0.02,
+            slow_start_capacity=0.2,
+            slow_start_duration_ns=5 * SECOND,
         ),
         3,
     ),
     "active_probing_of_load": Scenario(
         policy_api.Settings(
             CLASSES,
-            probes=True,
-            report_fields=("rif", "lat_ms"),
-            zones=2,
-            cold_from=0.3,
-            cold_for=6 * SECOND,
+            health_checks_enabled=True,
+            load_report_fields=("rif", "lat_ms"),
+            zone_count=2,
+            slow_start_capacity=0.3,
+            slow_start_duration_ns=6 * SECOND,
             max_attempts=4,
-            tick=4 * MS,
-            retry_after_max=SECOND,
+            scheduling_tick_ns=4 * MS,
+            max_retry_after_ns=SECOND,
         ),
         4,
     ),
     "gossip": Scenario(
         policy_api.Settings(
-            CLASSES, instances=3, zones=2, peers=True, max_attempts=3, can_cancel=True, cross_price=0.1
+            CLASSES,
+            instance_count=3,
+            zone_count=2,
+            gossip_enabled=True,
+            max_attempts=3,
+            attempts_can_be_cancelled=True,
+            cross_zone_price=0.1,
         ),
         5,
         balancers=3,
@@ -143,32 +168,44 @@
     "key_affinity_few_connections": Scenario(
         policy_api.Settings(
             CLASSES,
-            instance=7,
-            instances=60,
-            zones=2,
-            warm_keys=True,
+            instance_index=7,
+            instance_count=60,
+            zone_count=2,
+            key_affinity=True,
             connection_price=0.1,
             max_attempts=5,
-            can_cancel=True,
-            cold_from=0.5,
-            cold_for=4 * SECOND,
+            attempts_can_be_cancelled=True,
+            slow_start_capacity=0.5,
+            slow_start_duration_ns=4 * SECOND,
         ),
         6,
     ),
     "streams_and_hurried_clients": Scenario(
-        policy_api.Settings((READ, BROWSE, BILL), streams=4, max_attempts=5, can_cancel=True, probes=True),
+        policy_api.Settings(
+            (READ, BROWSE, BILL),
+            streams_per_connection=4,
+            max_attempts=5,
+            attempts_can_be_cancelled=True,
+            health_checks_enabled=True,
+        ),
         7,
         hurried=0.3,
     ),
     "hanging_calls": Scenario(
-        policy_api.Settings((SEARCH, READ, CHANGE), max_attempts=5, can_cancel=True),
+        policy_api.Settings((SEARCH, READ, CHANGE), max_attempts=5, attempts_can_be_cancelled=True),
         9,
         requests_per_second=250.0,
         phases=("hanging_class",),
         phase_ns=SECOND,
     ),
     "lasting_overload": Scenario(
-        policy_api.Settings(CLASSES, max_attempts=5, can_cancel=True, retry_after_max=4 * SECOND, zones=2),
+        policy_api.Settings(
+            CLASSES,
+            max_attempts=5,
+            attempts_can_be_cancelled=True,
+            max_retry_after_ns=4 * SECOND,
+            zone_count=2,
+        ),
         8,
         requests_per_second=500.0,
     ),
@@ -216,10 +253,10 @@
         self.servers = {
             number: policy_api.Endpoint(
                 number.to_bytes(6, "little"),
-                number % self.settings.zones,
+                number % self.settings.zone_count,
                 0,
                 number // 3,
-                policy_api.Health.READY,
+                policy_api.EndpointHealth.READY,
                 1.0 + number % 2,
                 0,
             )
@@ -233,9 +270,10 @@
 
     def run(self) -> str:
         for instance in self.instances:
-            self.give(instance, policy_api.Attached())
+            self.give(instance, policy_api.Started())
             self.give(
-                instance, policy_api.EndpointList(policy_api.ListKind.CACHED, tuple(self.servers.values()))
+                instance,
+                policy_api.EndpointUpdate(policy_api.EndpointUpdateKind.CACHED, tuple(self.servers.values())),
             )
             self.after(0, partial(self.arrive, instance))
         self.after(self.scenario.phase_ns, self.change_phase)
@@ -270,36 +308,40 @@
         entries = []
         for number, server in self.servers.items():
             if self.phase == "restart" and server.id in self.affected:
-                server = server._replace(started=self.now, health=policy_api.Health.READY)
+                server = server._replace(started_at_ns=self.now, health=policy_api.EndpointHealth.READY)
             elif self.phase == "drain" and server.id in self.affected:
                 server = server._replace(
-                    health=self.random.choice((policy_api.Health.DRAINING, policy_api.Health.GONE))
+                    health=self.random.choice(
+                        (policy_api.EndpointHealth.DRAINING, policy_api.EndpointHealth.REMOVED)
+                    )
                 )
-            elif server.health != policy_api.Health.READY:
-                server = server._replace(started=self.now, health=policy_api.Health.READY)
+            elif server.health != policy_api.EndpointHealth.READY:
+                server = server._replace(started_at_ns=self.now, health=policy_api.EndpointHealth.READY)
             else:
                 continue
             self.servers[number] = server
             entries.append(server)
-        if not self.settings.discovery_on_request:
+        if not self.settings.polls_discovery:
             for instance in self.instances:
                 self.tell(instance, entries)
         self.after(self.scenario.phase_ns, self.change_phase)
 
     def tell(self, instance: Instance, entries: list[policy_api.Endpoint]) -> None:
         if self.random.random() < 0.3:
-            present = tuple(s for s in self.servers.values() if s.health != policy_api.Health.GONE)
-            self.give(instance, policy_api.EndpointList(policy_api.ListKind.FULL, present))
+            present = tuple(s for s in self.servers.values() if s.health != policy_api.EndpointHealth.REMOVED)
+            self.give(instance, policy_api.EndpointUpdate(policy_api.EndpointUpdateKind.SNAPSHOT, present))
         elif entries:
-            self.give(instance, policy_api.EndpointList(policy_api.ListKind.DELTA, tuple(entries)))
+            self.give(
+                instance, policy_api.EndpointUpdate(policy_api.EndpointUpdateKind.DELTA, tuple(entries))
+            )
 
     def answer_watch(self, instance: Instance) -> None:
         if self.random.random() < 0.4:
-            self.give(instance, policy_api.EndpointList(policy_api.ListKind.FAILED, ()))
+            self.give(instance, policy_api.EndpointUpdate(policy_api.EndpointUpdateKind.DISCOVERY_FAILED, ()))
             return
         self.tell(instance, list(self.servers.values()))
         # The watch breaks some time later, and the decisions have to ask anew.
-        broken = policy_api.EndpointList(policy_api.ListKind.FAILED, ())
+        broken = policy_api.EndpointUpdate(policy_api.EndpointUpdateKind.DISCOVERY_FAILED, ())
         self.after(self.random.randrange(4 * SECOND), partial(self.give, instance, broken))
 
     def outcome_of(self, endpoint: bytes, cls: int) -> tuple[int, int]:
@@ -308,65 +350,82 @@
         if self.phase == "overload":
             usual *= 8
             if self.random.random() < 0.3:
-                return policy_api.Outcome.FULL, usual // 4
+                return policy_api.AttemptOutcome.REJECTED, usual // 4
         if endpoint not in self.affected:
-            return (policy_api.Outcome.OK if self.random.random() < 0.99 else policy_api.Outcome.ERROR), usual
+            return (
+                policy_api.AttemptOutcome.SUCCESS
+                if self.random.random() < 0.99
+                else policy_api.AttemptOutcome.SERVER_ERROR
+            ), usual
         if self.phase == "slow":
-            return policy_api.Outcome.OK, usual * 6
+            return policy_api.AttemptOutcome.SUCCESS, usual * 6
         if self.phase == "erring" and self.random.random() < 0.8:
-            return policy_api.Outcome.ERROR, 2 * MS
+            return policy_api.AttemptOutcome.SERVER_ERROR, 2 * MS
         if self.phase == "unreachable":
-            return policy_api.Outcome.CONNECT_FAILED, 1 * MS
+            return policy_api.AttemptOutcome.CONNECT_FAILED, 1 * MS
         if self.phase == "resets" and self.random.random() < 0.5:
-            return policy_api.Outcome.RESET, usual
+            return policy_api.AttemptOutcome.CONNECTION_RESET, usual
         if self.phase == "rejecting":
-            return policy_api.Outcome.FULL, 1 * MS
+            return policy_api.AttemptOutcome.REJECTED, 1 * MS
         if self.phase == "silent" or (self.phase == "hanging_class" and cls == 0):
-            return policy_api.Outcome.OK, 60 * SECOND
+            return policy_api.AttemptOutcome.SUCCESS, 60 * SECOND
         return self.random.choice(
-            (policy_api.Outcome.OK, policy_api.Outcome.OK, policy_api.Outcome.OK, policy_api.Outcome.WRONG)
+            (
+                policy_api.AttemptOutcome.SUCCESS,
+                policy_api.AttemptOutcome.SUCCESS,
+                policy_api.AttemptOutcome.SUCCESS,
+                policy_api.AttemptOutcome.CLIENT_ERROR,
+            )
         ), usual
 
     # What the sidecar does with the actions.
 
     def carry_out(self, instance: Instance, action: policy_api.Action) -> None:
-        if isinstance(action, policy_api.Send):
+        if isinstance(action, policy_api.StartAttempt):
             self.start_attempt(instance, action)
-        elif isinstance(action, policy_api.Refuse | policy_api.Fail):
-            instance.requests[action.id].answered = True
-            self.forget(instance, action.id)
-        elif isinstance(action, policy_api.Cancel):
-            self.end_attempt(instance, action.id, action.attempt, policy_api.Outcome.CANCELLED)
+        elif isinstance(action, policy_api.RejectRequest | policy_api.FailRequest):
+            instance.requests[action.request_id].answered = True
+            self.forget(instance, action.request_id)
+        elif isinstance(action, policy_api.CancelAttempt):
+            self.end_attempt(
+                instance, action.request_id, action.attempt_index, policy_api.AttemptOutcome.CANCELLED
+            )
         elif isinstance(action, policy_api.SetTimer):
-            self.after(action.delay, partial(self.give, instance, policy_api.Timer(action.token)))
-        elif isinstance(action, policy_api.Watch):
+            self.after(action.delay_ns, partial(self.give, instance, policy_api.TimerFired(action.token)))
+        elif isinstance(action, policy_api.WatchEndpoints):
             self.after(30 * MS, partial(self.answer_watch, instance))
-        elif isinstance(action, policy_api.Probe):
-            self.answer_health_check(instance, action.endpoint)
-        elif isinstance(action, policy_api.Tell):
+        elif isinstance(action, policy_api.StartHealthCheck):
+            self.answer_health_check(instance, action.endpoint_id)
+        elif isinstance(action, policy_api.SendGossip):
             self.deliver(action)
 
     def answer_health_check(self, instance: Instance, endpoint: bytes) -> None:
-        outcome, took = policy_api.Outcome.OK, self.random.randrange(1 * MS, 8 * MS)
+        outcome, took = policy_api.AttemptOutcome.SUCCESS, self.random.randrange(1 * MS, 8 * MS)
         if endpoint in self.affected and self.phase in ("unreachable", "silent", "rejecting"):
             outcome = self.random.choice(
-                (policy_api.Outcome.TIMEOUT, policy_api.Outcome.FULL, policy_api.Outcome.CONNECT_FAILED)
+                (
+                    policy_api.AttemptOutcome.TIMEOUT,
+                    policy_api.AttemptOutcome.REJECTED,
+                    policy_api.AttemptOutcome.CONNECT_FAILED,
+                )
             )
             took = 100 * MS
-        self.after(took, partial(self.give, instance, policy_api.Probed(endpoint, outcome, took, ())))
+        self.after(
+            took, partial(self.give, instance, policy_api.HealthCheckCompleted(endpoint, outcome, took, ()))
+        )
 
-    def deliver(self, action: policy_api.Tell) -> None:
-        body = action.body
+    def deliver(self, action: policy_api.SendGossip) -> None:
+        body = action.payload
         if self.random.random() < 0.05:
             body = self.random.choice((body[:-1], b"", self.random.randbytes(len(body))))
-        recipient = self.instances[action.peer % len(self.instances)]
-        self.after(MS, partial(self.give, recipient, policy_api.PeerMessage(0, body)))
+        recipient = self.instances[action.recipient_index % len(self.instances)]
+        self.after(MS, partial(self.give, recipient, policy_api.GossipReceived(0, body)))
 
     def arrive(self, instance: Instance) -> None:
         rate = self.scenario.requests_per_second * (2.0 if self.phase == "overload" else 1.0)
         self.after(int(self.random.expovariate(rate) * SECOND), partial(self.arrive, instance))
         cls = self.random.randrange(len(self.settings.classes))
-        limit = self.settings.classes[cls].limit
+        limit = self.settings.classes[cls].client_timeout_ns
         left = limit if self.random.random() > 0.1 else self.random.randrange(limit)
         if self.random.random() < self.scenario.hurried:
             left = self.random.randrange(30 * MS)
@@ -374,7 +433,7 @@
         instance.requests[number] = OpenRequest(cls, expires)
         key = self.random.randrange(1, 200) if self.random.random() < 0.5 else 0
         repeat = self.random.random() < 0.1
-        event = policy_api.Request(number, cls, self.random.randrange(3), key, expires, 0, repeat)
+        event = policy_api.RequestReceived(number, cls, self.random.randrange(3), key, expires, 0, repeat)
         self.give(instance, event)
         if self.random.random() < 0.02:
             self.after(self.random.randrange(100 * MS), partial(self.leave, instance, number))
@@ -385,33 +444,37 @@
             return
         request.answered = True
         left: policy_api.Event = (
-            policy_api.Gone(number) if self.random.random() < 0.7 else policy_api.StreamStarted(number)
+            policy_api.ClientDisconnected(number)
+            if self.random.random() < 0.7
+            else policy_api.StreamStarted(number)
         )
         self.give(instance, left)
         self.forget(instance, number)
 
-    def start_attempt(self, instance: Instance, action: policy_api.Send) -> None:
-        request = instance.requests[action.id]
+    def start_attempt(self, instance: Instance, action: policy_api.StartAttempt) -> None:
+        request = instance.requests[action.request_id]
         number, request.attempts = request.attempts, request.attempts + 1
-        request.attempt = Attempt(number, action.endpoint, self.now)
-        outcome, took = self.outcome_of(action.endpoint, request.cls)
-        most = min(action.timeout or request.expires - self.now, request.expires - self.now)
+        request.attempt = Attempt(number, action.endpoint_id, self.now)
+        outcome, took = self.outcome_of(action.endpoint_id, request.cls)
+        most = min(action.timeout_ns or request.expires - self.now, request.expires - self.now)
         if took > most:
-            outcome, took = policy_api.Outcome.TIMEOUT, most
+            outcome, took = policy_api.AttemptOutcome.TIMEOUT, most
         elif self.random.random() < 0.005:
-            outcome, took = policy_api.Outcome.MOOT, 0
-        self.after(took, partial(self.end_attempt, instance, action.id, number, outcome))
+            outcome, took = policy_api.AttemptOutcome.NOT_SENT, 0
+        self.after(took, partial(self.end_attempt, instance, action.request_id, number, outcome))
 
     def end_attempt(self, instance: Instance, number: int, attempt: int, outcome: int) -> None:
         request = instance.requests.get(number)
         if request is None or request.attempt is None or request.attempt.number != attempt:
             return
         ended, request.attempt = request.attempt, None
-        if outcome == policy_api.Outcome.OK:
+        if outcome == policy_api.AttemptOutcome.SUCCESS:
             request.answered = True
         took, over = self.now - ended.sent, request.answered
         self.forget(instance, number)
-        self.give(instance, policy_api.Completed(number, attempt, ended.endpoint, outcome, took, over, ()))
+        self.give(
+            instance, policy_api.AttemptCompleted(number, attempt, ended.endpoint, outcome, took, over, ())
+        )
 
     def forget(self, instance: Instance, number: int) -> None:
         request = instance.requests[number]
@@ -430,7 +493,7 @@
 
 
 def test_the_scenarios_bring_about_every_action_that_the_policy_takes() -> None:
-    never_taken = {policy_api.Fetch, policy_api.Log}
+    never_taken = {policy_api.FetchEndpoints, policy_api.WriteLog}
     totals = dict.fromkeys(ACTION_TYPES, 0)
     for scenario in SCENARIOS.values():
         driver = Driver(scenario)
--- a/tests/test_readme.py
+++ b/tests/test_readme.py
@@ -12,4 +12,4 @@
     text = (Path(__file__).parent.parent / "README.md").read_text()
     [code] = re.findall(r"```python\n(.*?)```", text, re.DOTALL)
     exec(compile(code, "README.md", "exec"), {})
-    assert capsys.readouterr().out == "Send\n"
+    assert capsys.readouterr().out == "StartAttempt\n"
