--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -13,7 +13,13 @@
 from balancer import policy_api
 from balancer.policy import balancer as balance
 from balancer.policy.balancer import Balancer
-from balancer.policy_api import NEVER_RAN, Effect, Health, Outcome, Scope
+from balancer.policy_api import (
+    OUTCOMES_NEVER_EXECUTED,
+    AttemptOutcome,
+    DeduplicationScope,
+    EndpointHealth,
+    Idempotency,
+)
 from tests.helpers import MS, SECOND, START, Bench, endpoint, request_class, settings
 
 GRACE = SECOND // 2
@@ -45,63 +51,70 @@
 
     def give(self, event: policy_api.Event) -> None:
         for action in self.balancer.handle(self.now, event):
-            if isinstance(action, policy_api.Send):
+            if isinstance(action, policy_api.StartAttempt):
                 self.check_send(action)
-            elif isinstance(action, policy_api.Refuse):
-                owed = self.owed.pop(action.id)  # a second final answer would find nothing
+            elif isinstance(action, policy_api.RejectRequest):
+                owed = self.owed.pop(action.request_id)  # a second final answer would find nothing
                 assert owed.out is None
                 if owed.ran:
                     cls = self.config.classes[owed.cls]
-                    assert cls.effect == Effect.SAFE or (
-                        cls.effect == Effect.KEYED and cls.scope == Scope.ALL
+                    assert cls.idempotency == Idempotency.IDEMPOTENT or (
+                        cls.idempotency == Idempotency.IDEMPOTENCY_KEY
+                        and cls.deduplication_scope == DeduplicationScope.ALL
                     )
                 self.answered += 1
-            elif isinstance(action, policy_api.Fail):
-                assert self.owed.pop(action.id).out is None
+            elif isinstance(action, policy_api.FailRequest):
+                assert self.owed.pop(action.request_id).out is None
                 self.answered += 1
-            elif isinstance(action, policy_api.Probe):
-                assert self.config.probes and action.endpoint not in self.probes
-                health, since = self.told[action.endpoint]
-                assert health == Health.READY or self.now - since <= GRACE
-                self.probes.append(action.endpoint)
+            elif isinstance(action, policy_api.StartHealthCheck):
+                assert self.config.health_checks_enabled and action.endpoint_id not in self.probes
+                health, since = self.told[action.endpoint_id]
+                assert health == EndpointHealth.READY or self.now - since <= GRACE
+                self.probes.append(action.endpoint_id)
             elif isinstance(action, policy_api.SetTimer) and action.token:
-                assert action.delay > 0
-                self.timers.append((self.now + action.delay, action.token))
+                assert action.delay_ns > 0
+                self.timers.append((self.now + action.delay_ns, action.token))
 
     def ring(self) -> None:
         """Timers that are due ring, all in one late batch if the sidecar stood still."""
         due = sorted(t for t in self.timers if t[0] <= self.now)
         self.timers = [t for t in self.timers if t[0] > self.now]
         for _, token in due:
-            self.give(policy_api.Timer(token))
+            self.give(policy_api.TimerFired(token))
 
-    def check_send(self, send: policy_api.Send) -> None:
-        owed, cls = self.owed[send.id], self.config.classes[self.owed[send.id].cls]
+    def check_send(self, send: policy_api.StartAttempt) -> None:
+        owed, cls = self.owed[send.request_id], self.config.classes[self.owed[send.request_id].cls]
         assert owed.out is None, "two attempts out"
         assert owed.attempts < self.config.max_attempts
-        health, since = self.told[send.endpoint]
-        assert health == Health.READY or self.now - since <= GRACE
-        if owed.ran and cls.effect != Effect.SAFE:
-            assert cls.effect == Effect.KEYED
+        health, since = self.told[send.endpoint_id]
+        assert health == EndpointHealth.READY or self.now - since <= GRACE
+        if owed.ran and cls.idempotency != Idempotency.IDEMPOTENT:
+            assert cls.idempotency == Idempotency.IDEMPOTENCY_KEY
             first, when = self.where[owed.ran[0]], owed.ran[1]
-            assert self.now - when < cls.window
-            other = self.where[send.endpoint]
-            if cls.scope != Scope.ALL:
+            assert self.now - when < cls.deduplication_window_ns
+            other = self.where[send.endpoint_id]
+            if cls.deduplication_scope != DeduplicationScope.ALL:
                 assert first.zone == other.zone
-            if cls.scope == Scope.CELL:
+            if cls.deduplication_scope == DeduplicationScope.CELL:
                 assert first.cell == other.cell
-        owed.out, owed.sent, owed.attempts = send.endpoint, self.now, owed.attempts + 1
+        owed.out, owed.sent, owed.attempts = send.endpoint_id, self.now, owed.attempts + 1
 
     def complete(self, rid: int, outcome: int) -> None:
         owed = self.owed[rid]
         assert owed.out is not None
-        if outcome not in NEVER_RAN and owed.ran is None:
+        if outcome not in OUTCOMES_NEVER_EXECUTED and owed.ran is None:
             owed.ran = (owed.out, owed.sent)
-        event = policy_api.Completed(
-            rid, owed.attempts - 1, owed.out, outcome, self.now - owed.sent, outcome == Outcome.OK, ()
+        event = policy_api.AttemptCompleted(
+            rid,
+            owed.attempts - 1,
+            owed.out,
+            outcome,
+            self.now - owed.sent,
+            outcome == AttemptOutcome.SUCCESS,
+            (),
         )
         owed.out = None
-        if outcome == Outcome.OK:
+        if outcome == AttemptOutcome.SUCCESS:
             del self.owed[rid]
         self.give(event)
 
@@ -110,28 +123,28 @@
             if entry.health != self.told.get(entry.id, (None, 0))[0]:
                 self.told[entry.id] = (entry.health, self.now)
             self.where[entry.id] = entry
-        if kind != policy_api.ListKind.DELTA:
+        if kind != policy_api.EndpointUpdateKind.DELTA:
             for missing in set(self.told) - {e.id for e in entries}:
-                if self.told[missing][0] != Health.GONE:
-                    self.told[missing] = (Health.GONE, self.now)
-        self.give(policy_api.EndpointList(kind, tuple(entries)))
+                if self.told[missing][0] != EndpointHealth.REMOVED:
+                    self.told[missing] = (EndpointHealth.REMOVED, self.now)
+        self.give(policy_api.EndpointUpdate(kind, tuple(entries)))
 
     def probed(self, which: int, outcome: int) -> None:
         endpoint = self.probes.pop(which % len(self.probes))
-        self.give(policy_api.Probed(endpoint, outcome, MS, ()))
+        self.give(policy_api.HealthCheckCompleted(endpoint, outcome, MS, ()))
 
     def stop(self) -> None:
         """Killed and started anew: all that it held is void."""
         self.owed, self.told, self.probes, self.timers = {}, {}, [], []
         self.balancer = Balancer(self.config, 5)
-        self.give(policy_api.Attached())
-        self.learn(policy_api.ListKind.CACHED, list(self.where.values()))
+        self.give(policy_api.Started())
+        self.learn(policy_api.EndpointUpdateKind.CACHED, list(self.where.values()))
 
     def expire(self) -> None:
         """What is out at its deadline times out then, as a time-out never outlasts the client."""
         for rid, owed in list(self.owed.items()):
             if owed.expires <= self.now and owed.out:
-                self.complete(rid, Outcome.TIMEOUT)
+                self.complete(rid, AttemptOutcome.TIMEOUT)
                 assert rid not in self.owed, "no final answer to the time-out at the deadline"
             elif owed.expires <= self.now:
                 raise AssertionError("held unsent until its client left")
@@ -139,30 +152,32 @@
 
 CLASSES = st.builds(
     request_class,
-    worth=st.sampled_from([0.0, 1.0, 5.0]),
-    effect=st.sampled_from(list(Effect)),
-    scope=st.sampled_from(list(Scope)),
-    window=st.sampled_from([50 * MS, 5 * SECOND]),
-    late_worth=st.sampled_from([0.0, 0.5]),
+    priority_weight=st.sampled_from([0.0, 1.0, 5.0]),
+    idempotency=st.sampled_from(list(Idempotency)),
+    deduplication_scope=st.sampled_from(list(DeduplicationScope)),
+    deduplication_window_ns=st.sampled_from([50 * MS, 5 * SECOND]),
+    late_answer_value=st.sampled_from([0.0, 0.5]),
 )
 SETTINGS = st.builds(
     lambda classes, **rest: settings(*classes, **rest),
     st.lists(CLASSES, min_size=1, max_size=3),
-    zones=st.just(2),
+    zone_count=st.just(2),
     max_attempts=st.integers(1, 5),
-    peers=st.booleans(),
-    probes=st.booleans(),
-    warm_keys=st.booleans(),
-    instances=st.just(3),
-    cross_price=st.sampled_from([0.0, 0.2]),
-    discovery_on_request=st.booleans(),
+    gossip_enabled=st.booleans(),
+    health_checks_enabled=st.booleans(),
+    key_affinity=st.booleans(),
+    instance_count=st.just(3),
+    cross_zone_price=st.sampled_from([0.0, 0.2]),
+    polls_discovery=st.booleans(),
     tenants=st.sampled_from([(), (policy_api.Tenant("a", 9.0), policy_api.Tenant("b", 0.0))]),
-    retry_after_max=st.sampled_from([0, SECOND]),
+    max_retry_after_ns=st.sampled_from([0, SECOND]),
 )
 ENDPOINTS = st.builds(
-    lambda n, health, started: endpoint(n, health, zone=n % 2, cell=n % 4, started=started),
+    lambda n, health, started: endpoint(n, health, zone=n % 2, cell=n % 4, started_at_ns=started),
     st.integers(1, 9),
-    st.sampled_from([Health.READY, Health.READY, Health.DRAINING, Health.GONE]),
+    st.sampled_from(
+        [EndpointHealth.READY, EndpointHealth.READY, EndpointHealth.DRAINING, EndpointHealth.REMOVED]
+    ),
     st.sampled_from([0, START - SECOND, START + SECOND]),
 )
 STEPS = st.one_of(
@@ -170,26 +185,30 @@
     st.tuples(st.just("ask"), st.integers(0, 2), st.sampled_from([300, 2000, 4000])),
     st.tuples(st.just("ask"), st.integers(0, 2), st.sampled_from([3000, 4000])),
     st.tuples(
-        st.just("probed"), st.integers(0, 9), st.sampled_from([Outcome.OK, Outcome.OK, Outcome.TIMEOUT])
+        st.just("probed"),
+        st.integers(0, 9),
+        st.sampled_from([AttemptOutcome.SUCCESS, AttemptOutcome.SUCCESS, AttemptOutcome.TIMEOUT]),
     ),
     st.tuples(st.just("stream"), st.integers(0, 9), st.just(0)),
     st.tuples(st.just("stop"), st.just(0), st.just(0)),
-    st.tuples(st.just("answer"), st.integers(0, 9), st.sampled_from(list(Outcome))),
-    st.tuples(st.just("answer"), st.integers(0, 9), st.sampled_from(list(Outcome))),
+    st.tuples(st.just("answer"), st.integers(0, 9), st.sampled_from(list(AttemptOutcome))),
+    st.tuples(st.just("answer"), st.integers(0, 9), st.sampled_from(list(AttemptOutcome))),
     st.tuples(st.just("list"), st.sampled_from([1, 2, 3]), st.lists(ENDPOINTS, max_size=9)),
     st.tuples(st.just("pass"), st.sampled_from([5, 60, 400, 1500]), st.just(0)),
     st.tuples(st.just("gone"), st.integers(0, 9), st.just(0)),
     st.tuples(st.just("tick"), st.just(0), st.just(0)),
     st.tuples(st.just("failed"), st.just(0), st.just(0)),
     st.tuples(st.just("peer"), st.just(0), st.binary(max_size=60)),
-    st.tuples(st.just("stray"), st.integers(0, 9), st.sampled_from(list(Outcome))),
+    st.tuples(st.just("stray"), st.integers(0, 9), st.sampled_from(list(AttemptOutcome))),
 )
 
 
 def play(config: policy_api.Settings, steps: list[Any], seed: int = 3) -> World:
     world = World(config, Balancer(config, seed))
-    world.give(policy_api.Attached())
-    world.learn(policy_api.ListKind.CACHED, [endpoint(n, zone=n % 2, cell=n % 4) for n in range(1, 9)])
+    world.give(policy_api.Started())
+    world.learn(
+        policy_api.EndpointUpdateKind.CACHED, [endpoint(n, zone=n % 2, cell=n % 4) for n in range(1, 9)]
+    )
     next_id = 1000
     for kind, a, b in steps:
         world.now += MS
@@ -197,10 +216,12 @@
         if kind == "ask":
             cls = a % len(config.classes)
             world.owed[next_id] = Owed(cls, world.now + b * MS)
-            key = next_id if config.classes[cls].effect == Effect.KEYED else 0
+            key = next_id if config.classes[cls].idempotency == Idempotency.IDEMPOTENCY_KEY else 0
             tenant = next_id % 2 if config.tenants else 0
             world.give(
-                policy_api.Request(next_id, cls, tenant, key, world.now + b * MS, 0, bool(next_id % 3 == 0))
+                policy_api.RequestReceived(
+                    next_id, cls, tenant, key, world.now + b * MS, 0, bool(next_id % 3 == 0)
+                )
             )
             next_id += 1
         elif kind == "answer" and out:
@@ -212,9 +233,9 @@
         elif kind == "gone" and out:
             rid = out[a % len(out)]
             owed = world.owed.pop(rid)
-            world.give(policy_api.Gone(rid))
+            world.give(policy_api.ClientDisconnected(rid))
             assert owed.out is not None
-            world.give(policy_api.Completed(rid, 0, owed.out, Outcome.CANCELLED, 0, True, ()))
+            world.give(policy_api.AttemptCompleted(rid, 0, owed.out, AttemptOutcome.CANCELLED, 0, True, ()))
         elif kind == "probed" and world.probes:
             world.probed(a, b)
         elif kind == "stream" and out:
@@ -222,23 +243,27 @@
             owed = world.owed.pop(rid)
             world.give(policy_api.StreamStarted(rid))
             assert owed.out is not None
-            world.give(policy_api.Completed(rid, 0, owed.out, Outcome.RESET, 0, True, ()))
+            world.give(
+                policy_api.AttemptCompleted(rid, 0, owed.out, AttemptOutcome.CONNECTION_RESET, 0, True, ())
+            )
         elif kind == "stop":
             world.stop()
         elif kind == "tick":
-            world.give(policy_api.Timer(0))
+            world.give(policy_api.TimerFired(0))
         elif kind == "failed":
-            world.give(policy_api.EndpointList(policy_api.ListKind.FAILED, ()))
+            world.give(policy_api.EndpointUpdate(policy_api.EndpointUpdateKind.DISCOVERY_FAILED, ()))
         elif kind == "peer":
-            world.give(policy_api.PeerMessage(1, b))
+            world.give(policy_api.GossipReceived(1, b))
         elif kind == "stray":  # fits nothing that is held
-            world.give(policy_api.Completed(a, 0, a.to_bytes(6, "little"), b, MS, False, ()))
-            world.give(policy_api.Gone(a))
-            world.give(policy_api.Timer(77))
+            world.give(policy_api.AttemptCompleted(a, 0, a.to_bytes(6, "little"), b, MS, False, ()))
+            world.give(policy_api.ClientDisconnected(a))
+            world.give(policy_api.TimerFired(77))
         world.ring()
         world.expire()
         held = [owed for owed in world.owed.values() if not owed.out]
-        assert not held or (config.probes and not config.peers), "held with nobody asked"
+        assert not held or (config.health_checks_enabled and not config.gossip_enabled), (
+            "held with nobody asked"
+        )
         assert all(owed.attempts == 0 for owed in held)
     return world
 
@@ -257,59 +282,84 @@
     assert one.balancer.rand() == two.balancer.rand()
 
 
-@pytest.mark.parametrize("effect", list(Effect))
-@pytest.mark.parametrize("outcome", [o for o in Outcome if o != Outcome.OK])
-def test_each_effect_after_each_outcome(effect: Effect, outcome: Outcome) -> None:
-    b = Bench(settings(request_class(effect=effect, late_worth=0.5)), servers=8)
+@pytest.mark.parametrize("effect", list(Idempotency))
+@pytest.mark.parametrize("outcome", [o for o in AttemptOutcome if o != AttemptOutcome.SUCCESS])
+def test_each_effect_after_each_outcome(effect: Idempotency, outcome: AttemptOutcome) -> None:
+    b = Bench(settings(request_class(idempotency=effect, late_answer_value=0.5)), servers=8)
     for _ in range(30):
         b.answer(b.sent())
     send = b.sent()
     b.now += 50 * MS
     [action] = b.answer(send, outcome, 50 * MS)
-    if outcome == Outcome.MOOT:
-        assert isinstance(action, policy_api.Refuse)
-    elif outcome == Outcome.WRONG:  # no other server would take it; a refusal says that a repeat is harmless
-        assert isinstance(action, policy_api.Refuse if effect == Effect.SAFE else policy_api.Fail)
-    elif effect == Effect.UNSAFE and outcome not in NEVER_RAN:
-        assert isinstance(action, policy_api.Fail)
+    if outcome == AttemptOutcome.NOT_SENT:
+        assert isinstance(action, policy_api.RejectRequest)
+    elif (
+        outcome == AttemptOutcome.CLIENT_ERROR
+    ):  # no other server would take it; a refusal says that a repeat is harmless
+        assert isinstance(
+            action, policy_api.RejectRequest if effect == Idempotency.IDEMPOTENT else policy_api.FailRequest
+        )
+    elif effect == Idempotency.NOT_IDEMPOTENT and outcome not in OUTCOMES_NEVER_EXECUTED:
+        assert isinstance(action, policy_api.FailRequest)
     else:
-        assert isinstance(action, policy_api.Send) and action.endpoint != send.endpoint
-
-
-@pytest.mark.parametrize("scope", [Scope.ZONE, Scope.CELL])
-def test_a_keyed_request_that_may_have_run_stays_in_its_group_and_window(scope: Scope) -> None:
-    keyed = request_class(effect=Effect.KEYED, scope=scope, window=200 * MS, late_worth=0.5)
-    b = Bench(settings(keyed, zones=2), servers=0)
+        assert isinstance(action, policy_api.StartAttempt) and action.endpoint_id != send.endpoint_id
+
+
+@pytest.mark.parametrize("scope", [DeduplicationScope.ZONE, DeduplicationScope.CELL])
+def test_a_keyed_request_that_may_have_run_stays_in_its_group_and_window(scope: DeduplicationScope) -> None:
+    keyed = request_class(
+        idempotency=Idempotency.IDEMPOTENCY_KEY,
+        deduplication_scope=scope,
+        deduplication_window_ns=200 * MS,
+        late_answer_value=0.5,
+    )
+    b = Bench(settings(keyed, zone_count=2), servers=0)
     b.list_of(*(endpoint(n, zone=n % 2, cell=n % 4) for n in range(1, 17)))
     for wait, again in ((50, True), (250, False)):
         for _ in range(30):
             b.answer(b.sent())
         send = b.sent()
         b.now += wait * MS
-        [action] = b.answer(send, Outcome.ERROR, wait * MS)
+        [action] = b.answer(send, AttemptOutcome.SERVER_ERROR, wait * MS)
         if again:
-            assert isinstance(action, policy_api.Send)
-            groups = 2 if scope == Scope.ZONE else 4
-            assert action.endpoint[0] % groups == send.endpoint[0] % groups
+            assert isinstance(action, policy_api.StartAttempt)
+            groups = 2 if scope == DeduplicationScope.ZONE else 4
+            assert action.endpoint_id[0] % groups == send.endpoint_id[0] % groups
         else:
-            assert isinstance(action, policy_api.Fail)  # a refusal would promise that a repeat does no harm
+            assert isinstance(
+                action, policy_api.FailRequest
+            )  # a refusal would promise that a repeat does no harm
 
 
 def test_retries_keep_to_a_budget_and_never_go_into_overload() -> None:
-    b = Bench(settings(request_class(late_worth=0.5)), servers=8)
+    b = Bench(settings(request_class(late_answer_value=0.5)), servers=8)
     again = 0
     for _ in range(200):
         send = b.sent()
         b.now += 5 * MS
-        again += sum(isinstance(a, policy_api.Send) for a in b.answer(send, Outcome.ERROR, 5 * MS))
+        again += sum(
+            isinstance(a, policy_api.StartAttempt)
+            for a in b.answer(send, AttemptOutcome.SERVER_ERROR, 5 * MS)
+        )
     assert 0 < again <= 200 * balance.RETRY_SHARE + balance.RETRY_SAVED + 1
     b.balancer.pressure, b.balancer.budget = 9.0, 5.0
-    assert not any(isinstance(a, policy_api.Send) for a in b.answer(b.sent(), Outcome.TIMEOUT))
+    assert not any(isinstance(a, policy_api.StartAttempt) for a in b.answer(b.sent(), AttemptOutcome.TIMEOUT))
 
 
 def test_every_endpoint_failing_still_answers_everything() -> None:
-    for outcome in (Outcome.ERROR, Outcome.CONNECT_FAILED, Outcome.TIMEOUT, Outcome.FULL, Outcome.RESET):
-        config = settings(request_class(), request_class(effect=Effect.UNSAFE), cold_for=0, zones=2)
+    for outcome in (
+        AttemptOutcome.SERVER_ERROR,
+        AttemptOutcome.CONNECT_FAILED,
+        AttemptOutcome.TIMEOUT,
+        AttemptOutcome.REJECTED,
+        AttemptOutcome.CONNECTION_RESET,
+    ):
+        config = settings(
+            request_class(),
+            request_class(idempotency=Idempotency.NOT_IDEMPOTENT),
+            slow_start_duration_ns=0,
+            zone_count=2,
+        )
         steps: list[Any] = [("ask", i % 2, 2000) if i % 3 else ("answer", 0, outcome) for i in range(200)]
         world = play(config, [*steps, ("pass", 5000, 0)])
         assert not world.owed and world.answered > 50
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -13,7 +13,7 @@
 import pytest
 
 from balancer import policy_api
-from balancer.policy_api import Outcome
+from balancer.policy_api import AttemptOutcome
 from balancer.sidecar import configuration as config
 from balancer.sidecar.configuration import SECOND
 from balancer.sidecar.upstream.connection import ANSWER_MOST, REST, Answer, Connection, Pool, outcome_of
@@ -37,7 +37,7 @@
 
 
 def completed(event: policy_api.Event) -> bool:
-    return isinstance(event, policy_api.Completed)
+    return isinstance(event, policy_api.AttemptCompleted)
 
 
 def reset(peer: socket.socket) -> None:
@@ -154,10 +154,10 @@
 @pytest.mark.parametrize(
     ("raw", "outcome"),
     [
-        (DECLINED, Outcome.FULL),
-        (DECLINED + b"and so", Outcome.FULL),
-        (b"HTTP/1.1 500 X\r\n\r\n", Outcome.ERROR),
-        (b"HTTP/1.1 404 X\r\n\r\n<html>", Outcome.WRONG),
+        (DECLINED, AttemptOutcome.REJECTED),
+        (DECLINED + b"and so", AttemptOutcome.REJECTED),
+        (b"HTTP/1.1 500 X\r\n\r\n", AttemptOutcome.SERVER_ERROR),
+        (b"HTTP/1.1 404 X\r\n\r\n<html>", AttemptOutcome.CLIENT_ERROR),
     ],
 )
 def test_of_an_answer_that_serves_nothing_the_head_is_enough(raw: bytes, outcome: int) -> None:
@@ -223,10 +223,10 @@
 @pytest.mark.parametrize(
     ("ending", "cls", "code", "outcome"),
     [
-        ("end", "post", 200, Outcome.OK),
-        ("reset", "post", 502, Outcome.RESET),
-        ("never", "post", 504, Outcome.TIMEOUT),
-        ("never", "read", 503, Outcome.TIMEOUT),
+        ("end", "post", 200, AttemptOutcome.SUCCESS),
+        ("reset", "post", 502, AttemptOutcome.CONNECTION_RESET),
+        ("never", "post", 504, AttemptOutcome.TIMEOUT),
+        ("never", "read", 503, AttemptOutcome.TIMEOUT),
     ],
 )
 def test_what_an_answer_with_no_length_comes_to(ending: str, cls: str, code: int, outcome: int) -> None:
@@ -272,7 +272,7 @@
             store.most = together
             client = await node.client()
             assert (await client.ask(request("post")))[0] == 502
-            assert (await node.event(completed)).outcome == Outcome.RESET
+            assert (await node.event(completed)).outcome == AttemptOutcome.CONNECTION_RESET
             await served.left.wait()  # while the endpoint would have held it
             assert store.held == 0
 
@@ -338,7 +338,7 @@
                 node.host.end_within(0)
             assert (await client.answer())[0] == 503  # refused: trying again is harmless
             ended = await node.event(completed)
-            assert (ended.outcome, ended.over) == (Outcome.MOOT, False)
+            assert (ended.outcome, ended.request_finished) == (AttemptOutcome.NOT_SENT, False)
             assert not node.host._open and not node.host.knows(b"9b1f")
             # It says nothing of the endpoint, whose connection is not in vain.
             [member] = node.host._balancer.members.values()
@@ -357,7 +357,7 @@
 
 def move(node: Sidecar, dial: str, health: str = "up") -> None:
     told = {"seq": 2, "whole": False, "hosts": [entry("s-0", dial, health)]}
-    node.host.learn(config.host_list(told, node.config.names), policy_api.ListKind.DELTA)
+    node.host.learn(config.host_list(told, node.config.names), policy_api.EndpointUpdateKind.DELTA)
 
 
 def test_a_connection_in_use_to_an_old_address_is_not_kept_for_the_new_one() -> None:
@@ -399,7 +399,7 @@
             gate.opened.set()
             assert (await client.answer())[0] == 200
             ended = await node.event(completed)
-            assert (ended.outcome, ended.attempt) == (Outcome.OK, 0)
+            assert (ended.outcome, ended.attempt_index) == (AttemptOutcome.SUCCESS, 0)
             assert (len(old.seen), len(new.seen), gate.made) == (0, 1, 2)
             [pool] = node.host.upstream._pools.values()
             assert [connection.dial for connection in pool.idle] == [pool.dial]
@@ -427,7 +427,9 @@
             gate.opened.set()
             assert (await client.answer())[0] == 503
             ended = await node.event(completed)
-            assert ended.outcome == (Outcome.CONNECT_FAILED if then == "draining" else Outcome.MOOT)
+            assert ended.outcome == (
+                AttemptOutcome.CONNECT_FAILED if then == "draining" else AttemptOutcome.NOT_SENT
+            )
             while upstream._open:
                 await asyncio.sleep(0)
             assert not old.seen and not new.seen and gate.made == 1 and not upstream.outlived
@@ -512,13 +514,13 @@
                 assert upstream._open == 5
                 if ending == "cancel":
                     for attempt in attempts:
-                        attempt.abandon(Outcome.CANCELLED)
+                        attempt.abandon(AttemptOutcome.CANCELLED)
                 while len(outcomes) < 5 or upstream._open:
                     await asyncio.sleep(0)
                 while descriptors() > before:
                     await asyncio.sleep(0)
                 assert upstream._open == 0 and not upstream.outlived
-                wanted = Outcome.CONNECT_FAILED if ending == "timeout" else Outcome.CANCELLED
+                wanted = AttemptOutcome.CONNECT_FAILED if ending == "timeout" else AttemptOutcome.CANCELLED
                 assert outcomes == [wanted] * 5
 
     run(test())
@@ -532,7 +534,7 @@
             client.writer.write(request("post"))
             await gate.reached.wait()
             client.writer.close()
-            await node.event(lambda e: isinstance(e, policy_api.Gone))
+            await node.event(lambda e: isinstance(e, policy_api.ClientDisconnected))
             [pool] = upstream._pools.values()
             move(node, served.dial, "draining")
             gate.opened.set()
@@ -563,12 +565,12 @@
                 attempt.start()
 
             start(0)
-            assert await outcomes.get() == Outcome.OK
+            assert await outcomes.get() == AttemptOutcome.SUCCESS
             start(rests.now + 2 * REST)
             await rests.reached(1)
             rests.now += 2 * REST - (not late)
             rests.waiting[0].set_result(None)
-            assert await outcomes.get() == (Outcome.MOOT if late else Outcome.OK)
+            assert await outcomes.get() == (AttemptOutcome.NOT_SENT if late else AttemptOutcome.SUCCESS)
             [pool] = upstream._pools.values()
             assert (len(served.seen), served.connections, len(pool.idle)) == (1 if late else 2, 1, 1)
 
@@ -605,14 +607,14 @@
                 await asyncio.sleep(0)
             now[0] += waited * SECOND
             gate.opened.set()
-            ended = await node.event(lambda e: completed(e) and e.attempt == 1)
+            ended = await node.event(lambda e: completed(e) and e.attempt_index == 1)
             if waited < 9:
                 assert (await client.answer())[0] == 200
                 told = sorted(float(seen.headers[b"req-deadline"]) for seen in one.seen + other.seen)
                 assert told == [9 - 0.01 - waited, 9 - 0.01]
             else:
                 assert (await client.answer())[0] == 503
-                assert ended.outcome == Outcome.MOOT
+                assert ended.outcome == AttemptOutcome.NOT_SENT
                 assert len(one.seen) + len(other.seen) == 1
 
     run(test())
@@ -670,7 +672,7 @@
                     )
                     assert attempt is not None
                     attempt.start()
-                    assert await ended == Outcome.MOOT
+                    assert await ended == AttemptOutcome.NOT_SENT
                 else:
                     client = await node.client()
                     client.writer.write(whole)
@@ -684,7 +686,7 @@
                     else:
                         sent.attempt.time_out()
                     assert (await client.answer())[0] == 503
-                    assert (await node.event(completed)).outcome == Outcome.MOOT
+                    assert (await node.event(completed)).outcome == AttemptOutcome.NOT_SENT
                 while upstream._open:
                     await asyncio.sleep(0)
                 assert not upstream.outlived and not node.host._open
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -38,17 +38,20 @@
     events = list(wire_codec.Decoder().events(SAMPLE_BATCH[16:], count))
     rid = int.from_bytes(bytes.fromhex("c4913a5dfa790900"), "little")
     key = int.from_bytes(bytes.fromhex("640ad2557c3bf091"), "little")
-    assert events[0] == (3, policy_api.Request(rid, 0, 0, key, 0x203B6DB90, 12_000_000, False))
-    assert events[1] == (3, policy_api.Timer(0x4D))
-    assert events[2] == (5, policy_api.Gone(int.from_bytes(bytes.fromhex("192b6f0e625f0b00"), "little")))
+    assert events[0] == (3, policy_api.RequestReceived(rid, 0, 0, key, 0x203B6DB90, 12_000_000, False))
+    assert events[1] == (3, policy_api.TimerFired(0x4D))
+    assert events[2] == (
+        5,
+        policy_api.ClientDisconnected(int.from_bytes(bytes.fromhex("192b6f0e625f0b00"), "little")),
+    )
 
 
 def test_reply_of_the_page() -> None:
     rid = int.from_bytes(bytes.fromhex("c4913a5dfa790900"), "little")
     actions: list[policy_api.Action] = [
-        policy_api.Send(rid, bytes.fromhex("0a124a078b13"), 80_000_000),
+        policy_api.StartAttempt(rid, bytes.fromhex("0a124a078b13"), 80_000_000),
         policy_api.SetTimer(500_000_000, 77),
-        policy_api.Log("two servers known"),
+        policy_api.WriteLog("two servers known"),
     ]
     assert wire_codec.frame([wire_codec.encode(3, a) for a in actions]) == SAMPLE_REPLY
 
@@ -59,14 +62,15 @@
     instance, first = events[0]
     assert (
         instance == 3
-        and isinstance(first, policy_api.EndpointList)
-        and first.kind == policy_api.ListKind.CACHED
+        and isinstance(first, policy_api.EndpointUpdate)
+        and first.kind == policy_api.EndpointUpdateKind.CACHED
     )
-    assert [e.share for e in first.endpoints] == [1.0, 1.5]
+    assert [e.weight for e in first.endpoints] == [1.0, 1.5]
     assert (
-        first.endpoints[1].started == 6_100_000_000 and first.endpoints[0].health == policy_api.Health.READY
+        first.endpoints[1].started_at_ns == 6_100_000_000
+        and first.endpoints[0].health == policy_api.EndpointHealth.READY
     )
-    assert events[1] == (4, policy_api.EndpointList(policy_api.ListKind.FULL, ()))
+    assert events[1] == (4, policy_api.EndpointUpdate(policy_api.EndpointUpdateKind.SNAPSHOT, ()))
 
 
 def test_completed_with_report() -> None:
@@ -74,9 +78,13 @@
         "18 0300 c4913a5dfa790900 00 0a124a07 8b13 0000 a0491a0100000000 01 03 00000c43 00006841 52b81e3f"
     )
     [(_, event)] = wire_codec.Decoder().events(raw, 1)
-    assert isinstance(event, policy_api.Completed)
-    assert event.outcome == policy_api.Outcome.OK and event.over and event.took == 18_500_000
-    assert event.report == pytest.approx((140.0, 14.5, 0.62))
+    assert isinstance(event, policy_api.AttemptCompleted)
+    assert (
+        event.outcome == policy_api.AttemptOutcome.SUCCESS
+        and event.request_finished
+        and event.duration_ns == 18_500_000
+    )
+    assert event.load_report == pytest.approx((140.0, 14.5, 0.62))
 
 
 @pytest.mark.parametrize(
@@ -106,14 +114,19 @@
 def test_settings_ignore_unknown_keys_and_live_without_optional_ones() -> None:
     parsed = wire_codec.settings(json.dumps(GOOD | {"Novel": [1]}).encode())
     [cls] = parsed.classes
-    assert (cls.effect, cls.scope, cls.worth, cls.late_worth) == (
-        policy_api.Effect.KEYED,
-        policy_api.Scope.CELL,
+    assert (cls.idempotency, cls.deduplication_scope, cls.priority_weight, cls.late_answer_value) == (
+        policy_api.Idempotency.IDEMPOTENCY_KEY,
+        policy_api.DeduplicationScope.CELL,
         2,
         0,
     )
-    assert parsed.streams == 1
-    assert wire_codec.settings(json.dumps(GOOD | {"Limits": {"StreamsPerConn": 100}}).encode()).streams == 100
+    assert parsed.streams_per_connection == 1
+    assert (
+        wire_codec.settings(
+            json.dumps(GOOD | {"Limits": {"StreamsPerConn": 100}}).encode()
+        ).streams_per_connection
+        == 100
+    )
 
 
 @pytest.mark.parametrize(
