--- a/balancer/__main__.py
+++ b/balancer/__main__.py
@@ -12,11 +12,12 @@
 
 import uvloop
 
-from balancer.sidecar.configuration import SECOND, Config, ConfigError, load
-from balancer.sidecar.discovery_client import Discovery
-from balancer.sidecar.dispatcher import Clock, Host
-from balancer.sidecar.downstream.listener import ClientConnection, Frontend
-from balancer.sidecar.gossip_transport import Peers
+from balancer.errors import ConfigurationError
+from balancer.sidecar.configuration import SECOND, SidecarConfiguration, load
+from balancer.sidecar.discovery_client import DiscoveryClient
+from balancer.sidecar.dispatcher import Clock, Dispatcher
+from balancer.sidecar.downstream.listener import DownstreamConnection, Listener
+from balancer.sidecar.gossip_transport import GossipTransport
 
 # Stopping. Clients use the connections that they have until these close, and where sidecars restart in turn
 # no other may be up: so one serves on for nearly as long as it may live. In seconds after SIGTERM, or before
@@ -41,7 +42,7 @@
     Once for a row of signals: each read for itself, a flood of them kept the loop from everything else.
     """
 
-    def __init__(self, discovery: Discovery, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(self, discovery: DiscoveryClient, loop: asyncio.AbstractEventLoop) -> None:
         self._discovery, self._loop = discovery, loop
         self._due: asyncio.TimerHandle | None = None
 
@@ -57,28 +58,32 @@
         self._due = None
         try:
             config = load(os.environ)
-        except ConfigError as problem:
+        except ConfigurationError as problem:
             log.error("the old configuration stays: %s", problem)
             return
-        self._discovery.move(config.discovery)
+        self._discovery.change_address(config.discovery_address)
 
 
-async def serve(config: Config) -> None:
+async def serve(config: SidecarConfiguration) -> None:
     """Serve until SIGTERM or SIGINT; then finish what was taken."""
     loop = asyncio.get_running_loop()
-    host = Host(config, loop, Clock())
-    frontend = Frontend(config, host, loop)
+    host = Dispatcher(config, loop, Clock())
+    frontend = Listener(config, host, loop)
     told_to_stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, told_to_stop.set)
-    if config.peer_listen is not None and config.settings.gossip_enabled:
-        await loop.create_datagram_endpoint(lambda: Peers(config, host), local_addr=config.peer_listen)
-    host.start(config.known)
-    discovery = Discovery(config, host, loop)
+    if config.gossip_listen_address is not None and config.settings.gossip_enabled:
+        await loop.create_datagram_endpoint(
+            lambda: GossipTransport(config, host), local_addr=config.gossip_listen_address
+        )
+    host.start(config.known_endpoints)
+    discovery = DiscoveryClient(config, host, loop)
     reload = Reload(discovery, loop)
     loop.add_signal_handler(signal.SIGHUP, reload.ask)
     discovery.start()
-    server = await loop.create_server(lambda: ClientConnection(frontend), *config.listen, backlog=BACKLOG)
+    server = await loop.create_server(
+        lambda: DownstreamConnection(frontend), *config.listen_address, backlog=BACKLOG
+    )
     signal.pthread_sigmask(signal.SIG_UNBLOCK, SIGNALS)  # the threads that resolve names run by now
     await told_to_stop.wait()
     await stop(config, host, frontend, server)
@@ -87,20 +92,26 @@
     signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
 
 
-async def stop(config: Config, host: Host, frontend: Frontend, server: asyncio.AbstractServer) -> None:
+async def stop(
+    config: SidecarConfiguration, host: Dispatcher, frontend: Listener, server: asyncio.AbstractServer
+) -> None:
     """Serve on, then let the clients go and finish what was taken; sooner if all clients have left."""
     loop = asyncio.get_running_loop()
     longest = min(LONGEST, max(cls.client_timeout_ns for cls in config.settings.classes) / SECOND)
     accepted = loop.time() + ACCEPT_ON
     end = max(accepted, loop.time() + longest + KILLED_AFTER - SPARE)
-    host.end_within(end - LAST_ANSWERS - loop.time())
-    frontend.stop()
+    host.expire_all_within(end - LAST_ANSWERS - loop.time())
+    frontend.begin_shutdown()
     await asyncio.sleep(ACCEPT_ON)
     server.close()
-    for before, step in ((WIND_DOWN, frontend.wind_down), (CLOSE_IDLE, frontend.close_idle), (0.0, None)):
+    for before, step in (
+        (WIND_DOWN, frontend.begin_draining),
+        (CLOSE_IDLE, frontend.close_idle_connections),
+        (0.0, None),
+    ):
         # Whoever never finishes sending its request, or reading its answer, is not waited for.
         with contextlib.suppress(TimeoutError):
-            await asyncio.wait_for(frontend.finished(), max(0.0, end - before - loop.time()))
+            await asyncio.wait_for(frontend.wait_until_closed(), max(0.0, end - before - loop.time()))
         if step is not None:
             step()
 
@@ -109,7 +120,7 @@
     logging.basicConfig(level=logging.WARNING, format="%(levelname)s %(name)s: %(message)s")
     try:
         config = load(os.environ)
-    except ConfigError as problem:
+    except ConfigurationError as problem:
         print(f"balancer: {problem}", file=sys.stderr)
         return 2
     # Until there is something to reload or to stop; threads started meanwhile keep it so. This one alone
--- /dev/null
+++ b/balancer/errors.py
@@ -0,0 +1,27 @@
+"""The root of every exception that this package raises on purpose.
+
+Each part has its own subclasses beside the code that raises them. An exception carries what went wrong as
+fields and says it in one plain line, fit for a log or for standard error.
+"""
+
+from __future__ import annotations
+
+
+class BalancerError(Exception):
+    """Base class of the errors of this package."""
+
+
+class ConfigurationError(BalancerError):
+    """The configuration or the settings are missing or invalid."""
+
+
+class DiscoveryError(BalancerError):
+    """A call to discovery brought no usable endpoint list."""
+
+
+class ProtocolError(BalancerError):
+    """A peer sent something that its protocol does not allow."""
+
+
+class UpstreamConnectionError(BalancerError):
+    """A connection to an account server could not be used."""
--- a/balancer/policy/balancer.py
+++ b/balancer/policy/balancer.py
@@ -12,13 +12,35 @@
 from math import log
 from struct import Struct, pack, unpack_from
 
-from balancer import policy_api
 from balancer.policy_api import (
+    OUTCOMES_NEVER_EXECUTED,
+    Action,
+    AttemptCompleted,
     AttemptOutcome,
+    CancelAttempt,
+    ClientDisconnected,
+    CloseIdleConnections,
     DeduplicationScope,
+    Endpoint,
     EndpointHealth,
+    EndpointUpdate,
     EndpointUpdateKind,
+    Event,
+    FailRequest,
+    GossipReceived,
+    HealthCheckCompleted,
     Idempotency,
+    RejectRequest,
+    RequestReceived,
+    SendGossip,
+    SetTimer,
+    Settings,
+    StartAttempt,
+    Started,
+    StartHealthCheck,
+    StreamStarted,
+    TimerFired,
+    WatchEndpoints,
 )
 
 SECOND = 1_000_000_000
@@ -136,14 +158,14 @@
         "zone",
     )
 
-    def __init__(self, entry: policy_api.Endpoint, rank: int, classes: int) -> None:
+    def __init__(self, entry: Endpoint, rank: int, classes: int) -> None:
         self.id, self.rank, self.base = entry.id, rank, mix(int.from_bytes(entry.id, "little"))
         self.inflight = 0
         self.fails_of, self.heard_of = [0.0] * classes, [0] * classes  # of each class; see `failing`
         self.update(entry)
         self.reset()
 
-    def update(self, entry: policy_api.Endpoint) -> None:
+    def update(self, entry: Endpoint) -> None:
         self.zone, self.cell, self.health = entry.zone, entry.cell, entry.health
         self.share, self.started = max(entry.weight, 1e-3), entry.started_at_ns
 
@@ -185,7 +207,7 @@
         "stuck",
     )
 
-    def __init__(self, event: policy_api.RequestReceived, now: int) -> None:
+    def __init__(self, event: RequestReceived, now: int) -> None:
         self.id, self.cls, self.expires, self.arrived = (
             event.request_id,
             event.class_index,
@@ -206,24 +228,24 @@
 
 
 class Balancer:
-    def __init__(self, settings: policy_api.Settings, seed: int) -> None:
+    def __init__(self, settings: Settings, seed: int) -> None:
         self.settings = settings
         self.classes = settings.classes
         rng = random.Random(seed)
         self.rand, self.sample, self.choices = rng.random, rng.sample, rng.choices
         self.salt = mix(settings.instance_index)  # the subset outlives a restart
-        self.out: list[policy_api.Action] = []
+        self.out: list[Action] = []
         self.pending: dict[int, Pending] = {}
         self.handlers = {
-            policy_api.Started: self.on_attached,
-            policy_api.EndpointUpdate: self.on_list,
-            policy_api.RequestReceived: self.on_request,
-            policy_api.AttemptCompleted: self.on_completed,
-            policy_api.ClientDisconnected: self.on_gone,
-            policy_api.TimerFired: self.on_timer,
-            policy_api.StreamStarted: self.on_gone,
-            policy_api.GossipReceived: self.on_peer,
-            policy_api.HealthCheckCompleted: self.on_probed,
+            Started: self.on_attached,
+            EndpointUpdate: self.on_list,
+            RequestReceived: self.on_request,
+            AttemptCompleted: self.on_completed,
+            ClientDisconnected: self.on_gone,
+            TimerFired: self.on_timer,
+            StreamStarted: self.on_gone,
+            GossipReceived: self.on_peer,
+            HealthCheckCompleted: self.on_probed,
         }
         # list and drains
         self.members: dict[bytes, Member] = {}
@@ -275,7 +297,7 @@
         self.budget = 1.0
         self.try_left = [0] * len(self.classes)  # the longest that a first try has been given
 
-    def handle(self, now: int, event: policy_api.Event) -> list[policy_api.Action]:
+    def handle(self, now: int, event: Event) -> list[Action]:
         """Take one event and return the actions that answer it."""
         handler = self.handlers.get(type(event))
         if handler:
@@ -285,12 +307,12 @@
 
     # ---- list and drains ----------------------------------------------------------------------------------
 
-    def on_attached(self, now: int, event: policy_api.Started) -> None:
+    def on_attached(self, now: int, event: Started) -> None:
         self.cycle_from = now
         self.ask_at = now + int(self.rand() * self.ask_spread)
-        self.out.append(policy_api.SetTimer(1 + int(self.rand() * CYCLE), TICK))
+        self.out.append(SetTimer(1 + int(self.rand() * CYCLE), TICK))
 
-    def on_list(self, now: int, event: policy_api.EndpointUpdate) -> None:
+    def on_list(self, now: int, event: EndpointUpdate) -> None:
         if event.kind == EndpointUpdateKind.DISCOVERY_FAILED:
             self.subscribed = not self.settings.polls_discovery
             self.ask_at = now + int((ASK_LEAST + (1 - ASK_LEAST) * self.rand()) * self.ask_spread)
@@ -319,7 +341,7 @@
 
     def subscribe(self, now: int) -> None:
         if not self.subscribed and now >= self.ask_at:
-            self.out.append(policy_api.WatchEndpoints(True))
+            self.out.append(WatchEndpoints(True))
             self.ask_at = now + self.settings.discovery_poll_window_ns // 2  # should no reply come at all
 
     # ---- subset and choice --------------------------------------------------------------------------------
@@ -403,7 +425,7 @@
             del self.linked[member.id]
             member.opened = 0
             if member.health == EndpointHealth.READY:  # else the network code has closed it
-                self.out.append(policy_api.CloseIdleConnections(member.id))
+                self.out.append(CloseIdleConnections(member.id))
 
     def warmth(self, member: Member, now: int) -> float:
         """The share of its work that an endpoint can do at least, by the time since its start."""
@@ -562,7 +584,7 @@
             for member in sorted(drawn, key=lambda m: self.expected(m, request.cls, now))[:ASK]:
                 if member.id not in self.asking:
                     self.asking[member.id] = []
-                    self.out.append(policy_api.StartHealthCheck(member.id))
+                    self.out.append(StartHealthCheck(member.id))
                 self.asking[member.id].append(request.id)
                 request.asked.append(member)
                 request.open += 1
@@ -570,10 +592,10 @@
             return False
         request.steps += 1
         wait = ASK_TICKS * self.settings.scheduling_tick_ns + self.hop[far]
-        self.out.append(policy_api.SetTimer(wait, request.id + 1))
+        self.out.append(SetTimer(wait, request.id + 1))
         return True
 
-    def on_probed(self, now: int, event: policy_api.HealthCheckCompleted) -> None:
+    def on_probed(self, now: int, event: HealthCheckCompleted) -> None:
         waiting = self.asking.pop(event.endpoint_id, ())
         member = self.members.get(event.endpoint_id)
         if member is None:
@@ -589,7 +611,7 @@
                 continue
             request.open -= 1
             if ok and request.best is None:  # what else answers in this turn is compared with it
-                self.out.append(policy_api.SetTimer(1, rid + 1))
+                self.out.append(SetTimer(1, rid + 1))
             if ok and event.duration_ns - self.hop[far] < request.best_took - self.hop[request.best_far]:
                 request.best, request.best_took, request.best_far = member, event.duration_ns, far
             if not request.open and request.best is not None:
@@ -606,9 +628,7 @@
 
     # ---- endpoint health ----------------------------------------------------------------------------------
 
-    def learn(
-        self, member: Member, event: policy_api.AttemptCompleted, request: Pending | None, now: int
-    ) -> None:
+    def learn(self, member: Member, event: AttemptCompleted, request: Pending | None, now: int) -> None:
         outcome = event.outcome
         if outcome in (AttemptOutcome.CANCELLED, AttemptOutcome.NOT_SENT, AttemptOutcome.CLIENT_ERROR):
             self.evidence[member.zone][SENT] -= 1
@@ -673,7 +693,7 @@
             return
         safe = self.classes[request.cls].idempotency == Idempotency.IDEMPOTENT
         if calm and safe and self.worth_resending(request, AttemptOutcome.CANCELLED, now):
-            self.out.append(policy_api.CancelAttempt(request.id, request.attempts - 1))
+            self.out.append(CancelAttempt(request.id, request.attempts - 1))
 
     def learn_class(self, member: Member, request: Pending, failed: bool, now: int) -> None:
         """What becomes of the class there. A request that is stuck has been taken for failed already."""
@@ -726,7 +746,7 @@
             ):
                 member.probing = True
                 member.out_until = now + 2 * SECOND  # at the latest; the answer decides
-                self.out.append(policy_api.StartHealthCheck(member.id))
+                self.out.append(StartHealthCheck(member.id))
 
     def readmit(self, member: Member, ok: bool, now: int) -> None:
         member.probing = False
@@ -774,7 +794,7 @@
 
     # ---- admission cut ------------------------------------------------------------------------------------
 
-    def level(self, event: policy_api.RequestReceived, now: int) -> tuple[int, float]:
+    def level(self, event: RequestReceived, now: int) -> tuple[int, float]:
         """The request's level (business x 128 + user), and its place within the level for a smooth cut."""
         business = self.business[event.class_index]
         salt = mix(now // HOUR)
@@ -841,13 +861,13 @@
             self.cut = float(at)
         self.cut = 0.0
 
-    def on_timer(self, now: int, event: policy_api.TimerFired) -> None:
+    def on_timer(self, now: int, event: TimerFired) -> None:
         if event.token != TICK:
             request = self.pending.get(event.token - 1)
             if request is not None and not request.attempts:
                 self.decide(request, now)
             return
-        self.out.append(policy_api.SetTimer(CYCLE, TICK))
+        self.out.append(SetTimer(CYCLE, TICK))
         self.peak *= SUBSET_SHRINK
         if self.pressure <= self.over:  # in overload requests pile up: new connections would cost more yet
             self.peak = max(self.flying, self.peak)
@@ -954,9 +974,9 @@
         body += pack(f"<{len(told)}e", *told)
         for _ in range(PEERS):
             peer = int(self.rand() * (settings.instance_count - 1))
-            self.out.append(policy_api.SendGossip(peer + (peer >= settings.instance_index), body))
+            self.out.append(SendGossip(peer + (peer >= settings.instance_index), body))
 
-    def on_peer(self, now: int, event: policy_api.GossipReceived) -> None:
+    def on_peer(self, now: int, event: GossipReceived) -> None:
         body, rows = event.payload, self.pooled()
         count = sum(map(len, rows))
         if len(body) != HEAD.size + 2 * count:
@@ -977,7 +997,7 @@
 
     # ---- attempts and final answers -----------------------------------------------------------------------
 
-    def on_request(self, now: int, event: policy_api.RequestReceived) -> None:
+    def on_request(self, now: int, event: RequestReceived) -> None:
         level, place = self.level(event, now)
         request = Pending(event, now)
         self.worth_mean += 0.01 * (self.classes[event.class_index].priority_weight - self.worth_mean)
@@ -994,7 +1014,7 @@
             if not self.asks or not self.ask(request, now):
                 self.send(request, now)
 
-    def useless(self, event: policy_api.RequestReceived, now: int) -> bool:
+    def useless(self, event: RequestReceived, now: int) -> bool:
         """Whether this repeat came so late, by the time left of the one deadline, that no answer earns."""
         cls, left = self.classes[event.class_index], event.expires_at_ns - now
         if not event.is_retry:
@@ -1040,7 +1060,7 @@
         latest = 0  # a connection may come up late, and repeats are dropped for so long only
         if request.ran is not None and self.classes[request.cls].idempotency == Idempotency.IDEMPOTENCY_KEY:
             latest = request.ran_at + self.classes[request.cls].deduplication_window_ns
-        self.out.append(policy_api.StartAttempt(request.id, member.id, self.patience(request, now), latest))
+        self.out.append(StartAttempt(request.id, member.id, self.patience(request, now), latest))
         if self.sends % CYCLE_COUNT == 0:
             self.cycle(now)
 
@@ -1060,7 +1080,7 @@
             return left
         return 0
 
-    def on_completed(self, now: int, event: policy_api.AttemptCompleted) -> None:
+    def on_completed(self, now: int, event: AttemptCompleted) -> None:
         request = self.pending.get(event.request_id)
         member = self.members.get(event.endpoint_id)
         if member is not None and member.inflight:
@@ -1072,7 +1092,7 @@
         if request is None or event.request_finished:
             self.pending.pop(event.request_id, None)
             return
-        if request.ran is None and event.outcome not in policy_api.OUTCOMES_NEVER_EXECUTED:
+        if request.ran is None and event.outcome not in OUTCOMES_NEVER_EXECUTED:
             request.ran, request.ran_at = request.member, request.sent
         # One that is wrong fails anywhere: six servers refused each, and seemed to fail.
         hopeless = event.outcome in (AttemptOutcome.NOT_SENT, AttemptOutcome.CLIENT_ERROR)
@@ -1109,11 +1129,11 @@
             # Once no answer can count, the advice is to stay away for the rest of the client's time.
             late = not cls.late_answer_value and now >= request.arrived + cls.latency_objective_ns
             advice = min(cls.client_timeout_ns if late else STAY_AWAY, self.settings.max_retry_after_ns)
-            self.out.append(policy_api.RejectRequest(request.id, advice))
+            self.out.append(RejectRequest(request.id, advice))
         else:
-            self.out.append(policy_api.FailRequest(request.id))
+            self.out.append(FailRequest(request.id))
 
-    def on_gone(self, now: int, event: policy_api.ClientDisconnected | policy_api.StreamStarted) -> None:
+    def on_gone(self, now: int, event: ClientDisconnected | StreamStarted) -> None:
         """The client left, or a stream started: that is the client's, has no deadline and is never resent."""
         self.pending.pop(event.request_id, None)
 
--- a/balancer/sidecar/discovery_client.py
+++ b/balancer/sidecar/discovery_client.py
@@ -7,10 +7,15 @@
 import logging
 import random
 
-from balancer import policy_api
-from balancer.sidecar.configuration import Address, Config, HostList, host_list
-from balancer.sidecar.dispatcher import Host
-from balancer.sidecar.upstream.connection import Answer, Connection, Store
+from balancer.policy_api import EndpointUpdate, EndpointUpdateKind
+from balancer.sidecar.configuration import (
+    Address,
+    EndpointListUpdate,
+    SidecarConfiguration,
+    parse_endpoint_list,
+)
+from balancer.sidecar.dispatcher import Dispatcher
+from balancer.sidecar.upstream.connection import BufferBudget, HttpResponse, UpstreamConnection
 
 log = logging.getLogger(__name__)
 
@@ -32,37 +37,44 @@
 FIRST_ASKED, RETRY_ASKED, RETRY_ASKED_MOST = 1.0, 0.25, 1.5
 
 
-class CallFailed(Exception):
+class DiscoveryCallError(Exception):
     """A call to discovery brought no list."""
 
 
-class CallSilent(CallFailed):
+class DiscoveryTimeoutError(DiscoveryCallError):
     """It was open, and nothing came in its time: what it missed counts as told soon after."""
 
 
-class CallSpoilt(CallFailed):
+class MalformedDiscoveryResponseError(DiscoveryCallError):
     """Something came that cannot be read: what it said counts as told already."""
 
 
-class Discovery:
-    def __init__(self, config: Config, host: Host, loop: asyncio.AbstractEventLoop) -> None:
-        self._address, self._names, self._host, self._loop = config.discovery, config.names, host, loop
+class DiscoveryClient:
+    def __init__(
+        self, config: SidecarConfiguration, host: Dispatcher, loop: asyncio.AbstractEventLoop
+    ) -> None:
+        self._address, self._names, self._host, self._loop = (
+            config.discovery_address,
+            config.name_indices,
+            host,
+            loop,
+        )
         self._pushed = not config.settings.polls_discovery
         self._hold, self._grace = (HOLD_PUSHED, GRACE_PUSHED) if self._pushed else (HOLD, GRACE)
         self._connect_timeout = self._grace  # a call whose connection came up late still has its whole hold
         self._rand = random.Random(config.seed).random
-        self._seq = config.known.seq
+        self._seq = config.known_endpoints.version
         self._anew = False  # the address is new: its numbering may be another, so the whole list is due
-        self._connection: Connection | None = None  # idle, kept for the next call
+        self._connection: UpstreamConnection | None = None  # idle, kept for the next call
         self._watcher: asyncio.Task[None] | None = None
         self._fetcher: asyncio.Task[None] | None = None
-        host.watch, host.fetch = self.watch, self.fetch
+        host.set_watching, host.fetch_snapshot = self.set_watching, self.fetch_snapshot
 
     def start(self) -> None:
         if self._pushed:
-            self.watch(True)
+            self.set_watching(True)
 
-    def move(self, address: Address) -> None:
+    def change_address(self, address: Address) -> None:
         """Leave the old address for a new one; the list in hand stays until the new one has told its own."""
         if address == self._address:
             return
@@ -75,18 +87,18 @@
                 task.cancel()
         self._watcher = self._fetcher = None
         if watching:
-            self.watch(True)
+            self.set_watching(True)
         elif fetching or not self._pushed:
-            self.watch(True)  # which begins with the whole list
+            self.set_watching(True)  # which begins with the whole list
 
-    def watch(self, on: bool) -> None:
+    def set_watching(self, on: bool) -> None:
         if self._watcher is not None and not on:
             self._watcher.cancel()
             self._watcher = None
         elif on and (self._watcher is None or self._watcher.done()):
             self._watcher = self._loop.create_task(self._watch())
 
-    def fetch(self) -> None:
+    def fetch_snapshot(self) -> None:
         if self._fetcher is None or self._fetcher.done():
             self._fetcher = self._loop.create_task(self._fetch())
 
@@ -99,82 +111,84 @@
             try:
                 told = await self._next()
                 spoilt = False
-            except CallFailed as problem:
+            except DiscoveryCallError as problem:
                 log.debug("discovery: %s", problem)
                 if not self._pushed:
                     if self._anew:
                         await asyncio.sleep(retry * (1 - self._rand() / 2))
                         retry = min(RETRY_ASKED_MOST, 2 * retry)
                         continue
-                    if isinstance(problem, CallSilent) or (isinstance(problem, CallSpoilt) and not spoilt):
-                        spoilt = isinstance(problem, CallSpoilt)
+                    if isinstance(problem, DiscoveryTimeoutError) or (
+                        isinstance(problem, MalformedDiscoveryResponseError) and not spoilt
+                    ):
+                        spoilt = isinstance(problem, MalformedDiscoveryResponseError)
                         continue
                     self._watcher = None
-                    self._host.post(
-                        policy_api.EndpointUpdate(policy_api.EndpointUpdateKind.DISCOVERY_FAILED, ())
-                    )
+                    self._host.dispatch(EndpointUpdate(EndpointUpdateKind.DISCOVERY_FAILED, ()))
                     return
                 await asyncio.sleep(RETRY)
                 continue
             if not self._take(told):
                 await asyncio.sleep(PAUSE)
 
-    async def _next(self) -> HostList:
+    async def _next(self) -> EndpointListUpdate:
         if not self._anew:
             hold = self._hold if self._pushed else self._hold * (1 - HOLD_JITTER * self._rand())
             return await self._call(f"?from={self._seq}&hold_ms={hold * 1000:.0f}", hold + self._grace)
         # The whole list is there at once where it is pushed: a call that hangs must end in time for the next.
         told = await self._call("", FIRST_TIMEOUT if self._pushed else FIRST_ASKED)
-        if not told.whole:
-            raise CallFailed("changes only, where the whole list was asked for")
+        if not told.is_snapshot:
+            raise DiscoveryCallError("changes only, where the whole list was asked for")
         return told
 
     async def _fetch(self) -> None:
         try:
             self._take(await self._call("", FIRST_ASKED))
-        except CallFailed as problem:
+        except DiscoveryCallError as problem:
             log.debug("discovery: %s", problem)
-            self._host.post(policy_api.EndpointUpdate(policy_api.EndpointUpdateKind.DISCOVERY_FAILED, ()))
+            self._host.dispatch(EndpointUpdate(EndpointUpdateKind.DISCOVERY_FAILED, ()))
 
-    def _take(self, told: HostList) -> bool:
+    def _take(self, told: EndpointListUpdate) -> bool:
         """Pass a list on; whether it held anything new."""
-        if not told.whole and not told.hosts:
-            self._seq = told.seq
+        if not told.is_snapshot and not told.endpoints:
+            self._seq = told.version
             if not self._pushed:
                 # The decisions wait for an answer to their call, even for an empty one.
-                self._host.learn(told, policy_api.EndpointUpdateKind.DELTA)
+                self._host.on_endpoint_update(told, EndpointUpdateKind.DELTA)
             return False
-        if told.whole and told.seq == self._seq and self._pushed and not self._anew:
+        if told.is_snapshot and told.version == self._seq and self._pushed and not self._anew:
             return False
-        self._seq = told.seq
-        self._anew = self._anew and not told.whole
-        self._host.learn(
+        self._seq = told.version
+        self._anew = self._anew and not told.is_snapshot
+        self._host.on_endpoint_update(
             told,
-            policy_api.EndpointUpdateKind.SNAPSHOT if told.whole else policy_api.EndpointUpdateKind.DELTA,
+            EndpointUpdateKind.SNAPSHOT if told.is_snapshot else EndpointUpdateKind.DELTA,
         )
         return True
 
-    async def _call(self, query: str, timeout: float) -> HostList:
+    async def _call(self, query: str, timeout: float) -> EndpointListUpdate:
         """One call, on a connection that is its own until it is over. In `timeout` seconds it has its whole
-        answer, however slowly that comes, or has failed: raises CallFailed."""
+        answer, however slowly that comes, or has failed: raises DiscoveryCallError."""
         host, port = self._address
         request = f"GET /discovery/hosts{query} HTTP/1.1\r\nHost: {host}:{port}\r\n\r\n".encode()
         connection, self._connection = self._connection, None
-        if connection is not None and not connection.usable():
+        if connection is not None and not connection.is_reusable():
             connection.close()
             connection = None
-        connection = connection or Connection(store=Store(LIST_MOST))
+        connection = connection or UpstreamConnection(store=BufferBudget(LIST_MOST))
         good = False
         try:
             async with asyncio.timeout(timeout):
                 answer = await self._exchange(connection, request)
             if answer is None:
-                raise (CallSpoilt if connection.begun else CallFailed)("no whole answer")
+                raise (
+                    MalformedDiscoveryResponseError if connection.response_started else DiscoveryCallError
+                )("no whole answer")
             if answer.status != 200:
-                raise CallFailed(f"status {answer.status}")
+                raise DiscoveryCallError(f"status {answer.status}")
             good = True
         except (OSError, TimeoutError) as problem:
-            kind = CallSilent if connection.made else CallFailed
+            kind = DiscoveryTimeoutError if connection.is_established else DiscoveryCallError
             raise kind(f"{type(problem).__name__} {problem}") from None
         finally:
             if good:
@@ -183,18 +197,18 @@
             else:
                 connection.close()
         try:
-            return host_list(json.loads(answer.body), self._names)
+            return parse_endpoint_list(json.loads(answer.body), self._names)
         except (ValueError, RecursionError) as problem:
-            raise CallSpoilt(f"malformed list: {problem}") from None
+            raise MalformedDiscoveryResponseError(f"malformed list: {problem}") from None
 
-    async def _exchange(self, connection: Connection, request: bytes) -> Answer | None:
-        if not connection.made:
+    async def _exchange(self, connection: UpstreamConnection, request: bytes) -> HttpResponse | None:
+        if not connection.is_established:
             async with asyncio.timeout(self._connect_timeout):
                 await self._loop.create_connection(lambda: connection, *self._address)
-        connection.body_most = LIST_MOST
-        answered: asyncio.Future[Answer | None] = self._loop.create_future()
+        connection.max_body_bytes = LIST_MOST
+        answered: asyncio.Future[HttpResponse | None] = self._loop.create_future()
 
-        def done(answer: Answer | None) -> None:
+        def done(answer: HttpResponse | None) -> None:
             if not answered.done():
                 answered.set_result(answer)
 
--- a/balancer/sidecar/dispatcher.py
+++ b/balancer/sidecar/dispatcher.py
@@ -13,11 +13,35 @@
 from functools import partial
 from typing import Any, NamedTuple, Protocol
 
-from balancer import policy_api
 from balancer.policy.balancer import Balancer
-from balancer.policy_api import AttemptOutcome, Idempotency
-from balancer.sidecar.configuration import SECOND, Config, HostList
-from balancer.sidecar.upstream.connection import Answer, Attempt, Upstream
+from balancer.policy_api import (
+    OUTCOMES_NEVER_EXECUTED,
+    AttemptCompleted,
+    AttemptOutcome,
+    CancelAttempt,
+    ClientDisconnected,
+    CloseIdleConnections,
+    EndpointId,
+    EndpointUpdate,
+    EndpointUpdateKind,
+    Event,
+    FailRequest,
+    FetchEndpoints,
+    HealthCheckCompleted,
+    Idempotency,
+    RejectRequest,
+    RequestReceived,
+    SendGossip,
+    SetTimer,
+    StartAttempt,
+    Started,
+    StartHealthCheck,
+    TimerFired,
+    WatchEndpoints,
+    WriteLog,
+)
+from balancer.sidecar.configuration import SECOND, EndpointListUpdate, SidecarConfiguration
+from balancer.sidecar.upstream.connection import Attempt, HttpResponse, UpstreamManager
 
 log = logging.getLogger(__name__)
 
@@ -33,120 +57,127 @@
     def __init__(self) -> None:
         self._anchor = time.time_ns() - time.monotonic_ns()
 
-    def now(self) -> int:
+    def now_ns(self) -> int:
         return time.monotonic_ns() + self._anchor
 
 
-class Client(Protocol):
+class ResponseSink(Protocol):
     """Where the final answer of a request goes."""
 
-    def serve(self, answer: Answer) -> None: ...
+    def send_response(self, answer: HttpResponse) -> None: ...
 
-    def refuse(self, stay_away: int) -> None: ...
+    def reject(self, stay_away: int) -> None: ...
 
     def fail(self, timed_out: bool) -> None: ...
 
-    def left(self) -> bool: ...
+    def is_disconnected(self) -> bool: ...
 
 
-class Incoming(NamedTuple):
+class ClientRequest(NamedTuple):
     """A request as the client sent it, checked."""
 
-    name: bytes  # its Req-Id
-    cls: int
-    tenant: int
-    key: int
-    deadline: int
-    hint: int
-    repeat: bool
+    client_request_id: bytes  # its Req-Id
+    class_index: int
+    tenant_index: int
+    key_hash: int
+    timeout_ns: int
+    work_hint_ns: int
+    is_retry: bool
     head: bytes  # the request line and the headers that go on, but for the deadline and the empty line
     body: bytes
 
 
-class Open:
+class InFlightRequest:
     """A request in the ledger: owed its final answer, or with an attempt still out."""
 
     __slots__ = (
         "answered",
         "attempt",
-        "attempts",
-        "client",
-        "deadline",
-        "endpoint",
-        "expires",
-        "id",
-        "incoming",
-        "last",
+        "attempt_count",
+        "attempt_deadline_ns",
+        "attempt_started_at_ns",
+        "attempt_timer",
+        "client_request",
+        "deadline_timer",
+        "endpoint_id",
+        "expires_at_ns",
+        "has_background_attempt",
+        "last_outcome",
         "may_have_run",
-        "outlived",
-        "patience",
-        "sent",
-        "until",
+        "request_id",
+        "response_sink",
     )
 
-    def __init__(self, rid: int, client: Client, incoming: Incoming, expires: int) -> None:
-        self.id, self.client, self.incoming, self.expires = rid, client, incoming, expires
+    def __init__(self, rid: int, client: ResponseSink, incoming: ClientRequest, expires: int) -> None:
+        self.request_id, self.response_sink, self.client_request, self.expires_at_ns = (
+            rid,
+            client,
+            incoming,
+            expires,
+        )
         self.answered = False
-        self.attempts = self.sent = self.until = 0
+        self.attempt_count = self.attempt_started_at_ns = self.attempt_deadline_ns = 0
         self.attempt: Attempt | None = None
-        self.endpoint: policy_api.EndpointId = b""
-        self.last = -1  # the outcome of the last attempt
+        self.endpoint_id: EndpointId = b""
+        self.last_outcome = -1  # the outcome of the last attempt
         self.may_have_run = False
-        self.outlived = False  # by that attempt, which is still out
-        self.deadline: asyncio.TimerHandle | None = None
-        self.patience: asyncio.TimerHandle | None = None
+        self.has_background_attempt = False  # by that attempt, which is still out
+        self.deadline_timer: asyncio.TimerHandle | None = None
+        self.attempt_timer: asyncio.TimerHandle | None = None
 
-    def payload(self, now: Callable[[], int]) -> bytes:
-        left = max(0, min(self.until, self.expires) - now()) / SECOND  # the end may have been brought forward
-        return b"%sReq-Deadline: %.3f\r\n\r\n%s" % (self.incoming.head, left, self.incoming.body)
+    def encode(self, now: Callable[[], int]) -> bytes:
+        left = (
+            max(0, min(self.attempt_deadline_ns, self.expires_at_ns) - now()) / SECOND
+        )  # the end may have been brought forward
+        return b"%sReq-Deadline: %.3f\r\n\r\n%s" % (self.client_request.head, left, self.client_request.body)
 
 
-class Host:
-    def __init__(self, config: Config, loop: asyncio.AbstractEventLoop, clock: Clock) -> None:
+class Dispatcher:
+    def __init__(self, config: SidecarConfiguration, loop: asyncio.AbstractEventLoop, clock: Clock) -> None:
         self._settings = config.settings
         self._longest = max(cls.client_timeout_ns for cls in config.settings.classes)
-        self._loop, self.now = loop, clock.now
+        self._loop, self.now_ns = loop, clock.now_ns
         self._balancer = Balancer(config.settings, config.seed)
-        self.upstream = Upstream(config, loop, clock.now)
-        self._open: dict[int, Open] = {}
+        self.upstream = UpstreamManager(config, loop, clock.now_ns)
+        self._open: dict[int, InFlightRequest] = {}
         self._names: set[bytes] = set()  # the ids of those
         # Ids that are over and whose second run would do harm, by when their clients have given up.
         self._spent: dict[bytes, int] = {}
         self._last_id = 0
         self._end: int | None = None  # by when this sidecar has ended, once it was told to
-        self._events: deque[policy_api.Event] = deque()
+        self._events: deque[Event] = deque()
         self._busy = False
         self._actions: dict[type, Callable[[Any], None]] = {
-            policy_api.StartAttempt: self._send,
-            policy_api.RejectRequest: self._refuse,
-            policy_api.FailRequest: self._fail,
-            policy_api.CancelAttempt: self._cancel,
-            policy_api.SetTimer: self._set_timer,
-            policy_api.StartHealthCheck: self._probe,
-            policy_api.WriteLog: self._log,
-            policy_api.CloseIdleConnections: lambda a: self.upstream.disconnect(a.endpoint_id),
-            policy_api.WatchEndpoints: lambda a: self.watch(a.enabled),
-            policy_api.FetchEndpoints: lambda a: self.fetch(),
-            policy_api.SendGossip: lambda a: self.tell(a.recipient_index, a.payload),
+            StartAttempt: self._send,
+            RejectRequest: self._refuse,
+            FailRequest: self._fail,
+            CancelAttempt: self._cancel,
+            SetTimer: self._set_timer,
+            StartHealthCheck: self._probe,
+            WriteLog: self._log,
+            CloseIdleConnections: lambda a: self.upstream.close_idle_connections(a.endpoint_id),
+            WatchEndpoints: lambda a: self.set_watching(a.enabled),
+            FetchEndpoints: lambda a: self.fetch_snapshot(),
+            SendGossip: lambda a: self.send_gossip(a.recipient_index, a.payload),
         }
         # Set by the parts that do them.
-        self.watch: Callable[[bool], None] = lambda on: None
-        self.fetch: Callable[[], None] = lambda: None
-        self.tell: Callable[[int, bytes], None] = lambda peer, body: None
-        self.listed = False  # whether any endpoint has been named yet
+        self.set_watching: Callable[[bool], None] = lambda on: None
+        self.fetch_snapshot: Callable[[], None] = lambda: None
+        self.send_gossip: Callable[[int, bytes], None] = lambda peer, body: None
+        self.has_endpoints = False  # whether any endpoint has been named yet
 
     # ---- events
 
-    def start(self, known: HostList) -> None:
-        self.post(policy_api.Started())
-        self.learn(known, policy_api.EndpointUpdateKind.CACHED)
+    def start(self, known: EndpointListUpdate) -> None:
+        self.dispatch(Started())
+        self.on_endpoint_update(known, EndpointUpdateKind.CACHED)
 
-    def learn(self, told: HostList, kind: int) -> None:
-        self.listed = self.listed or bool(told.hosts)
-        self.upstream.learn(told.hosts, whole=kind != policy_api.EndpointUpdateKind.DELTA)
-        self.post(policy_api.EndpointUpdate(kind, tuple(host.endpoint for host in told.hosts)))
+    def on_endpoint_update(self, told: EndpointListUpdate, kind: int) -> None:
+        self.has_endpoints = self.has_endpoints or bool(told.endpoints)
+        self.upstream.update_endpoints(told.endpoints, whole=kind != EndpointUpdateKind.DELTA)
+        self.dispatch(EndpointUpdate(kind, tuple(host.endpoint for host in told.endpoints)))
 
-    def post(self, event: policy_api.Event) -> None:
+    def dispatch(self, event: Event) -> None:
         """Take an event. What an action brings about at once waits until the other actions are done."""
         self._events.append(event)
         if self._busy:
@@ -158,9 +189,9 @@
         finally:
             self._busy = False
 
-    def _step(self, event: policy_api.Event) -> None:
+    def _step(self, event: Event) -> None:
         try:
-            actions = self._balancer.handle(self.now(), event)
+            actions = self._balancer.handle(self.now_ns(), event)
         except Exception:
             # A fault in one decision must not take the others down. Its request fails at the deadline.
             log.exception("fault in handling %s", type(event).__name__)
@@ -170,102 +201,111 @@
 
     # ---- requests
 
-    def knows(self, name: bytes) -> bool:
+    def is_duplicate(self, name: bytes) -> bool:
         """Whether a request with this id is owed its answer or has an attempt out, or has run perhaps and
         must not run again: a client whose answer is lost with its connection may send it once more."""
-        while self._spent and next(iter(self._spent.values())) <= self.now():
+        while self._spent and next(iter(self._spent.values())) <= self.now_ns():
             del self._spent[next(iter(self._spent))]
         return name in self._names or name in self._spent
 
-    def request(self, client: Client, incoming: Incoming) -> int:
+    def submit(self, client: ResponseSink, incoming: ClientRequest) -> int:
         """Take a request; the client is answered once, unless `gone` tells that it left."""
         self._last_id += 1
-        rid, now = self._last_id, self.now()
-        margin = min(DEADLINE_MARGIN, int(incoming.deadline * MARGIN_SHARE))
-        expires = now + incoming.deadline - margin
+        rid, now = self._last_id, self.now_ns()
+        margin = min(DEADLINE_MARGIN, int(incoming.timeout_ns * MARGIN_SHARE))
+        expires = now + incoming.timeout_ns - margin
         if self._end is not None:
             expires = min(expires, self._end)
-        request = self._open[rid] = Open(rid, client, incoming, expires)
-        self._names.add(incoming.name)
-        request.deadline = self._loop.call_later((expires - now) / SECOND, self._at_deadline, request)
-        self.post(
-            policy_api.RequestReceived(
-                rid, incoming.cls, incoming.tenant, incoming.key, expires, incoming.hint, incoming.repeat
+        request = self._open[rid] = InFlightRequest(rid, client, incoming, expires)
+        self._names.add(incoming.client_request_id)
+        request.deadline_timer = self._loop.call_later((expires - now) / SECOND, self._at_deadline, request)
+        self.dispatch(
+            RequestReceived(
+                rid,
+                incoming.class_index,
+                incoming.tenant_index,
+                incoming.key_hash,
+                expires,
+                incoming.work_hint_ns,
+                incoming.is_retry,
             )
         )
         return rid
 
-    def end_within(self, seconds: float) -> None:
+    def expire_all_within(self, seconds: float) -> None:
         """Answer everything in this time: whoever ends the process does not wait for longer deadlines."""
-        self._end = end = self.now() + int(seconds * SECOND)
+        self._end = end = self.now_ns() + int(seconds * SECOND)
         for request in self._open.values():
-            request.expires = min(request.expires, end)
+            request.expires_at_ns = min(request.expires_at_ns, end)
         self._loop.call_later(seconds, self._at_end)
 
     def _at_end(self) -> None:
         for request in list(self._open.values()):
             if not request.answered:
-                if request.deadline is not None:
-                    request.deadline.cancel()
+                if request.deadline_timer is not None:
+                    request.deadline_timer.cancel()
                 self._at_deadline(request)
 
-    def gone(self, rid: int) -> None:
+    def on_client_disconnected(self, rid: int) -> None:
         """The client left. An attempt that is out goes on: ending it would only cost a connection. One that
         still waits for its connection must not begin: nobody wants it any more."""
         if (request := self._conclude(rid)) is not None:
             self._settle(request)
-            self.post(policy_api.ClientDisconnected(rid))
+            self.dispatch(ClientDisconnected(rid))
             if request.attempt is not None:
-                request.attempt.withdraw()
+                request.attempt.detach()
 
-    def _left(self, request: Open) -> bool:
+    def _left(self, request: InFlightRequest) -> bool:
         """Whether nobody waits any more. Asked before an attempt begins: no event may have told of it yet."""
-        if not request.answered and request.client.left():
-            self.gone(request.id)
+        if not request.answered and request.response_sink.is_disconnected():
+            self.on_client_disconnected(request.request_id)
         return request.answered
 
-    def _payload(self, request: Open) -> bytes:
+    def _payload(self, request: InFlightRequest) -> bytes:
         # The connection may have taken its time. The attempt ends before anything of it is written.
         if self._left(request) and request.attempt is not None:
-            request.attempt.abandon(AttemptOutcome.NOT_SENT)
-        return request.payload(self.now)
+            request.attempt.abort(AttemptOutcome.NOT_SENT)
+        return request.encode(self.now_ns)
 
-    def _at_deadline(self, request: Open) -> None:
-        request.deadline = None
+    def _at_deadline(self, request: InFlightRequest) -> None:
+        request.deadline_timer = None
         # The loop rounds its timers to milliseconds and may call before the time: it is over all the same, or
         # a further attempt would go out beside the one that outlives its request.
-        request.expires = min(request.expires, self.now())
+        request.expires_at_ns = min(request.expires_at_ns, self.now_ns())
         if request.attempt is not None:
             # Of a client in a hurry an answer is still likely; beyond the aim the endpoint is behind, and an
             # end may spare it the work.
-            aim = self._settings.classes[request.incoming.cls].latency_objective_ns
-            request.outlived = True
-            request.attempt.outlive((request.sent + aim - self.now()) / SECOND, partial(self._freed, request))
+            aim = self._settings.classes[request.client_request.class_index].latency_objective_ns
+            request.has_background_attempt = True
+            request.attempt.continue_in_background(
+                (request.attempt_started_at_ns + aim - self.now_ns()) / SECOND, partial(self._freed, request)
+            )
         if not request.answered:
             # The decisions answer each request by now; whatever keeps them from it, none is lost.
-            log.error("request %d was left unanswered until its deadline", request.id)
-            self._fail(policy_api.FailRequest(request.id))
-            self.post(policy_api.ClientDisconnected(request.id))
+            log.error("request %d was left unanswered until its deadline", request.request_id)
+            self._fail(FailRequest(request.request_id))
+            self.dispatch(ClientDisconnected(request.request_id))
 
-    def _freed(self, request: Open) -> None:
-        request.outlived = False
+    def _freed(self, request: InFlightRequest) -> None:
+        request.has_background_attempt = False
         self._settle(request)
 
-    def _settle(self, request: Open) -> None:
+    def _settle(self, request: InFlightRequest) -> None:
         """Drop what is answered and has no attempt out."""
-        if request.answered and request.attempt is None and not request.outlived:
-            if self._open.pop(request.id, None) is not None:
-                self._names.discard(request.incoming.name)
+        if request.answered and request.attempt is None and not request.has_background_attempt:
+            if self._open.pop(request.request_id, None) is not None:
+                self._names.discard(request.client_request.client_request_id)
                 if (
                     request.may_have_run
-                    and self._settings.classes[request.incoming.cls].idempotency != Idempotency.IDEMPOTENT
+                    and self._settings.classes[request.client_request.class_index].idempotency
+                    != Idempotency.IDEMPOTENT
                 ):
-                    self._spent[request.incoming.name] = self.now() + self._longest
-            if request.deadline is not None:
-                request.deadline.cancel()
-                request.deadline = None
+                    self._spent[request.client_request.client_request_id] = self.now_ns() + self._longest
+            if request.deadline_timer is not None:
+                request.deadline_timer.cancel()
+                request.deadline_timer = None
 
-    def _conclude(self, rid: int) -> Open | None:
+    def _conclude(self, rid: int) -> InFlightRequest | None:
         """The request if it is still owed its final answer, which the caller then gives."""
         request = self._open.get(rid)
         if request is None or request.answered:
@@ -275,89 +315,93 @@
 
     # ---- actions
 
-    def _send(self, action: policy_api.StartAttempt) -> None:
-        request, now = self._open.get(action.request_id), self.now()
-        if request is None or request.answered or request.attempt is not None or now >= request.expires:
+    def _send(self, action: StartAttempt) -> None:
+        request, now = self._open.get(action.request_id), self.now_ns()
+        if request is None or request.answered or request.attempt is not None or now >= request.expires_at_ns:
             self._moot(action, request)
             return
-        if request.attempts >= self._settings.max_attempts or self._left(request):
+        if request.attempt_count >= self._settings.max_attempts or self._left(request):
             self._moot(action, request)
             return
-        number, request.attempts = request.attempts, request.attempts + 1
-        request.sent, request.endpoint = now, action.endpoint_id
-        request.until = (
-            min(request.expires, now + action.timeout_ns) if action.timeout_ns else request.expires
+        number, request.attempt_count = request.attempt_count, request.attempt_count + 1
+        request.attempt_started_at_ns, request.endpoint_id = now, action.endpoint_id
+        request.attempt_deadline_ns = (
+            min(request.expires_at_ns, now + action.timeout_ns)
+            if action.timeout_ns
+            else request.expires_at_ns
         )
         # The connection may come up when this time is over, before the loop has called its end.
-        latest = min(action.start_before_ns or request.until, request.until)
+        latest = min(action.start_before_ns or request.attempt_deadline_ns, request.attempt_deadline_ns)
         done = partial(self._completed, request, number)
         payload = partial(self._payload, request)
-        attempt = self.upstream.attempt(action.endpoint_id, payload, done, latest)
+        attempt = self.upstream.create_attempt(action.endpoint_id, payload, done, latest)
         if attempt is None:
             done(AttemptOutcome.CONNECT_FAILED, None)
             return
         request.attempt = attempt
-        if request.until < request.expires:
-            request.patience = self._loop.call_later(action.timeout_ns / SECOND, attempt.time_out)
+        if request.attempt_deadline_ns < request.expires_at_ns:
+            request.attempt_timer = self._loop.call_later(action.timeout_ns / SECOND, attempt.expire)
         attempt.start()
 
-    def _moot(self, action: policy_api.StartAttempt, request: Open | None) -> None:
+    def _moot(self, action: StartAttempt, request: InFlightRequest | None) -> None:
         over = request is None or request.answered
-        number = request.attempts if request else 0
-        self.post(
-            policy_api.AttemptCompleted(
+        number = request.attempt_count if request else 0
+        self.dispatch(
+            AttemptCompleted(
                 action.request_id, number, action.endpoint_id, AttemptOutcome.NOT_SENT, 0, over, ()
             )
         )
 
-    def _completed(self, request: Open, number: int, outcome: int, answer: Answer | None) -> None:
-        request.attempt, request.last = None, outcome
-        request.may_have_run |= outcome not in policy_api.OUTCOMES_NEVER_EXECUTED
-        if request.patience is not None:
-            request.patience.cancel()
-            request.patience = None
+    def _completed(
+        self, request: InFlightRequest, number: int, outcome: int, answer: HttpResponse | None
+    ) -> None:
+        request.attempt, request.last_outcome = None, outcome
+        request.may_have_run |= outcome not in OUTCOMES_NEVER_EXECUTED
+        if request.attempt_timer is not None:
+            request.attempt_timer.cancel()
+            request.attempt_timer = None
         if (
             outcome == AttemptOutcome.SUCCESS
             and answer is not None
-            and self._conclude(request.id) is not None
+            and self._conclude(request.request_id) is not None
         ):
-            request.client.serve(answer)
+            request.response_sink.send_response(answer)
         over = request.answered
         self._settle(request)
-        took, report = self.now() - request.sent, self.upstream.report(answer)
-        self.post(
-            policy_api.AttemptCompleted(request.id, number, request.endpoint, outcome, took, over, report)
+        took, report = self.now_ns() - request.attempt_started_at_ns, self.upstream.parse_load_report(answer)
+        self.dispatch(
+            AttemptCompleted(request.request_id, number, request.endpoint_id, outcome, took, over, report)
         )
 
-    def _refuse(self, action: policy_api.RejectRequest) -> None:
+    def _refuse(self, action: RejectRequest) -> None:
         if (request := self._conclude(action.request_id)) is not None:
-            request.client.refuse(action.retry_after_ns)
+            request.response_sink.reject(action.retry_after_ns)
             self._settle(request)
 
-    def _fail(self, action: policy_api.FailRequest) -> None:
+    def _fail(self, action: FailRequest) -> None:
         if (request := self._conclude(action.request_id)) is not None:
-            request.client.fail(request.last == AttemptOutcome.TIMEOUT)
+            request.response_sink.fail(request.last_outcome == AttemptOutcome.TIMEOUT)
             self._settle(request)
 
-    def _cancel(self, action: policy_api.CancelAttempt) -> None:
+    def _cancel(self, action: CancelAttempt) -> None:
         request = self._open.get(action.request_id)
         if (
             request is not None
             and request.attempt is not None
-            and request.attempts - 1 == action.attempt_index
+            and request.attempt_count - 1 == action.attempt_index
         ):
-            request.attempt.abandon(AttemptOutcome.CANCELLED)
+            request.attempt.abort(AttemptOutcome.CANCELLED)
 
-    def _set_timer(self, action: policy_api.SetTimer) -> None:
-        self._loop.call_later(action.delay_ns / SECOND, self.post, policy_api.TimerFired(action.token))
+    def _set_timer(self, action: SetTimer) -> None:
+        self._loop.call_later(action.delay_ns / SECOND, self.dispatch, TimerFired(action.token))
 
-    def _probe(self, action: policy_api.StartHealthCheck) -> None:
-        self.upstream.probe(
+    def _probe(self, action: StartHealthCheck) -> None:
+        self.upstream.start_health_check(
             action.endpoint_id,
-            lambda outcome, took, report: self.post(
-                policy_api.HealthCheckCompleted(action.endpoint_id, outcome, took, report)
+            lambda outcome, took, report: self.dispatch(
+                HealthCheckCompleted(action.endpoint_id, outcome, took, report)
             ),
         )
 
-    def _log(self, action: policy_api.WriteLog) -> None:
+    def _log(self, action: WriteLog) -> None:
         log.info("%s", action.text)
--- a/balancer/sidecar/downstream/listener.py
+++ b/balancer/sidecar/downstream/listener.py
@@ -10,12 +10,12 @@
 from itertools import islice
 from typing import cast
 
-from balancer.sidecar.configuration import SECOND, Config
-from balancer.sidecar.dispatcher import Host
-from balancer.sidecar.http_request import BadRequest, Checker, Head, begins_badly, parse_head
-from balancer.sidecar.upstream.connection import BODY_MOST, Answer, Headers, shut
+from balancer.sidecar.configuration import SECOND, SidecarConfiguration
+from balancer.sidecar.dispatcher import Dispatcher
+from balancer.sidecar.http_request import Checker, Head, HttpRequestError, begins_badly, parse_head
+from balancer.sidecar.upstream.connection import MAX_REQUEST_BODY_BYTES, Headers, HttpResponse, shut
 
-PIPELINE_MOST = 16  # requests taken ahead of their turn on one connection
+MAX_PIPELINED_REQUESTS = 16  # requests taken ahead of their turn on one connection
 # What concerns one connection only, is written anew, or is meant for sidecars.
 NOT_PASSED_BACK = frozenset(
     (
@@ -63,32 +63,32 @@
 
     __slots__ = ("_connection", "answer", "id", "last")
 
-    def __init__(self, connection: ClientConnection, last: bool) -> None:
+    def __init__(self, connection: DownstreamConnection, last: bool) -> None:
         self._connection, self.last = connection, last
         self.id = 0  # the host's; 0: answered here
-        self.answer: Answer | None = None
+        self.answer: HttpResponse | None = None
 
-    def put(self, status: int, headers: Headers, body: bytes) -> None:
-        self.answer = Answer(status, headers, body)
+    def respond(self, status: int, headers: Headers, body: bytes) -> None:
+        self.answer = HttpResponse(status, headers, body)
         self._connection.flush()
 
-    def serve(self, answer: Answer) -> None:
-        self.put(200, [h for h in answer.headers if h[0] not in NOT_PASSED_BACK], answer.body)
+    def send_response(self, answer: HttpResponse) -> None:
+        self.respond(200, [h for h in answer.headers if h[0] not in NOT_PASSED_BACK], answer.body)
 
-    def refuse(self, stay_away: int) -> None:
+    def reject(self, stay_away: int) -> None:
         headers = [(b"Retry-After", b"%.3f" % (stay_away / SECOND))] if stay_away else []
-        self.put(503, headers, b"refused; trying again is harmless\n")
+        self.respond(503, headers, b"refused; trying again is harmless\n")
 
     def fail(self, timed_out: bool) -> None:
-        self.put(504 if timed_out else 502, [], b"failed; it may have run\n")
+        self.respond(504 if timed_out else 502, [], b"failed; it may have run\n")
 
-    def left(self) -> bool:
-        return self._connection.left()
+    def is_disconnected(self) -> bool:
+        return self._connection.is_disconnected()
 
 
-class ClientConnection(asyncio.Protocol):
-    def __init__(self, frontend: Frontend) -> None:
-        self.frontend = frontend
+class DownstreamConnection(asyncio.Protocol):
+    def __init__(self, frontend: Listener) -> None:
+        self.listener = frontend
         self._transport: asyncio.Transport | None = None
         self._fd = -1
         self._poll = select.poll()
@@ -103,14 +103,14 @@
         self._paused = False  # nothing is read for now
         self._dropped = 0  # bytes that came after the last request to be taken here
         self._since = 0.0  # when the wait began that goes on now
-        self.proven = False  # it has sent a whole request that makes sense
+        self.has_sent_request = False  # it has sent a whole request that makes sense
 
     @property
-    def idle(self) -> bool:
-        return not self.owed and not self._buffer and self._head is None
+    def is_idle(self) -> bool:
+        return not self.has_pending_responses and not self._buffer and self._head is None
 
     @property
-    def owed(self) -> bool:
+    def has_pending_responses(self) -> bool:
         return bool(self._exchanges)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -119,16 +119,16 @@
         self._fd = self._transport.get_extra_info("socket").fileno()
         self._poll.register(self._fd, select.POLLRDHUP)
         self._wait_anew()
-        self.frontend.opened(self)
+        self.listener.on_connection_opened(self)
 
     def eof_received(self) -> None:
         # The loop closes the connection, but not before answers that this client may never read have left.
-        self.frontend.lingers(self)
+        self.listener.on_connection_lingering(self)
         self._forget()
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._transport = None
-        self.frontend.closed(self)
+        self.listener.on_connection_closed(self)
         self._forget()
 
     def _forget(self) -> None:
@@ -138,9 +138,9 @@
         exchanges, self._exchanges = self._exchanges, deque()
         for exchange in exchanges:
             if exchange.answer is None:
-                self.frontend.host.gone(exchange.id)
+                self.listener.dispatcher.on_client_disconnected(exchange.id)
 
-    def left(self) -> bool:
+    def is_disconnected(self) -> bool:
         """Whether the client has ended its side, asked of the socket: where nothing is read, or not yet, no
         event tells."""
         transport = self._transport
@@ -154,7 +154,7 @@
             self._dropped += len(data)
             self._pace()
             return
-        if self.idle:
+        if self.is_idle:
             self._wait_anew()
         self._buffer += data
         self._take()
@@ -168,7 +168,7 @@
             while self._buffer and not self._full():
                 if not self._take_one():
                     break
-        except BadRequest as error:
+        except HttpRequestError as error:
             self._reject(error)
         finally:
             self._taking = False
@@ -180,10 +180,10 @@
             return False
         head = self._head
         assert head is not None
-        if len(self._buffer) < head.length:
+        if len(self._buffer) < head.content_length:
             return False
-        body = bytes(self._buffer[: head.length])
-        del self._buffer[: head.length]
+        body = bytes(self._buffer[: head.content_length])
+        del self._buffer[: head.content_length]
         self._head = None
         self._request(head, body)
         return True
@@ -198,37 +198,42 @@
         self._head = head = parse_head(bytes(self._buffer[: end + 4]))
         del self._buffer[: end + 4]
         self._searched = 0
-        if head.waits and len(self._buffer) < head.length and not self.owed and self._transport is not None:
+        if (
+            head.expects_continue
+            and len(self._buffer) < head.content_length
+            and not self.has_pending_responses
+            and self._transport is not None
+        ):
             self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         return True
 
     def _request(self, head: Head, body: bytes) -> None:
         if head.method == b"GET" and head.path == b"/up":
-            self._exchange(head).put(*self.frontend.up())
+            self._exchange(head).respond(*self.listener.readiness_response())
             return
-        incoming = self.frontend.checker.check(head, body)
-        if self.frontend.host.knows(incoming.name):
+        incoming = self.listener.validator.check(head, body)
+        if self.listener.dispatcher.is_duplicate(incoming.client_request_id):
             # Two copies of one request must not meet at an endpoint, nor one run after the other.
-            raise BadRequest(409, "a request with this Req-Id was taken already")
-        self.frontend.taken(self)
+            raise HttpRequestError(409, "a request with this Req-Id was taken already")
+        self.listener.on_request_accepted(self)
         exchange = self._exchange(head)
-        exchange.id = self.frontend.host.request(exchange, incoming)
+        exchange.id = self.listener.dispatcher.submit(exchange, incoming)
 
     def _exchange(self, head: Head) -> Exchange:
-        exchange = Exchange(self, last=not head.keep)
+        exchange = Exchange(self, last=not head.keeps_alive)
         if exchange.last:
             self._ended = True
         self._exchanges.append(exchange)
         return exchange
 
-    def _reject(self, error: BadRequest) -> None:
+    def _reject(self, error: HttpRequestError) -> None:
         """Answer what goes no further, in its turn, and end the connection: its client would send on."""
         self._ended = True
         self._head = None
         self._buffer.clear()
         exchange = Exchange(self, last=True)
         self._exchanges.append(exchange)
-        exchange.put(error.status, [], error.why.encode() + b"\n")
+        exchange.respond(error.status, [], error.reason.encode() + b"\n")
 
     # ---- answers
 
@@ -240,7 +245,7 @@
             if self._transport is None:
                 continue
             # A stopping sidecar ends the connection, but not before what was taken on it is answered.
-            last = exchange.last or (self.frontend.draining and self.idle)
+            last = exchange.last or (self.listener.is_draining and self.is_idle)
             self._transport.write(reply(*answer, close=last))
             if last:
                 self.close()
@@ -262,19 +267,19 @@
         else:
             # The loop would do it in a later turn and might read a request before, which would be lost.
             shut(self._fd, socket.SHUT_WR)
-        self.frontend.lingers(self)
+        self.listener.on_connection_lingering(self)
         self._pace()
 
     def abort(self) -> None:
         if self._transport is not None:
             self._transport.abort()
 
-    def close_unless_asked(self) -> None:
+    def close_unless_unread(self) -> None:
         """Close between requests. What has come and is not read yet may be one: that is answered first."""
-        if not self.unread():
+        if not self.has_unread_bytes():
             self.close()
 
-    def unread(self) -> bool:
+    def has_unread_bytes(self) -> bool:
         if self._transport is None:
             return False
         arrived = select.poll()
@@ -293,7 +298,7 @@
 
     def _full(self) -> bool:
         """Whether nothing more is taken here, at least for now."""
-        return self._ended or self._clogged or len(self._exchanges) >= PIPELINE_MOST
+        return self._ended or self._clogged or len(self._exchanges) >= MAX_PIPELINED_REQUESTS
 
     def _pace(self) -> None:
         """Read on, unless requests or answers pile up. After the last request too, for the client's leaving
@@ -301,7 +306,7 @@
         transport = self._transport
         if transport is None or transport.is_closing():
             return
-        most = LINGER_MOST if self._shut else BODY_MOST
+        most = LINGER_MOST if self._shut else MAX_REQUEST_BODY_BYTES
         paused = self._dropped > most if self._ended else self._full()
         if paused != self._paused:
             self._paused = paused
@@ -310,53 +315,59 @@
     # ---- limits of time
 
     def _wait_anew(self) -> None:
-        self._since = self.frontend.now()
+        self._since = self.listener.now()
 
-    def waited(self, now: float) -> float:
+    def seconds_waited(self, now: float) -> float:
         return now - self._since
 
-    def sweep(self, now: float, idle_most: float) -> None:
+    def enforce_timeouts(self, now: float, idle_most: float) -> None:
         """End what has waited too long."""
-        transport, waited = self._transport, self.waited(now)
+        transport, waited = self._transport, self.seconds_waited(now)
         if transport is None:
             return
-        if self._paused and not transport.is_closing() and self.left():
+        if self._paused and not transport.is_closing() and self.is_disconnected():
             transport.abort()
         elif self._shut or transport.is_closing():
-            if waited > self.frontend.linger:
+            if waited > self.listener.linger_seconds:
                 transport.abort()
         elif self._clogged:
             if waited > UNREAD:
                 transport.abort()
-        elif self.idle:
-            if waited > (idle_most if self.proven else SILENT):
-                self.close_unless_asked()
-        elif not self.owed and waited > (REQUEST if self.proven else FIRST_REQUEST):
-            self._reject(BadRequest(408))
-
-
-class Frontend:
-    def __init__(self, config: Config, host: Host, loop: asyncio.AbstractEventLoop) -> None:
-        self.host = host
-        self.draining = False
-        self.linger = LINGER
-        self.checker = Checker(config)
+        elif self.is_idle:
+            if waited > (idle_most if self.has_sent_request else SILENT):
+                self.close_unless_unread()
+        elif not self.has_pending_responses and waited > (
+            REQUEST if self.has_sent_request else FIRST_REQUEST
+        ):
+            self._reject(HttpRequestError(408))
+
+
+class Listener:
+    def __init__(
+        self, config: SidecarConfiguration, host: Dispatcher, loop: asyncio.AbstractEventLoop
+    ) -> None:
+        self.dispatcher = host
+        self.is_draining = False
+        self.linger_seconds = LINGER
+        self.validator = Checker(config)
         self.now = loop.time
         self._loop = loop
         self._began = self.now()
         self._drained = asyncio.Event()
-        self._most = config.clients_most
+        self._most = config.max_downstream_connections
         # By when they were last used, oldest first: those that have shown a request of sense, and the others.
-        self._proven: dict[ClientConnection, None] = {}
-        self._others: dict[ClientConnection, None] = {}
-        self._lingering: dict[ClientConnection, None] = {}  # those that are closed but for the client's part
+        self._proven: dict[DownstreamConnection, None] = {}
+        self._others: dict[DownstreamConnection, None] = {}
+        self._lingering: dict[
+            DownstreamConnection, None
+        ] = {}  # those that are closed but for the client's part
         self._open = 0  # descriptors: all of these, and what the loop has yet to close
         self._sweeping: asyncio.TimerHandle | None = None
 
     def __len__(self) -> int:
         return self._open
 
-    def opened(self, connection: ClientConnection) -> None:
+    def on_connection_opened(self, connection: DownstreamConnection) -> None:
         self._open += 1
         self._others[connection] = None
         excess = self._open - self._most
@@ -369,35 +380,41 @@
         if self._sweeping is None:
             self._sweeping = self._loop.call_later(SWEEP, self._sweep)
 
-    def _victim(self, newcomer: ClientConnection) -> ClientConnection:
+    def _victim(self, newcomer: DownstreamConnection) -> DownstreamConnection:
         """Who makes room: the oldest that ought to have asked by now, else the longest idle, else the oldest.
 
         A client may take a moment from connecting to its request: closed for newer ones that are no further,
         it would lose its turn while connections of clients that asked once stand idle.
         """
-        other = next((c for c in self._others if not c.owed and not c.unread()), None)
-        if other is not None and other.waited(self.now()) > FIRST_BYTES:
+        other = next(
+            (c for c in self._others if not c.has_pending_responses and not c.has_unread_bytes()), None
+        )
+        if other is not None and other.seconds_waited(self.now()) > FIRST_BYTES:
             return other
-        return next((c for c in self._proven if c.idle and not c.unread()), None) or other or newcomer
+        return (
+            next((c for c in self._proven if c.is_idle and not c.has_unread_bytes()), None)
+            or other
+            or newcomer
+        )
 
-    def taken(self, connection: ClientConnection) -> None:
+    def on_request_accepted(self, connection: DownstreamConnection) -> None:
         """A request of sense has come there."""
-        connection.proven = True
+        connection.has_sent_request = True
         self._others.pop(connection, None)
         self._proven.pop(connection, None)
         self._proven[connection] = None
 
-    def lingers(self, connection: ClientConnection) -> None:
+    def on_connection_lingering(self, connection: DownstreamConnection) -> None:
         self._forget(connection)
         self._lingering[connection] = None
 
-    def closed(self, connection: ClientConnection) -> None:
+    def on_connection_closed(self, connection: DownstreamConnection) -> None:
         self._forget(connection)
         self._open -= 1
         if not self._open:
             self._drained.set()
 
-    def _forget(self, connection: ClientConnection) -> None:
+    def _forget(self, connection: DownstreamConnection) -> None:
         for group in (self._proven, self._others, self._lingering):
             group.pop(connection, None)
 
@@ -405,28 +422,28 @@
         now = self.now()
         idle_most = IDLE if self._open <= self._most // 2 else IDLE_CROWDED
         for connection in [*self._lingering, *self._others, *self._proven]:
-            connection.sweep(now, idle_most)
+            connection.enforce_timeouts(now, idle_most)
         self._sweeping = self._loop.call_later(SWEEP, self._sweep) if self._open else None
 
-    def up(self) -> tuple[int, Headers, bytes]:
-        if self.host.listed or self.now() - self._began >= UNLISTED:
+    def readiness_response(self) -> tuple[int, Headers, bytes]:
+        if self.dispatcher.has_endpoints or self.now() - self._began >= UNLISTED:
             return 200, [], b"up\n"
         return 503, [], b"no endpoint is known yet\n"
 
-    def stop(self) -> None:
+    def begin_shutdown(self) -> None:
         """Let no client that leaves its closed connection open put off the end."""
-        self.linger = LINGER_STOPPING
+        self.linger_seconds = LINGER_STOPPING
 
-    def wind_down(self) -> None:
+    def begin_draining(self) -> None:
         """Let answers close their connections from here on, so that clients leave as they are served."""
-        self.draining = True
+        self.is_draining = True
 
-    def close_idle(self) -> None:
+    def close_idle_connections(self) -> None:
         for connection in [*self._others, *self._proven]:
-            if connection.idle:
-                connection.close_unless_asked()
+            if connection.is_idle:
+                connection.close_unless_unread()
 
-    async def finished(self) -> None:
+    async def wait_until_closed(self) -> None:
         """Wait until every answer has left and its connection is closed."""
         while self._open:
             self._drained.clear()
--- a/balancer/sidecar/http_request.py
+++ b/balancer/sidecar/http_request.py
@@ -11,10 +11,10 @@
 from http import HTTPStatus
 from typing import NamedTuple
 
-from balancer import policy_api
-from balancer.sidecar.configuration import SECOND, Config
-from balancer.sidecar.dispatcher import Incoming
-from balancer.sidecar.upstream.connection import BODY_MOST, HEAD_MOST
+from balancer.policy_api import Idempotency
+from balancer.sidecar.configuration import SECOND, SidecarConfiguration
+from balancer.sidecar.dispatcher import ClientRequest
+from balancer.sidecar.upstream.connection import MAX_HEAD_BYTES, MAX_REQUEST_BODY_BYTES
 
 _TOKEN = rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]++"
 _LINE = re.compile(rb"(?:\r\n)?(" + _TOKEN + rb") ([\x21-\x7e]++) HTTP/1\.([01])\r\n")
@@ -39,59 +39,59 @@
     b"upgrade",
 }
 METHODS = {
-    policy_api.Idempotency.IDEMPOTENT: (b"GET", False),
-    policy_api.Idempotency.IDEMPOTENCY_KEY: (b"POST", True),
-    policy_api.Idempotency.NOT_IDEMPOTENT: (b"POST", False),
+    Idempotency.IDEMPOTENT: (b"GET", False),
+    Idempotency.IDEMPOTENCY_KEY: (b"POST", True),
+    Idempotency.NOT_IDEMPOTENT: (b"POST", False),
 }
 
 
-class BadRequest(Exception):
+class HttpRequestError(Exception):
     """A request that is turned away; its connection ends with the answer."""
 
     def __init__(self, status: int, why: str = "") -> None:
         super().__init__(why)
-        self.status, self.why = status, why or HTTPStatus(status).phrase
+        self.status, self.reason = status, why or HTTPStatus(status).phrase
 
 
 class Head(NamedTuple):
     method: bytes
     target: bytes
     fields: dict[bytes, bytes]  # those that are known, by lower-case name
-    length: int  # of the body
-    keep: bool  # the connection, after the answer
-    waits: bool  # for an interim answer, before it sends the body
+    content_length: int  # of the body
+    keeps_alive: bool  # the connection, after the answer
+    expects_continue: bool  # for an interim answer, before it sends the body
 
     @property
     def path(self) -> bytes:
         return self.target.partition(b"?")[0]
 
 
-def begins_badly(part: bytes | bytearray) -> BadRequest | None:
+def begins_badly(part: bytes | bytearray) -> HttpRequestError | None:
     """What can be said against a head that has not ended yet."""
-    if len(part) > HEAD_MOST:
-        return BadRequest(431 if b"\n" in part else 414)
+    if len(part) > MAX_HEAD_BYTES:
+        return HttpRequestError(431 if b"\n" in part else 414)
     if not _BEGINS.match(part) or (part.find(b"\n", 2) > 0 and not _LINE.match(part)):
-        return BadRequest(400, "malformed request")
+        return HttpRequestError(400, "malformed request")
     return None
 
 
 def parse_head(raw: bytes) -> Head:
-    """A whole head, with its empty line. Raises BadRequest."""
-    if len(raw) > HEAD_MOST:
-        raise BadRequest(414 if raw.find(b"\r\n", 2) > HEAD_MOST else 431)
+    """A whole head, with its empty line. Raises HttpRequestError."""
+    if len(raw) > MAX_HEAD_BYTES:
+        raise HttpRequestError(414 if raw.find(b"\r\n", 2) > MAX_HEAD_BYTES else 431)
     line = _LINE.match(raw)
     if line is None or not _FIELDS.fullmatch(raw, line.end()):
-        raise BadRequest(400, "malformed request")
+        raise HttpRequestError(400, "malformed request")
     method, target, minor = line.groups()
     if not _TARGET.fullmatch(target):
-        raise BadRequest(400, "the target is no path")
+        raise HttpRequestError(400, "the target is no path")
     fields: dict[bytes, bytes] = {}
     for text in raw[line.end() : -4].split(b"\r\n"):
         name, _, value = text.partition(b":")
         name = name.lower()
         if name in _KNOWN:
             if name in fields:
-                raise BadRequest(400, f"{name.decode()} comes twice")
+                raise HttpRequestError(400, f"{name.decode()} comes twice")
             fields[name] = value.strip(b" \t")
     return Head(method, target, fields, _length(fields), minor == b"1" and _keeps(fields), _waits(fields))
 
@@ -104,62 +104,62 @@
 def _length(fields: dict[bytes, bytes]) -> int:
     """The length of the body, told in the one way that can't be read otherwise."""
     if b"upgrade" in fields:  # what follows would not be HTTP
-        raise BadRequest(400, "upgrades are not served")
+        raise HttpRequestError(400, "upgrades are not served")
     told = fields.get(b"content-length")
     if (coding := fields.get(b"transfer-encoding")) is not None:
         if told is not None:
-            raise BadRequest(400, "Content-Length with Transfer-Encoding")
-        raise BadRequest(411 if coding.lower() == b"chunked" else 501)
+            raise HttpRequestError(400, "Content-Length with Transfer-Encoding")
+        raise HttpRequestError(411 if coding.lower() == b"chunked" else 501)
     if told is None:
         return 0
     if not _LENGTH.fullmatch(told):
-        raise BadRequest(400, "Content-Length makes no sense")
-    if (length := int(told)) > BODY_MOST:
-        raise BadRequest(413)
+        raise HttpRequestError(400, "Content-Length makes no sense")
+    if (length := int(told)) > MAX_REQUEST_BODY_BYTES:
+        raise HttpRequestError(413)
     return length
 
 
 def _waits(fields: dict[bytes, bytes]) -> bool:
     expected = fields.get(b"expect", b"100-continue").lower()
     if expected != b"100-continue":
-        raise BadRequest(417)
+        raise HttpRequestError(417)
     return b"expect" in fields
 
 
 class Checker:
     """Checks requests against what the settings allow."""
 
-    def __init__(self, config: Config) -> None:
+    def __init__(self, config: SidecarConfiguration) -> None:
         classes = config.settings.classes
         self._classes = {
             c.name.encode(): (i, c.client_timeout_ns, *METHODS[c.idempotency]) for i, c in enumerate(classes)
         }
         self._tenants = {t.name.encode(): i for i, t in enumerate(config.settings.tenants)}
 
-    def check(self, head: Head, body: bytes) -> Incoming:
-        """What a request says, or BadRequest."""
+    def check(self, head: Head, body: bytes) -> ClientRequest:
+        """What a request says, or HttpRequestError."""
         told = head.fields
         known = self._classes.get(told.get(b"req-kind", b""))
         if known is None:
-            raise BadRequest(400, "Req-Kind is missing or unknown")
+            raise HttpRequestError(400, "Req-Kind is missing or unknown")
         cls, limit, method, keyed = known
         rid = told.get(b"req-id", b"")
         if not _ID.fullmatch(rid):
-            raise BadRequest(400, "Req-Id is missing or makes no sense")
+            raise HttpRequestError(400, "Req-Id is missing or makes no sense")
         if head.method != method:
-            raise BadRequest(405, "the method does not fit the class")
+            raise HttpRequestError(405, "the method does not fit the class")
         if body and method == b"GET":
-            raise BadRequest(400, "a request of this class has no body")
+            raise HttpRequestError(400, "a request of this class has no body")
         if keyed and not told.get(b"idempotency-key"):
-            raise BadRequest(400, "Idempotency-Key is missing")
-        return Incoming(
-            name=rid,
-            cls=cls,
-            tenant=self._tenant(told),
-            key=request_key(head.target),
-            deadline=min(limit, deadline(told.get(b"req-deadline", b""))),
-            hint=hint(told.get(b"req-cost", b"")),
-            repeat=told.get(b"req-retry") == b"1",
+            raise HttpRequestError(400, "Idempotency-Key is missing")
+        return ClientRequest(
+            client_request_id=rid,
+            class_index=cls,
+            tenant_index=self._tenant(told),
+            key_hash=request_key(head.target),
+            timeout_ns=min(limit, deadline(told.get(b"req-deadline", b""))),
+            work_hint_ns=hint(told.get(b"req-cost", b"")),
+            is_retry=told.get(b"req-retry") == b"1",
             head=forward(head, keyed),
             body=body,
         )
@@ -169,7 +169,7 @@
             return 0
         owner = self._tenants.get(told.get(b"req-owner", b""))
         if owner is None:
-            raise BadRequest(400, "Req-Owner is missing or unknown")
+            raise HttpRequestError(400, "Req-Owner is missing or unknown")
         return owner
 
 
@@ -186,7 +186,7 @@
     """Digits and a point only: float() would take nan, inf, 1e9, 1_0 and more."""
     nanoseconds = int(float(text) * SECOND) if _SECONDS.fullmatch(text) else 0
     if not nanoseconds:
-        raise BadRequest(400, "Req-Deadline is missing or makes no sense")
+        raise HttpRequestError(400, "Req-Deadline is missing or makes no sense")
     return nanoseconds
 
 
@@ -202,7 +202,7 @@
     if keyed:
         lines.append(b"Idempotency-Key: " + head.fields[b"idempotency-key"])
     if head.method == b"POST":
-        lines.append(b"Content-Length: %d" % head.length)
+        lines.append(b"Content-Length: %d" % head.content_length)
     return b"\r\n".join(lines) + b"\r\n"
 
 
--- a/balancer/simulator/adapter.py
+++ b/balancer/simulator/adapter.py
@@ -5,13 +5,14 @@
 import sys
 from typing import BinaryIO
 
-from balancer import policy_api
+from balancer import settings_parser
 from balancer.policy.balancer import Balancer
+from balancer.policy_api import Started
 from balancer.simulator import wire_codec
 
 
 def serve(source: BinaryIO, sink: BinaryIO) -> None:
-    """Answer batches until the input ends. Raises wire_codec.WireError on a frame that can't be."""
+    """Answer batches until the input ends. Raises wire_codec.WireFormatError on a frame that can't be."""
     decoder = wire_codec.Decoder()
     instances: dict[int, Balancer] = {}
     encode = wire_codec.encode
@@ -20,13 +21,13 @@
         if not head:
             return
         if len(head) < wire_codec.BATCH.size:
-            raise wire_codec.WireError("truncated frame header")
+            raise wire_codec.WireFormatError("truncated frame header")
         size, now, count = wire_codec.BATCH.unpack(head)
         if size < wire_codec.BATCH.size:
-            raise wire_codec.WireError(f"impossible frame length {size}")
+            raise wire_codec.WireFormatError(f"impossible frame length {size}")
         body = source.read(size - wire_codec.BATCH.size)
         if len(body) < size - wire_codec.BATCH.size:
-            raise wire_codec.WireError("truncated frame")
+            raise wire_codec.WireFormatError("truncated frame")
         out: list[bytes] = []
         for number, event in decoder.events(body, count):
             if isinstance(event, wire_codec.Stop):
@@ -34,8 +35,10 @@
                 continue
             try:
                 if isinstance(event, wire_codec.Attach):
-                    balancer = instances[number] = Balancer(wire_codec.settings(event.conf), event.seed)
-                    actions = balancer.handle(now, policy_api.Started())
+                    balancer = instances[number] = Balancer(
+                        settings_parser.parse_settings(event.conf), event.seed
+                    )
+                    actions = balancer.handle(now, Started())
                 elif (held := instances.get(number)) is not None:
                     actions = held.handle(now, event)
                 else:
@@ -52,7 +55,7 @@
 def main() -> int:
     try:
         serve(sys.stdin.buffer, sys.stdout.buffer)
-    except wire_codec.WireError as problem:
+    except wire_codec.WireFormatError as problem:
         print(f"simhost: {problem}", file=sys.stderr)
         return 2
     return 0
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -14,9 +14,28 @@
 from heapq import heappop, heappush
 from itertools import count
 
-from balancer import policy_api
 from balancer.policy.balancer import Balancer
-from balancer.policy_api import AttemptOutcome, EndpointHealth, EndpointUpdateKind
+from balancer.policy_api import (
+    Action,
+    AttemptCompleted,
+    AttemptOutcome,
+    CloseIdleConnections,
+    Endpoint,
+    EndpointHealth,
+    EndpointUpdate,
+    EndpointUpdateKind,
+    Event,
+    FailRequest,
+    HealthCheckCompleted,
+    RejectRequest,
+    RequestReceived,
+    SetTimer,
+    Settings,
+    StartAttempt,
+    Started,
+    StartHealthCheck,
+    TimerFired,
+)
 from tests.helpers import MS, SECOND, START
 
 HANDSHAKE_WORK = 25 * MS
@@ -45,7 +64,7 @@
     def id(self) -> bytes:
         return self.number.to_bytes(6, "little")
 
-    def warmth(self, now: int, config: policy_api.Settings) -> float:
+    def warmth(self, now: int, config: Settings) -> float:
         age = now - self.started
         if not self.started or age >= config.slow_start_duration_ns:
             return 1.0
@@ -88,33 +107,29 @@
         self.life = next(self.fleet.lives)
         self.balancer = Balancer(self.config, self.fleet.rng.getrandbits(32))
         self.attempts: dict[int, int] = {}  # the attempt that is out, by request
-        self.give(policy_api.Started())
-        self.give(
-            policy_api.EndpointUpdate(
-                EndpointUpdateKind.CACHED, tuple(map(self.fleet.entry, self.fleet.servers))
-            )
-        )
+        self.give(Started())
+        self.give(EndpointUpdate(EndpointUpdateKind.CACHED, tuple(map(self.fleet.entry, self.fleet.servers))))
 
-    def give(self, event: policy_api.Event) -> None:
+    def give(self, event: Event) -> None:
         for action in self.balancer.handle(self.fleet.now, event):
             self.carry_out(action)
 
-    def carry_out(self, action: policy_api.Action) -> None:
-        if isinstance(action, policy_api.StartAttempt):
+    def carry_out(self, action: Action) -> None:
+        if isinstance(action, StartAttempt):
             self.send(action)
-        elif isinstance(action, policy_api.RejectRequest | policy_api.FailRequest):
+        elif isinstance(action, RejectRequest | FailRequest):
             call, _ = self.calls.pop(action.request_id)
             self.fleet.unserved(self, call, action)
-        elif isinstance(action, policy_api.SetTimer):
-            self.after(action.delay_ns, partial(self.give, policy_api.TimerFired(action.token)))
-        elif isinstance(action, policy_api.StartHealthCheck):
+        elif isinstance(action, SetTimer):
+            self.after(action.delay_ns, partial(self.give, TimerFired(action.token)))
+        elif isinstance(action, StartHealthCheck):
             up = self.fleet.by_id[action.endpoint_id].up
             outcome = AttemptOutcome.SUCCESS if up else AttemptOutcome.CONNECT_FAILED
             self.after(
                 2 * HOP,
-                partial(self.give, policy_api.HealthCheckCompleted(action.endpoint_id, outcome, 2 * HOP, ())),
+                partial(self.give, HealthCheckCompleted(action.endpoint_id, outcome, 2 * HOP, ())),
             )
-        elif isinstance(action, policy_api.CloseIdleConnections):
+        elif isinstance(action, CloseIdleConnections):
             server = self.fleet.by_id[action.endpoint_id]
             server.connections -= len(self.idle.pop(action.endpoint_id, ()))
 
@@ -126,7 +141,7 @@
         number = next(self.fleet.numbers)
         expires = min(call.deadline, self.fleet.now + self.fleet.patience)
         self.calls[number] = call, expires
-        self.give(policy_api.RequestReceived(number, 0, 0, call.key, expires, 0, False))
+        self.give(RequestReceived(number, 0, 0, call.key, expires, 0, False))
 
     def connected(self, server: Server) -> bool | None:
         """Whether a request finds a connection (True), opens one (False), or is refused one (None)."""
@@ -145,7 +160,7 @@
         server.most = max(server.most, server.connections)
         return False
 
-    def send(self, action: policy_api.StartAttempt) -> None:
+    def send(self, action: StartAttempt) -> None:
         call, expires = self.calls[action.request_id]
         server, begun = self.fleet.by_id[action.endpoint_id], self.fleet.now
         number = next(self.fleet.numbers)
@@ -166,9 +181,7 @@
             if over:
                 call.served = self.fleet.now
             took = self.fleet.now - begun
-            self.give(
-                policy_api.AttemptCompleted(action.request_id, 0, action.endpoint_id, outcome, took, over, ())
-            )
+            self.give(AttemptCompleted(action.request_id, 0, action.endpoint_id, outcome, took, over, ()))
 
         def late() -> None:
             if self.attempts.get(action.request_id) == number:
@@ -177,7 +190,7 @@
                 ]  # its connection is closed when the server is done with it
                 took = self.fleet.now - begun
                 self.give(
-                    policy_api.AttemptCompleted(
+                    AttemptCompleted(
                         action.request_id, 0, action.endpoint_id, AttemptOutcome.TIMEOUT, took, False, ()
                     )
                 )
@@ -206,9 +219,7 @@
 
 
 class Fleet:
-    def __init__(
-        self, config: policy_api.Settings, sidecars: int, servers: Iterable[Server], seed: int = 1
-    ) -> None:
+    def __init__(self, config: Settings, sidecars: int, servers: Iterable[Server], seed: int = 1) -> None:
         self.config, self.instances, self.rng = config, sidecars, random.Random(seed)
         self.now, self.numbers, self.lives = START, count(1), count(1)
         self.servers = list(servers)
@@ -247,14 +258,14 @@
             self.calls.append(call)
             self.at(at, partial(sidecar.ask, call))
 
-    def entry(self, server: Server, health: int = EndpointHealth.READY) -> policy_api.Endpoint:
-        return policy_api.Endpoint(server.id, server.zone, 0, 0, health, 1.0, server.started)
+    def entry(self, server: Server, health: int = EndpointHealth.READY) -> Endpoint:
+        return Endpoint(server.id, server.zone, 0, 0, health, 1.0, server.started)
 
     def tell(self, servers: Iterable[Server]) -> None:
         """All sidecars hear of these at once."""
         entries = tuple(map(self.entry, servers))
         for sidecar in self.sidecars:
-            sidecar.give(policy_api.EndpointUpdate(EndpointUpdateKind.DELTA, entries))
+            sidecar.give(EndpointUpdate(EndpointUpdateKind.DELTA, entries))
 
     def restart(self, servers: Iterable[Server]) -> None:
         """Come back cold, and be told of."""
@@ -264,16 +275,14 @@
             server.sent.clear()
         self.tell(chosen)
 
-    def unserved(
-        self, sidecar: Sidecar, call: Call, action: policy_api.RejectRequest | policy_api.FailRequest
-    ) -> None:
-        if isinstance(action, policy_api.RejectRequest) and call.tries <= self.retries:
+    def unserved(self, sidecar: Sidecar, call: Call, action: RejectRequest | FailRequest) -> None:
+        if isinstance(action, RejectRequest) and call.tries <= self.retries:
             call.tries += 1
             wait = max(action.retry_after_ns, self.rng.randrange(100 * MS, 400 * MS))
             if self.now + wait < call.deadline:
                 sidecar.after(wait, lambda: sidecar.ask(call))
                 return
-        call.refused = isinstance(action, policy_api.RejectRequest)
+        call.refused = isinstance(action, RejectRequest)
 
     def work(self, server: Server, work: int, done: Callable[[], None] | None) -> None:
         if server.busy >= server.cores:
--- a/tests/sidecar.py
+++ b/tests/sidecar.py
@@ -12,11 +12,11 @@
 
 import uvloop
 
-from balancer import policy_api
+from balancer.policy_api import Action, Event
 from balancer.sidecar import configuration as config
-from balancer.sidecar.discovery_client import Discovery
-from balancer.sidecar.dispatcher import Clock, Host
-from balancer.sidecar.downstream.listener import ClientConnection, Frontend
+from balancer.sidecar.discovery_client import DiscoveryClient
+from balancer.sidecar.dispatcher import Clock, Dispatcher
+from balancer.sidecar.downstream.listener import DownstreamConnection, Listener
 
 Script: TypeAlias = Callable[["Seen"], Awaitable[bytes | None]]
 WAIT = 20.0  # a hang fails the test; no test passes or fails by a shorter time
@@ -174,24 +174,24 @@
 class Sidecar:
     def __init__(self, told: dict[str, Any]) -> None:
         self.config = config.parse(json.loads(json.dumps(told)))
-        self.events: list[policy_api.Event] = []
+        self.events: list[Event] = []
         self.changed = asyncio.Event()
 
     async def start(self) -> None:
         loop = asyncio.get_running_loop()
-        self.host = Host(self.config, loop, Clock())
-        handle = self.host._balancer.handle
+        self.dispatcher = Dispatcher(self.config, loop, Clock())
+        handle = self.dispatcher._balancer.handle
 
-        def watched(now: int, event: policy_api.Event) -> list[policy_api.Action]:
+        def watched(now: int, event: Event) -> list[Action]:
             self.events.append(event)
             self.changed.set()
             return handle(now, event)
 
-        self.host._balancer.handle = watched  # type: ignore[method-assign]
-        self.frontend = Frontend(self.config, self.host, loop)
-        self.discovery = Discovery(self.config, self.host, loop)
-        self.host.start(self.config.known)
-        self.server = await loop.create_server(lambda: ClientConnection(self.frontend), "127.0.0.1", 0)
+        self.dispatcher._balancer.handle = watched  # type: ignore[method-assign]
+        self.listener = Listener(self.config, self.dispatcher, loop)
+        self.discovery = DiscoveryClient(self.config, self.dispatcher, loop)
+        self.dispatcher.start(self.config.known_endpoints)
+        self.server = await loop.create_server(lambda: DownstreamConnection(self.listener), "127.0.0.1", 0)
         self.port = self.server.sockets[0].getsockname()[1]
 
     async def event(self, wanted: Callable[[Any], bool]) -> Any:
@@ -215,7 +215,7 @@
         yield started
     finally:
         started.server.close()
-        started.discovery.watch(False)
+        started.discovery.set_watching(False)
 
 
 IDS = itertools.count(0x9B1F)
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -6,9 +6,27 @@
 
 import pytest
 
-from balancer import policy_api
 from balancer.policy import balancer as balance
 from balancer.policy.balancer import HOUR
+from balancer.policy_api import (
+    Action,
+    AttemptCompleted,
+    AttemptOutcome,
+    ClientDisconnected,
+    CloseIdleConnections,
+    EndpointHealth,
+    EndpointUpdate,
+    EndpointUpdateKind,
+    HealthCheckCompleted,
+    Idempotency,
+    RejectRequest,
+    RequestReceived,
+    StartAttempt,
+    StartHealthCheck,
+    StreamStarted,
+    TimerFired,
+    WatchEndpoints,
+)
 from tests.helpers import MS, SECOND, START, Bench, endpoint, request_class, settings
 
 
@@ -42,9 +60,9 @@
     before = {m.id for m in b.balancer.subset[0]}
     gone = next(iter(before))
     b.give(
-        policy_api.EndpointUpdate(
-            policy_api.EndpointUpdateKind.DELTA,
-            (endpoint(int.from_bytes(gone, "little"), policy_api.EndpointHealth.REMOVED),),
+        EndpointUpdate(
+            EndpointUpdateKind.DELTA,
+            (endpoint(int.from_bytes(gone, "little"), EndpointHealth.REMOVED),),
         )
     )
     b.sent()
@@ -64,13 +82,11 @@
         took = 2 * MS if send.endpoint_id == bad else 60 * MS
         b.answer(
             send,
-            policy_api.AttemptOutcome.SERVER_ERROR
-            if send.endpoint_id == bad
-            else policy_api.AttemptOutcome.SUCCESS,
+            AttemptOutcome.SERVER_ERROR if send.endpoint_id == bad else AttemptOutcome.SUCCESS,
             took,
         )
         if send.endpoint_id == bad:
-            b.give(policy_api.ClientDisconnected(send.request_id))
+            b.give(ClientDisconnected(send.request_id))
     assert drawn[bad] < 400 / 8 / 3, drawn
 
 
@@ -83,18 +99,16 @@
         send = b.sent()
         b.answer(
             send,
-            policy_api.AttemptOutcome.SERVER_ERROR
-            if send.endpoint_id == bad
-            else policy_api.AttemptOutcome.SUCCESS,
+            AttemptOutcome.SERVER_ERROR if send.endpoint_id == bad else AttemptOutcome.SUCCESS,
         )
         if send.endpoint_id == bad:
-            b.give(policy_api.ClientDisconnected(send.request_id))
+            b.give(ClientDisconnected(send.request_id))
     b.now += 2 * SECOND  # longer than it takes to be ejected for not serving
     member = b.balancer.members[bad]
     for _ in range(12):
         b.balancer.learn(
             member,
-            policy_api.AttemptCompleted(0, 0, bad, policy_api.AttemptOutcome.SERVER_ERROR, 5 * MS, True, ()),
+            AttemptCompleted(0, 0, bad, AttemptOutcome.SERVER_ERROR, 5 * MS, True, ()),
             None,
             b.now,
         )
@@ -139,9 +153,9 @@
     for _ in range(300):
         b.now += 5 * MS
         action = b.ask()
-        if isinstance(action, policy_api.StartAttempt):
-            b.answer(action, policy_api.AttemptOutcome.CONNECT_FAILED, 3 * MS)
-    assert isinstance(b.ask(), policy_api.StartAttempt)
+        if isinstance(action, StartAttempt):
+            b.answer(action, AttemptOutcome.CONNECT_FAILED, 3 * MS)
+    assert isinstance(b.ask(), StartAttempt)
     assert len(b.balancer.subset[0]) >= balance.SUBSET_FREE // 2
 
 
@@ -152,7 +166,7 @@
     b.tick()
     assert b.balancer.size() > 2 * 8
     for send in sends:
-        b.answer(send, policy_api.AttemptOutcome.CONNECTION_RESET)
+        b.answer(send, AttemptOutcome.CONNECTION_RESET)
     assert sum(m.out_until > b.now for m in b.balancer.members.values()) > 4
     b.balancer.refill(b.now)
     assert len(b.balancer.subset[0]) == 4
@@ -163,16 +177,14 @@
     one = (1).to_bytes(6, "little")
     out = b.balancer.members[one]
     for _ in range(20):
-        for outcome in (policy_api.AttemptOutcome.SUCCESS, policy_api.AttemptOutcome.CONNECTION_RESET):
+        for outcome in (AttemptOutcome.SUCCESS, AttemptOutcome.CONNECTION_RESET):
             b.now += 10 * MS
-            b.balancer.learn(
-                out, policy_api.AttemptCompleted(0, 0, one, outcome, 10 * MS, False, ()), None, b.now
-            )
+            b.balancer.learn(out, AttemptCompleted(0, 0, one, outcome, 10 * MS, False, ()), None, b.now)
         assert not out.out_until
     for _ in range(balance.FAILS_TO_EJECT):  # in part it fails often, at hundreds of requests a second
         b.balancer.learn(
             out,
-            policy_api.AttemptCompleted(0, 0, one, policy_api.AttemptOutcome.SERVER_ERROR, MS, False, ()),
+            AttemptCompleted(0, 0, one, AttemptOutcome.SERVER_ERROR, MS, False, ()),
             None,
             b.now,
         )
@@ -181,7 +193,7 @@
         b.now += balance.PROVEN
         b.balancer.learn(
             out,
-            policy_api.AttemptCompleted(0, 0, one, policy_api.AttemptOutcome.CONNECTION_RESET, MS, False, ()),
+            AttemptCompleted(0, 0, one, AttemptOutcome.CONNECTION_RESET, MS, False, ()),
             None,
             b.now,
         )
@@ -190,7 +202,7 @@
     out.out_until = out.streak = 0  # silent since: a break is all that is known of it
     b.balancer.learn(
         out,
-        policy_api.AttemptCompleted(0, 0, one, policy_api.AttemptOutcome.CONNECTION_RESET, MS, False, ()),
+        AttemptCompleted(0, 0, one, AttemptOutcome.CONNECTION_RESET, MS, False, ()),
         None,
         b.now,
     )
@@ -208,15 +220,13 @@
             broke = usual and turn % 3 == 0
             b.answer(
                 b.sent(),
-                policy_api.AttemptOutcome.CONNECT_FAILED if broke else policy_api.AttemptOutcome.SUCCESS,
+                AttemptOutcome.CONNECT_FAILED if broke else AttemptOutcome.SUCCESS,
                 15 * MS,
             )
         [member] = [m for m in b.balancer.members.values() if m.id == (1).to_bytes(6, "little")]
         member.ejections = member.out_until = member.streak = 0
         member.good, b.now = b.now, b.now + SECOND
-        lost = policy_api.AttemptCompleted(
-            0, 0, member.id, policy_api.AttemptOutcome.CONNECT_FAILED, 150 * MS, False, ()
-        )
+        lost = AttemptCompleted(0, 0, member.id, AttemptOutcome.CONNECT_FAILED, 150 * MS, False, ())
         for count in range(1, 9):
             b.balancer.learn(member, lost, None, b.now)
             if member.out_until > b.now:
@@ -232,7 +242,7 @@
     b = Bench(settings(), servers=8)
     one = (1).to_bytes(6, "little")
     drains = b.balancer.members[one]
-    turned_away = policy_api.AttemptCompleted(0, 0, one, policy_api.AttemptOutcome.REJECTED, MS, False, ())
+    turned_away = AttemptCompleted(0, 0, one, AttemptOutcome.REJECTED, MS, False, ())
     b.now += SECOND
     for _ in range(balance.FULL_TO_EJECT):
         assert not drains.out_until
@@ -255,7 +265,7 @@
 
 
 def test_what_can_not_be_tried_again_keeps_away_from_members_that_fail_in_part() -> None:
-    unsafe = request_class(idempotency=policy_api.Idempotency.NOT_IDEMPOTENT)
+    unsafe = request_class(idempotency=Idempotency.NOT_IDEMPOTENT)
     b = Bench(settings(request_class(), unsafe), servers=4)
     one = b.balancer.members[(1).to_bytes(6, "little")]
     one.fails, one.heard = 0.3, b.now
@@ -265,18 +275,12 @@
 def test_nothing_new_goes_to_a_draining_or_gone_endpoint() -> None:
     b = Bench(settings(), servers=2)
     one, two = (n.to_bytes(6, "little") for n in (1, 2))
-    b.give(
-        policy_api.EndpointUpdate(
-            policy_api.EndpointUpdateKind.DELTA, (endpoint(1, policy_api.EndpointHealth.DRAINING),)
-        )
-    )
+    b.give(EndpointUpdate(EndpointUpdateKind.DELTA, (endpoint(1, EndpointHealth.DRAINING),)))
     assert {b.sent().endpoint_id for _ in range(20)} == {two}
-    b.list_of(
-        endpoint(1), kind=policy_api.EndpointUpdateKind.SNAPSHOT
-    )  # two is missing from a complete list: gone
+    b.list_of(endpoint(1), kind=EndpointUpdateKind.SNAPSHOT)  # two is missing from a complete list: gone
     assert {b.sent().endpoint_id for _ in range(20)} == {one}
-    b.list_of(kind=policy_api.EndpointUpdateKind.SNAPSHOT)
-    assert isinstance(b.ask(), policy_api.RejectRequest)
+    b.list_of(kind=EndpointUpdateKind.SNAPSHOT)
+    assert isinstance(b.ask(), RejectRequest)
 
 
 def test_a_silent_member_goes_out_and_a_probe_brings_it_back() -> None:
@@ -287,17 +291,17 @@
     assert silent.out_until <= b.now
     b.tick(balance.SILENT_FOR / SECOND)
     assert silent.out_until > b.now
-    probed: list[policy_api.Action] = []
+    probed: list[Action] = []
     while not probed:
         b.balancer.refill(b.now)
         assert silent not in b.balancer.subset[0]
-        probed = [a for a in b.tick(0.1) if isinstance(a, policy_api.StartHealthCheck)]
-    assert probed == [policy_api.StartHealthCheck(silent.id)]
-    b.give(policy_api.HealthCheckCompleted(silent.id, policy_api.AttemptOutcome.TIMEOUT, 500 * MS, ()))
+        probed = [a for a in b.tick(0.1) if isinstance(a, StartHealthCheck)]
+    assert probed == [StartHealthCheck(silent.id)]
+    b.give(HealthCheckCompleted(silent.id, AttemptOutcome.TIMEOUT, 500 * MS, ()))
     assert silent.out_until > b.now + balance.EJECT_FIRST
-    while not [a for a in b.tick(0.1) if isinstance(a, policy_api.StartHealthCheck)]:
+    while not [a for a in b.tick(0.1) if isinstance(a, StartHealthCheck)]:
         pass
-    b.give(policy_api.HealthCheckCompleted(silent.id, policy_api.AttemptOutcome.SUCCESS, 5 * MS, ()))
+    b.give(HealthCheckCompleted(silent.id, AttemptOutcome.SUCCESS, 5 * MS, ()))
     b.balancer.refill(b.now)
     assert silent in b.balancer.subset[0]
 
@@ -317,7 +321,7 @@
 def test_a_gone_member_is_forgotten_with_its_last_attempt() -> None:
     b = Bench(settings(), servers=2)
     sends = [b.sent() for _ in range(4)]
-    b.list_of(kind=policy_api.EndpointUpdateKind.SNAPSHOT)
+    b.list_of(kind=EndpointUpdateKind.SNAPSHOT)
     assert len(b.balancer.members) == 2
     for send in sends:
         b.answer(send)
@@ -327,7 +331,7 @@
 def answered(b: Bench) -> bytes:
     """One request, answered at once where it is sent."""
     action = b.ask()
-    if not isinstance(action, policy_api.StartAttempt):
+    if not isinstance(action, StartAttempt):
         return b""
     b.answer(action)
     return action.endpoint_id
@@ -367,10 +371,7 @@
     for turn in range(16):  # four seconds in which no warm one answers
         b.tick(0.25)
         for key in range(1, 21):  # of many users, so that the cut lets some pass
-            if (
-                isinstance(send := b.ask(key=100 * turn + key), policy_api.StartAttempt)
-                and send.endpoint_id[0] == 1
-            ):
+            if isinstance(send := b.ask(key=100 * turn + key), StartAttempt) and send.endpoint_id[0] == 1:
                 cold += 1
                 b.answer(send)
     warmth = 0.3 + 0.7 / 4  # on the mean of this time
@@ -391,19 +392,17 @@
     b = Bench(settings(request_class(late_answer_value=0.5), max_attempts=1), servers=0)
     b.list_of(*(endpoint(n, started_at_ns=START - SECOND if n == 1 else 0) for n in range(1, 9)))
     for _ in range(400):
-        if isinstance(send := b.ask(), policy_api.StartAttempt):
+        if isinstance(send := b.ask(), StartAttempt):
             assert send.endpoint_id[0] != 1
-            b.answer(send, policy_api.AttemptOutcome.REJECTED, MS)
+            b.answer(send, AttemptOutcome.REJECTED, MS)
 
 
 def test_a_restart_forgets_what_was_known() -> None:
     b = Bench(settings(), servers=1)
     member = next(iter(b.balancer.members.values()))
-    b.answer(b.sent(), policy_api.AttemptOutcome.SERVER_ERROR)
+    b.answer(b.sent(), AttemptOutcome.SERVER_ERROR)
     assert member.fails > 0
-    b.give(
-        policy_api.EndpointUpdate(policy_api.EndpointUpdateKind.DELTA, (endpoint(1, started_at_ns=b.now),))
-    )
+    b.give(EndpointUpdate(EndpointUpdateKind.DELTA, (endpoint(1, started_at_ns=b.now),)))
     assert member.fails == 0 and not member.heard
 
 
@@ -438,20 +437,20 @@
     b = Bench(settings(polls_discovery=True, discovery_poll_window_ns=10 * SECOND))
     asked: list[int] = []
     for _ in range(80):
-        if any(isinstance(a, policy_api.WatchEndpoints) for a in b.tick(0.25)):
+        if any(isinstance(a, WatchEndpoints) for a in b.tick(0.25)):
             asked.append(b.now)
-            b.give(policy_api.EndpointUpdate(policy_api.EndpointUpdateKind.DISCOVERY_FAILED, ()))
+            b.give(EndpointUpdate(EndpointUpdateKind.DISCOVERY_FAILED, ()))
     gaps = [later - earlier for earlier, later in zip([START, *asked], asked, strict=False)]
     assert len(asked) >= 3 and max(gaps) < 10 * SECOND
-    b.give(policy_api.EndpointUpdate(policy_api.EndpointUpdateKind.DELTA, ()))
-    assert not any(isinstance(a, policy_api.WatchEndpoints) for _ in range(60) for a in b.tick(0.25))
+    b.give(EndpointUpdate(EndpointUpdateKind.DELTA, ()))
+    assert not any(isinstance(a, WatchEndpoints) for _ in range(60) for a in b.tick(0.25))
 
 
 def test_first_subscriptions_are_spread() -> None:
     first = set()
     for seed in range(20):
         b = Bench(settings(polls_discovery=True), seed=seed)
-        while not any(isinstance(a, policy_api.WatchEndpoints) for a in b.tick(0.25)):
+        while not any(isinstance(a, WatchEndpoints) for a in b.tick(0.25)):
             pass
         first.add(b.now)
     assert len(first) > 5
@@ -496,23 +495,23 @@
     b = Bench(settings(request_class(late_answer_value=0.5)), servers=0)
     b.list_of(endpoint(1), *(endpoint(n, started_at_ns=START - 4 * SECOND) for n in range(2, 9)))
     for _ in range(40):
-        if isinstance(send := b.ask(), policy_api.StartAttempt) and send.endpoint_id[0] == 1:
-            again = b.answer(send, policy_api.AttemptOutcome.SERVER_ERROR, 5 * MS)
-            assert not any(isinstance(a, policy_api.StartAttempt) for a in again)
+        if isinstance(send := b.ask(), StartAttempt) and send.endpoint_id[0] == 1:
+            again = b.answer(send, AttemptOutcome.SERVER_ERROR, 5 * MS)
+            assert not any(isinstance(a, StartAttempt) for a in again)
 
 
 ASKING = dict(health_checks_enabled=True, zone_count=2, load_report_fields=("rif",))
 
 
-def probes(actions: list[policy_api.Action]) -> list[bytes]:
-    return [a.endpoint_id for a in actions if isinstance(a, policy_api.StartHealthCheck)]
+def probes(actions: list[Action]) -> list[bytes]:
+    return [a.endpoint_id for a in actions if isinstance(a, StartHealthCheck)]
 
 
 def asking(left: int = 3 * SECOND, **changes: object) -> tuple[Bench, list[bytes]]:
     """A sidecar that has just taken request 1, and the members that it asked."""
     b = Bench(settings(request_class(late_answer_value=0.5), **(ASKING | changes)), servers=0)
     b.list_of(*(endpoint(n, zone=n % 2) for n in range(1, 17)))
-    return b, probes(b.give(policy_api.RequestReceived(1, 0, 0, 0, b.now + left, 0, False)))
+    return b, probes(b.give(RequestReceived(1, 0, 0, 0, b.now + left, 0, False)))
 
 
 def test_the_quickest_of_the_members_asked_gets_the_request() -> None:
@@ -521,61 +520,55 @@
     assert len(asked) == 2 and all(e[0] % 2 == 0 for e in asked)
     b.now += 5 * MS
     assert not any(
-        isinstance(a, policy_api.StartAttempt)
-        for a in b.give(
-            policy_api.HealthCheckCompleted(asked[0], policy_api.AttemptOutcome.SUCCESS, 9 * MS, ())
-        )
+        isinstance(a, StartAttempt)
+        for a in b.give(HealthCheckCompleted(asked[0], AttemptOutcome.SUCCESS, 9 * MS, ()))
     )
-    [send] = b.give(policy_api.HealthCheckCompleted(asked[1], policy_api.AttemptOutcome.SUCCESS, 2 * MS, ()))
-    assert isinstance(send, policy_api.StartAttempt) and send.endpoint_id == asked[1]
+    [send] = b.give(HealthCheckCompleted(asked[1], AttemptOutcome.SUCCESS, 2 * MS, ()))
+    assert isinstance(send, StartAttempt) and send.endpoint_id == asked[1]
 
 
 def test_silent_members_get_nothing_and_others_are_asked() -> None:
     b, asked = asking()
     b.now += 20 * MS
-    more = probes(b.give(policy_api.TimerFired(2)))
+    more = probes(b.give(TimerFired(2)))
     assert more and not set(more) & set(asked)
     assert {e[0] % 2 for e in more} == {0, 1}  # the other zone too, as nobody near is idle
     b.now += 5 * MS
-    b.give(policy_api.HealthCheckCompleted(more[0], policy_api.AttemptOutcome.SUCCESS, 3 * MS, ()))
-    [send] = b.give(policy_api.TimerFired(2))
-    assert isinstance(send, policy_api.StartAttempt) and send.endpoint_id == more[0]
+    b.give(HealthCheckCompleted(more[0], AttemptOutcome.SUCCESS, 3 * MS, ()))
+    [send] = b.give(TimerFired(2))
+    assert isinstance(send, StartAttempt) and send.endpoint_id == more[0]
 
 
 def test_asking_ends_and_the_request_is_sent_or_answered() -> None:
     b, _ = asking()
     for _ in range(8):
         b.now += 30 * MS
-        if sends := [a for a in b.give(policy_api.TimerFired(2)) if isinstance(a, policy_api.StartAttempt)]:
+        if sends := [a for a in b.give(TimerFired(2)) if isinstance(a, StartAttempt)]:
             break
     assert sends and b.now - START <= 250 * MS
     late, _ = asking()
     late.now += 4 * SECOND  # a sidecar that stood still: its client has left
-    [final] = late.give(policy_api.TimerFired(2))
-    assert isinstance(final, policy_api.RejectRequest)
+    [final] = late.give(TimerFired(2))
+    assert isinstance(final, RejectRequest)
 
 
 def test_nothing_is_held_that_a_stand_still_could_lose() -> None:
     """A sidecar that stood still for two seconds once held two requests unsent until their clients left."""
     b, asked = asking(left=2 * SECOND)
-    assert not asked and isinstance(b.actions[0], policy_api.StartAttempt)
+    assert not asked and isinstance(b.actions[0], StartAttempt)
 
 
 def test_a_member_that_drains_while_asked_gets_nothing() -> None:
     b, asked = asking()
     b.give(
-        policy_api.EndpointUpdate(
-            policy_api.EndpointUpdateKind.DELTA,
-            tuple(endpoint(e[0], policy_api.EndpointHealth.DRAINING, zone=e[0] % 2) for e in asked),
+        EndpointUpdate(
+            EndpointUpdateKind.DELTA,
+            tuple(endpoint(e[0], EndpointHealth.DRAINING, zone=e[0] % 2) for e in asked),
         )
     )
-    actions = [
-        a
-        for e in asked
-        for a in b.give(policy_api.HealthCheckCompleted(e, policy_api.AttemptOutcome.SUCCESS, 2 * MS, ()))
-    ]
-    actions += b.give(policy_api.TimerFired(2))
-    assert not any(isinstance(a, policy_api.StartAttempt) and a.endpoint_id in asked for a in actions)
+    actions = [a for e in asked for a in b.give(HealthCheckCompleted(e, AttemptOutcome.SUCCESS, 2 * MS, ()))]
+    actions += b.give(TimerFired(2))
+    assert not any(isinstance(a, StartAttempt) and a.endpoint_id in asked for a in actions)
 
 
 def test_members_that_hold_a_request_are_not_asked_and_the_one_that_holds_least_gets_it() -> None:
@@ -583,20 +576,16 @@
     b, _ = asking()
     b.list_of(*(endpoint(n, zone=n % 2) for n in range(1, 5)))  # two near, two far
     b.balancer.crossing = 0.0
-    sends: list[policy_api.StartAttempt] = []
+    sends: list[StartAttempt] = []
     for rid in range(2, 12):
-        actions = b.give(policy_api.RequestReceived(rid, 0, 0, 0, b.now + 3 * SECOND, 0, False))
+        actions = b.give(RequestReceived(rid, 0, 0, 0, b.now + 3 * SECOND, 0, False))
         while asked := probes(actions):
             b.now += 2 * MS
             actions = [
-                a
-                for e in asked
-                for a in b.give(
-                    policy_api.HealthCheckCompleted(e, policy_api.AttemptOutcome.SUCCESS, 2 * MS, ())
-                )
+                a for e in asked for a in b.give(HealthCheckCompleted(e, AttemptOutcome.SUCCESS, 2 * MS, ()))
             ]
-            actions += b.give(policy_api.TimerFired(rid + 1))
-        sends += [a for a in actions if isinstance(a, policy_api.StartAttempt)]
+            actions += b.give(TimerFired(rid + 1))
+        sends += [a for a in actions if isinstance(a, StartAttempt)]
     held = Counter(send.endpoint_id for send in sends)
     assert held.total() == 10 and len(held) == 4 and max(held.values()) <= 4, held
 
@@ -642,11 +631,11 @@
 def test_a_refused_connect_makes_the_share_smaller_for_a_while() -> None:
     b = Bench(settings(key_affinity=True, instance_count=100), servers=50)
     for _ in range(5):  # in one second: one full table refuses several
-        b.answer(b.sent(), policy_api.AttemptOutcome.CONNECT_FAILED, MS)
+        b.answer(b.sent(), AttemptOutcome.CONNECT_FAILED, MS)
     assert b.balancer.fan_in == pytest.approx(balance.FAN_IN * balance.FAN_IN_CUT)
     for _ in range(20):
         b.now += SECOND
-        b.answer(b.sent(), policy_api.AttemptOutcome.CONNECT_FAILED, MS)
+        b.answer(b.sent(), AttemptOutcome.CONNECT_FAILED, MS)
     assert b.balancer.fan_in == balance.FAN_IN_LEAST
     for _ in range(10):
         b.tick(2)
@@ -662,7 +651,7 @@
         b.answer(send)
     closed = []
     for _ in range(400):
-        closed += [a.endpoint_id for a in b.tick(0.25) if isinstance(a, policy_api.CloseIdleConnections)]
+        closed += [a.endpoint_id for a in b.tick(0.25) if isinstance(a, CloseIdleConnections)]
     assert held > 20 and len(b.balancer.linked) <= balance.SUBSET_FREE + 2
     assert len(set(closed)) == len(closed) == held - len(b.balancer.linked)
     assert sends[0].endpoint_id not in closed  # its attempt is out
@@ -672,17 +661,17 @@
     """It has no deadline: it is no wait, and its break is not answered with another attempt."""
     b = Bench(settings(request_class(late_answer_value=0.5)), servers=8)
     send = b.sent()
-    assert b.give(policy_api.StreamStarted(send.request_id)) == []
+    assert b.give(StreamStarted(send.request_id)) == []
     b.now += 30 * SECOND
     b.tick()
     assert b.balancer.cut == 0 and not b.balancer.pending
     assert (
         b.give(
-            policy_api.AttemptCompleted(
+            AttemptCompleted(
                 send.request_id,
                 0,
                 send.endpoint_id,
-                policy_api.AttemptOutcome.CONNECTION_RESET,
+                AttemptOutcome.CONNECTION_RESET,
                 30 * SECOND,
                 True,
                 (),
@@ -699,7 +688,7 @@
     b.list_of(*(endpoint(n, zone=n % 2) for n in range(1, 17)))
     b.balancer.crossing = 1.0
     for _ in range(10):
-        if isinstance(send := b.ask(), policy_api.StartAttempt) and send.endpoint_id[0] % 2:
-            b.answer(send, policy_api.AttemptOutcome.CONNECT_FAILED, MS)
-            b.give(policy_api.ClientDisconnected(send.request_id))
+        if isinstance(send := b.ask(), StartAttempt) and send.endpoint_id[0] % 2:
+            b.answer(send, AttemptOutcome.CONNECT_FAILED, MS)
+            b.give(ClientDisconnected(send.request_id))
     assert b.balancer.crossing < 0.6
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -7,9 +7,9 @@
 import pytest
 
 from balancer.sidecar.downstream import listener as frontend
-from balancer.sidecar.downstream.listener import PIPELINE_MOST
-from balancer.sidecar.http_request import BadRequest, deadline, hint, parse_head
-from balancer.sidecar.upstream.connection import HEAD_MOST
+from balancer.sidecar.downstream.listener import MAX_PIPELINED_REQUESTS
+from balancer.sidecar.http_request import HttpRequestError, deadline, hint, parse_head
+from balancer.sidecar.upstream.connection import MAX_HEAD_BYTES
 from tests.sidecar import Seen, always_ok, endpoint, ok, request, run, sidecar
 
 POST = b"POST / HTTP/1.1\r\n%s\r\n\r\n"
@@ -51,8 +51,8 @@
     (POST % b"Content-Length: 60000000", 413),
     (POST % b"Content-Length: 99999999999999999999", 400),
     (request(extra=b"X: " + b"x" * 40_000 + b"\r\n"), 431),
-    (b"GET / HTTP/1.1\r\nX: " + b"x" * (HEAD_MOST + 1), 431),  # and no end of it
-    (b"GET /" + b"a" * (HEAD_MOST + 1), 414),
+    (b"GET / HTTP/1.1\r\nX: " + b"x" * (MAX_HEAD_BYTES + 1), 431),  # and no end of it
+    (b"GET /" + b"a" * (MAX_HEAD_BYTES + 1), 414),
     (request().replace(b"/api", b"/" + b"a" * 40_000), 414),
     (request(extra=b"Connection: upgrade\r\nUpgrade: h2c\r\n"), 400),
 ]
@@ -96,7 +96,7 @@
 def test_numbers_are_digits_and_a_deadline_is_the_class_s_at_most() -> None:
     assert deadline(b"0.480") == 480_000_000 and hint(b"900") == 900_000
     assert hint(b"1_0") == hint(b"-1") == hint(b"9" * 13) == hint(b"") == 0
-    with pytest.raises(BadRequest):
+    with pytest.raises(HttpRequestError):
         deadline("\u0661".encode())
 
     async def test() -> None:
@@ -115,7 +115,7 @@
         (b"GET / HTTP/1.0\r\n\r\n", 0, False),
     ):
         head = parse_head(raw)
-        assert (head.length, head.keep) == (length, keep)
+        assert (head.content_length, head.keeps_alive) == (length, keep)
 
 
 def test_the_id_of_an_open_request_is_refused_until_its_attempt_is_over() -> None:
@@ -132,13 +132,13 @@
             await served.arrived.wait()
             assert (await second.ask(request("post", rid="aa")))[0] == 409
             first.writer.close()  # its client has gone, but its attempt is out
-            while node.host._open and next(iter(node.host._open.values())).answered is False:
+            while node.dispatcher._open and next(iter(node.dispatcher._open.values())).answered is False:
                 await asyncio.sleep(0.01)
             third = await node.client()
             assert (await third.ask(request("post", rid="aa")))[0] == 409
             assert len(served.seen) == 1
             go_on.set()
-            while node.host.knows(b"aa"):
+            while node.dispatcher.is_duplicate(b"aa"):
                 await asyncio.sleep(0.01)
             fourth = await node.client()
             assert (await fourth.ask(request("post", rid="aa")))[0] == 200
@@ -152,7 +152,7 @@
 
         async def script(seen: Seen) -> bytes:
             nonlocal most
-            most = max(most, len(node.host._open))
+            most = max(most, len(node.dispatcher._open))
             return ok()
 
         async with endpoint(script) as served, sidecar(served.dial) as node:
@@ -160,7 +160,7 @@
             client.writer.write(b"".join(request() for _ in range(300)))
             for _ in range(300):
                 assert (await client.answer())[0] in (200, 503)
-            assert 1 <= most <= PIPELINE_MOST
+            assert 1 <= most <= MAX_PIPELINED_REQUESTS
 
     run(test())
 
@@ -189,7 +189,7 @@
 
     async def test() -> None:
         async with endpoint(always_ok) as served, sidecar(served.dial, limits={"sockets": 19}) as node:
-            assert node.config.clients_most == 7
+            assert node.config.max_downstream_connections == 7
             clients = [await node.client() for _ in range(4)]
             for client in clients:
                 assert (await client.ask(request()))[0] == 200
@@ -202,7 +202,7 @@
     # Clients that asked once and stayed left sixteen places to all others, who lost theirs at once.
     async def test() -> None:
         async with endpoint(always_ok) as served, sidecar(served.dial, limits={"sockets": 19}) as node:
-            node.frontend.now = lambda: 0.0  # so no connection has waited yet
+            node.listener.now = lambda: 0.0  # so no connection has waited yet
             stayed = [await node.client() for _ in range(7)]
             for client in stayed:
                 assert (await client.ask(request()))[0] == 200
@@ -244,7 +244,7 @@
             client = await node.client()
             client.writer.transport.pause_reading()  # type: ignore[attr-defined]
             client.writer.write(b"".join(request() for _ in range(400)))
-            while len(node.frontend) or not served.seen:
+            while len(node.listener) or not served.seen:
                 await asyncio.sleep(0.01)
 
     run(test())
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -24,9 +24,9 @@
     SILENT,
     UNLISTED,
     UNREAD,
-    ClientConnection,
+    DownstreamConnection,
 )
-from balancer.sidecar.http_request import BadRequest
+from balancer.sidecar.http_request import HttpRequestError
 from tests.sidecar import (
     Endpoint,
     Seen,
@@ -64,9 +64,9 @@
         yield client
 
 
-async def accepted(node: Sidecar) -> ClientConnection:
-    await until(lambda: node.frontend._others)
-    return next(reversed(node.frontend._others))
+async def accepted(node: Sidecar) -> DownstreamConnection:
+    await until(lambda: node.listener._others)
+    return next(reversed(node.listener._others))
 
 
 async def everything(client: socket.socket) -> bytes:
@@ -84,9 +84,9 @@
 
 def sweep(node: Sidecar, seconds: float) -> None:
     """A sweep so much later."""
-    now = node.frontend.now() + seconds
-    node.frontend.now = lambda: now
-    node.frontend._sweep()
+    now = node.listener.now() + seconds
+    node.listener.now = lambda: now
+    node.listener._sweep()
 
 
 MORE = [b"x" * 3_000, request(), b"x" * 200_000]
@@ -101,7 +101,7 @@
 
     async def test() -> None:
         async with endpoint(always_ok) as served, sidecar(served.dial, limits={"sockets": 3}) as node:
-            assert node.config.clients_most == 1
+            assert node.config.max_downstream_connections == 1
             with peer(node) as client:
                 connection = await accepted(node)
                 want: tuple[bytes, bytes] | None = None
@@ -118,16 +118,16 @@
                     want = b"408", b"Request Timeout\n"
                 else:
                     client.sendall(request())
-                    await until(lambda: served.seen and connection.idle)
+                    await until(lambda: served.seen and connection.is_idle)
                     want = b"200", b"done"
                     if end == "idle":
                         sweep(node, IDLE + 1)
                     elif end == "stopping":
-                        node.frontend.wind_down()
-                        node.frontend.close_idle()
+                        node.listener.begin_draining()
+                        node.listener.close_idle_connections()
                     else:
                         second = socket.create_connection(("127.0.0.1", node.port))
-                await until(lambda: connection._ended and not connection.owed)
+                await until(lambda: connection._ended and not connection.has_pending_responses)
                 seen = len(served.seen)
                 client.sendall(more)
                 await until(lambda: connection._dropped >= len(more) or connection._transport is None)
@@ -135,7 +135,7 @@
                 assert len(served.seen) == seen
             if end == "evicted":
                 second.close()
-            await until(lambda: not len(node.frontend))
+            await until(lambda: not len(node.listener))
 
     run(test())
 
@@ -155,7 +155,7 @@
                 client.sendall(request(extra=LAST))
                 await until(lambda: served.seen)
                 client.sendall(b"x" * 100_000)
-                await until(lambda: connection._ended and not connection.owed)
+                await until(lambda: connection._ended and not connection.has_pending_responses)
                 client.sendall(b"x" * 1_000)
                 assert ends_whole(await everything(client), b"200", body)
 
@@ -168,24 +168,24 @@
 
     async def test() -> None:
         async with endpoint(always_ok) as served, sidecar(served.dial, limits={"sockets": 6}) as node:
-            assert node.config.clients_most == 2
+            assert node.config.max_downstream_connections == 2
             with peer(node) as client:
                 connection = await accepted(node)
                 if end != "silent":
                     client.sendall(request())
-                    await until(lambda: served.seen and connection.idle)
+                    await until(lambda: served.seen and connection.is_idle)
                 client.sendall(request(rid="77", extra=LAST))
                 if end == "idle":
                     sweep(node, IDLE + 1)
                 elif end == "silent":
                     sweep(node, SILENT + 1)
                 elif end == "stopping":
-                    node.frontend.wind_down()
-                    node.frontend.close_idle()
+                    node.listener.begin_draining()
+                    node.listener.close_idle_connections()
                 else:
-                    node.frontend.now = lambda: 0.0  # so no newcomer has waited yet
+                    node.listener.now = lambda: 0.0  # so no newcomer has waited yet
                     for _ in range(2):
-                        node.frontend.opened(ClientConnection(node.frontend))
+                        node.listener.on_connection_opened(DownstreamConnection(node.listener))
                 got = await everything(client)
                 assert got.count(b"HTTP/1.1 200 OK") == (1 if end == "silent" else 2)
                 assert served.seen[-1].headers[b"req-id"] == b"77"
@@ -203,13 +203,13 @@
                 connection = await accepted(node)
                 if not answers:
                     client.sendall(request())
-                    await until(lambda: served.seen and connection.idle)
+                    await until(lambda: served.seen and connection.is_idle)
                 client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
             if answers:
-                connection._reject(BadRequest(400))
+                connection._reject(HttpRequestError(400))
             else:
                 connection.close()
-            await until(lambda: not len(node.frontend))
+            await until(lambda: not len(node.listener))
             assert not problems
 
     run(test())
@@ -220,21 +220,21 @@
     async def test() -> None:
         async with endpoint(always_ok) as served, sidecar(served.dial) as node:
             if stopping:
-                node.frontend.stop()
+                node.listener.begin_shutdown()
             most = LINGER_STOPPING if stopping else LINGER
             with peer(node) as client:
                 connection = await accepted(node)
                 client.sendall(b"nonsense\r\n\r\n")
                 await until(lambda: connection._shut)
-                closed = node.frontend.now()
-                node.frontend.now = lambda: closed + 0.9 * most
-                node.frontend._sweep()
+                closed = node.listener.now()
+                node.listener.now = lambda: closed + 0.9 * most
+                node.listener._sweep()
                 assert not connection._transport.is_closing()  # type: ignore[union-attr]
                 client.sendall(b"x")  # whatever it sends gives it no more time
                 await until(lambda: connection._dropped)
-                node.frontend.now = lambda: closed + 1.1 * most
-                node.frontend._sweep()
-                await until(lambda: not len(node.frontend))
+                node.listener.now = lambda: closed + 1.1 * most
+                node.listener._sweep()
+                await until(lambda: not len(node.listener))
                 assert ends_whole(await everything(client), b"400", b"malformed request\n")
 
     run(test())
@@ -245,24 +245,24 @@
 
     async def test() -> None:
         async with endpoint(always_ok) as served, sidecar(served.dial, limits={"sockets": 19}) as node:
-            assert node.config.clients_most == 7
-            node.frontend.now = lambda: 0.0  # so no connection has waited yet
-            held: list[ClientConnection] = []
-            opened, most = node.frontend.opened, 0
+            assert node.config.max_downstream_connections == 7
+            node.listener.now = lambda: 0.0  # so no connection has waited yet
+            held: list[DownstreamConnection] = []
+            opened, most = node.listener.on_connection_opened, 0
 
-            def watched(connection: ClientConnection) -> None:
+            def watched(connection: DownstreamConnection) -> None:
                 nonlocal most
                 held.append(connection)
                 opened(connection)
-                most = max(most, len(node.frontend))
+                most = max(most, len(node.listener))
 
             async def come(n: int, client: socket.socket) -> None:
                 client.sendall((b"nonsense\r\n\r\n", request(), b"")[n % 3])
                 await until(lambda: len(held) > n)
                 if n % 3 < 2:
-                    await until(lambda: held[n]._shut or (held[n].proven and held[n].idle))
+                    await until(lambda: held[n]._shut or (held[n].has_sent_request and held[n].is_idle))
 
-            node.frontend.opened = watched  # type: ignore[method-assign]
+            node.listener.on_connection_opened = watched  # type: ignore[method-assign]
             with contextlib.ExitStack() as clients:
                 for n in range(60):  # none of them ends its side, each third one sends no request
                     await come(n, clients.enter_context(peer(node)))
@@ -270,8 +270,8 @@
                 assert most <= 7 + 2 and len(lingering) <= 3
                 # The newest that linger are still there, and no other has gone before them.
                 assert lingering == [c for c in held if c._shut][-len(lingering) :]
-                assert sum(c._transport is not None for c in held) == len(node.frontend)
-            await until(lambda: not len(node.frontend))
+                assert sum(c._transport is not None for c in held) == len(node.listener)
+            await until(lambda: not len(node.listener))
 
     run(test())
 
@@ -284,21 +284,21 @@
             return ok(b"x" * 1_000_000)
 
         async with endpoint(script) as served, sidecar(served.dial, limits={"sockets": 19}) as node:
-            assert node.config.clients_most == 7
-            node.host.upstream._store.most = 1 << 30
+            assert node.config.max_downstream_connections == 7
+            node.dispatcher.upstream._store.max_bytes = 1 << 30
 
             async def ask(client: socket.socket) -> None:
                 client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
                 client.connect(("127.0.0.1", node.port))
                 asked = len(served.seen)
                 client.sendall(b"".join([request() for _ in range(7)]) + request(extra=LAST))
-                await until(lambda: len(served.seen) >= asked + 8 and not node.host._open)
+                await until(lambda: len(served.seen) >= asked + 8 and not node.dispatcher._open)
 
             with contextlib.ExitStack() as clients:
                 for _ in range(30):
                     await ask(clients.enter_context(socket.socket()))
-                    assert len(node.frontend) <= 7 + 2
-            await until(lambda: not len(node.frontend))
+                    assert len(node.listener) <= 7 + 2
+            await until(lambda: not len(node.listener))
 
     run(test())
 
@@ -318,7 +318,7 @@
                 sweep(node, LINGER + 1)
                 with pytest.raises(ConnectionError):
                     await flood
-                assert not len(node.frontend)
+                assert not len(node.listener)
             assert UNREAD > LINGER  # the other limit on who does not read
 
     run(test())
@@ -406,12 +406,12 @@
 
     async def test() -> None:
         async with sidecar() as node:
-            client, began = await node.client(), node.frontend._began
+            client, began = await node.client(), node.listener._began
             for seconds, code in ((0.0, 503), (UNLISTED - 0.001, 503), (UNLISTED, 200)):
-                node.frontend.now = lambda now=began + seconds: now  # type: ignore[misc]
+                node.listener.now = lambda now=began + seconds: now  # type: ignore[misc]
                 assert (await client.ask(UP))[0] == code
             assert (await client.ask(request("post")))[0] == 503
-            assert not node.host._open
+            assert not node.dispatcher._open
 
     run(test())
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -9,11 +9,20 @@
 
 import pytest
 
-from balancer import policy_api
+from balancer.policy_api import (
+    AttemptCompleted,
+    AttemptOutcome,
+    ClientDisconnected,
+    EndpointHealth,
+    EndpointUpdate,
+    EndpointUpdateKind,
+    Event,
+    RequestReceived,
+)
 from balancer.sidecar import configuration as config
 from balancer.sidecar.configuration import SECOND
-from balancer.sidecar.downstream.listener import PIPELINE_MOST
-from balancer.sidecar.upstream.connection import REST, Connection, Pool
+from balancer.sidecar.downstream.listener import MAX_PIPELINED_REQUESTS
+from balancer.sidecar.upstream.connection import CONNECTION_REST_NS, EndpointPool, UpstreamConnection
 from tests.sidecar import (
     SETTINGS,
     WAIT,
@@ -39,8 +48,8 @@
     return SETTINGS | {"Categories": classes} | others
 
 
-def completed(event: policy_api.Event) -> bool:
-    return isinstance(event, policy_api.AttemptCompleted)
+def completed(event: Event) -> bool:
+    return isinstance(event, AttemptCompleted)
 
 
 class Gate:
@@ -48,10 +57,10 @@
 
     def __init__(self, node: Sidecar) -> None:
         self.opened, self.reached, self.waiting = asyncio.Event(), asyncio.Event(), 0
-        self._connect = node.host.upstream.connect
-        node.host.upstream.connect = self._late  # type: ignore[method-assign]
+        self._connect = node.dispatcher.upstream.connect
+        node.dispatcher.upstream.connect = self._late  # type: ignore[method-assign]
 
-    async def _late(self, pool: Pool) -> Connection:
+    async def _late(self, pool: EndpointPool) -> UpstreamConnection:
         self.waiting += 1
         self.reached.set()
         await self.opened.wait()
@@ -69,16 +78,16 @@
             endpoint(never) as other,
             sidecar(one.dial, other.dial, settings=patient) as node,
         ):
-            begun = node.host.now()
-            node.host.now = lambda: begun  # for the decisions the time never comes; for the loop it does
+            begun = node.dispatcher.now_ns()
+            node.dispatcher.now_ns = lambda: (
+                begun
+            )  # for the decisions the time never comes; for the loop it does
             client = await node.client()
             assert (await client.ask(request(deadline="0.2")))[0] == 503
-            assert len(node.host.upstream.outlived) == 1
-            assert (await node.event(completed)).outcome == policy_api.AttemptOutcome.TIMEOUT
-            moot = await node.event(
-                lambda e: isinstance(e, policy_api.AttemptCompleted) and e.attempt_index == 1
-            )
-            assert moot.outcome == policy_api.AttemptOutcome.NOT_SENT
+            assert len(node.dispatcher.upstream.background_attempts) == 1
+            assert (await node.event(completed)).outcome == AttemptOutcome.TIMEOUT
+            moot = await node.event(lambda e: isinstance(e, AttemptCompleted) and e.attempt_index == 1)
+            assert moot.outcome == AttemptOutcome.NOT_SENT
             assert one.connections + other.connections == 1
 
     run(test())
@@ -94,15 +103,15 @@
             client.writer.write(request("post", rid="9b1f"))
             await gate.reached.wait()
             client.writer.close()
-            await node.event(lambda e: isinstance(e, policy_api.ClientDisconnected))
-            assert (await node.event(completed)).outcome == policy_api.AttemptOutcome.NOT_SENT
-            assert not node.host.knows(b"9b1f") and not node.host._open
+            await node.event(lambda e: isinstance(e, ClientDisconnected))
+            assert (await node.event(completed)).outcome == AttemptOutcome.NOT_SENT
+            assert not node.dispatcher.is_duplicate(b"9b1f") and not node.dispatcher._open
             gate.opened.set()
             other = await node.client()
             assert (await other.ask(request("post", rid="77")))[0] == 200
             # The connection was not in vain: the next request has it.
             assert [seen.headers[b"req-id"] for seen in served.seen] == [b"77"]
-            assert not node.host.upstream.outlived
+            assert not node.dispatcher.upstream.background_attempts
 
     run(test())
 
@@ -125,11 +134,11 @@
             while not one.seen and not other.seen:
                 await asyncio.sleep(0)
             client.writer.close()
-            await node.event(lambda e: isinstance(e, policy_api.ClientDisconnected))
+            await node.event(lambda e: isinstance(e, ClientDisconnected))
             left.set()
             ended = await node.event(completed)
-            assert (ended.outcome, ended.request_finished) == (policy_api.AttemptOutcome.REJECTED, True)
-            assert not node.host._open and len(one.seen) + len(other.seen) == 1
+            assert (ended.outcome, ended.request_finished) == (AttemptOutcome.REJECTED, True)
+            assert not node.dispatcher._open and len(one.seen) + len(other.seen) == 1
 
     run(test())
 
@@ -143,7 +152,7 @@
             gate = Gate(node)
             client = await node.client()
             if ending == "pipelined":
-                asked = PIPELINE_MOST
+                asked = MAX_PIPELINED_REQUESTS
                 client.writer.write(b"".join(request() for _ in range(asked + 3)))
             else:
                 asked = 1
@@ -152,14 +161,14 @@
                 await asyncio.sleep(0)
             if ending == "flooded":
                 client.writer.write(b"x" * 200_000)
-            [connection] = [*node.frontend._others, *node.frontend._proven]
+            [connection] = [*node.listener._others, *node.listener._proven]
             while connection._paused != (ending != "last"):
                 await asyncio.sleep(0)
             client.writer.transport.abort() if ending == "flooded" else client.writer.close()
             for _ in range(asked):
-                gone = await node.event(lambda e: isinstance(e, policy_api.ClientDisconnected))
+                gone = await node.event(lambda e: isinstance(e, ClientDisconnected))
                 node.events.remove(gone)
-            assert not node.host._open
+            assert not node.dispatcher._open
             gate.opened.set()
             other = await node.client()
             assert (await other.ask(request(rid="77")))[0] == 200
@@ -187,15 +196,18 @@
         server = await asyncio.start_server(serve, "127.0.0.1", 0)
         host, port = server.sockets[0].getsockname()
         async with sidecar(f"{host}:{port}") as node:
-            upstream = node.host.upstream
-            stopped = upstream.now()
-            upstream.now = lambda: stopped  # not a moment later
+            upstream = node.dispatcher.upstream
+            stopped = upstream.now_ns()
+            upstream.now_ns = lambda: stopped  # not a moment later
             client = await node.client()
             assert (await client.ask(request("post")))[::2] == (200, b"1")
             [pool] = upstream._pools.values()
-            assert len(pool.idle) == 1 and upstream.rest(pool) == REST / SECOND
+            assert (
+                len(pool.idle_connections) == 1
+                and upstream.seconds_until_rested(pool) == CONNECTION_REST_NS / SECOND
+            )
             client.writer.write(request("post"))
-            await node.event(lambda e: isinstance(e, policy_api.RequestReceived) and e.request_id == 2)
+            await node.event(lambda e: isinstance(e, RequestReceived) and e.request_id == 2)
             told.set()
             assert (await client.answer())[::2] == (200, b"2")  # on a connection of its own
             assert len(served) == 2
@@ -219,17 +231,17 @@
 
         monkeypatch.setattr(asyncio, "sleep", held)
         async with endpoint(always_ok) as served, sidecar(served.dial) as node:
-            upstream = node.host.upstream
-            stopped = upstream.now()
-            upstream.now = lambda: stopped  # what rests goes on resting
+            upstream = node.dispatcher.upstream
+            stopped = upstream.now_ns()
+            upstream.now_ns = lambda: stopped  # what rests goes on resting
             client, other = await node.client(), await node.client()
             assert (await client.ask(request()))[0] == 200
             client.writer.write(request())
-            await node.event(lambda e: isinstance(e, policy_api.RequestReceived) and e.request_id == 2)
+            await node.event(lambda e: isinstance(e, RequestReceived) and e.request_id == 2)
             client.writer.close()
-            await node.event(lambda e: isinstance(e, policy_api.ClientDisconnected))
+            await node.event(lambda e: isinstance(e, ClientDisconnected))
             go_on.set()
-            while upstream.outlived:
+            while upstream.background_attempts:
                 await asyncio.sleep(0)
             assert served.connections == 1 and len(served.seen) == 1
             assert (await other.ask(request()))[0] == 200
@@ -253,7 +265,7 @@
             for n in range(1, 5):
                 assert (await client.ask(request()))[0] == 503
                 assert len(one.seen) + len(other.seen) == n
-            members = node.host._balancer.members.values()
+            members = node.dispatcher._balancer.members.values()
             assert [(m.fails, m.streak, m.inflight) for m in members] == [(0.0, 0, 0)] * 2
 
     run(test())
@@ -281,7 +293,7 @@
             endpoint(break_once) as other,
             sidecar(one.dial, other.dial, settings=settings({}, KEYED)) as node,
         ):
-            gate, clock = Gate(node), node.host.now
+            gate, clock = Gate(node), node.dispatcher.now_ns
             gate.opened.set()
             client = await node.client()
             client.writer.write(request("post", extra=KEY))
@@ -292,14 +304,14 @@
             go_on.set()
             await gate.reached.wait()  # the resend is decided, and has no connection yet
             if late:
-                node.host.now = node.host.upstream.now = lambda: clock() + 2 * SECOND
+                node.dispatcher.now_ns = node.dispatcher.upstream.now_ns = lambda: clock() + 2 * SECOND
             gate.opened.set()
             code, _, _ = await client.answer()
             again = await node.event(lambda e: completed(e) and e.attempt_index == 1)
             if late:
-                assert (code, again.outcome) == (502, policy_api.AttemptOutcome.NOT_SENT)
+                assert (code, again.outcome) == (502, AttemptOutcome.NOT_SENT)
             else:
-                assert (code, again.outcome) == (200, policy_api.AttemptOutcome.SUCCESS)
+                assert (code, again.outcome) == (200, AttemptOutcome.SUCCESS)
             assert len(one.seen) + len(other.seen) == (1 if late else 2)
 
     run(test())
@@ -313,14 +325,14 @@
         async with endpoint(always_ok) as served, sidecar(served.dial) as node:
             first, again = await node.client(), await node.client()
             assert (await first.ask(request(cls, rid="9b1f")))[0] == 200
-            assert not node.host._open
+            assert not node.dispatcher._open
             code, _, _ = await again.ask(request(cls, rid="9b1f"))
             assert code == (409 if cls == "post" else 200)  # what is safe to repeat may come again
-            clock = node.host.now
-            node.host.now = lambda: clock() + 9 * SECOND  # its client has given up by now
+            clock = node.dispatcher.now_ns
+            node.dispatcher.now_ns = lambda: clock() + 9 * SECOND  # its client has given up by now
             last = await node.client()
             assert (await last.ask(request("post", rid="77")))[0] == 200
-            assert list(node.host._spent) == ([b"77"])
+            assert list(node.dispatcher._spent) == ([b"77"])
 
     run(test())
 
@@ -333,7 +345,9 @@
             client = await node.client()
             assert (await client.ask(request("post", rid="9b1f")))[0] == 503
             told = {"seq": 2, "whole": True, "hosts": [entry("s-1", served.dial)]}
-            node.host.learn(config.host_list(told, node.config.names), policy_api.EndpointUpdateKind.SNAPSHOT)
+            node.dispatcher.on_endpoint_update(
+                config.parse_endpoint_list(told, node.config.name_indices), EndpointUpdateKind.SNAPSHOT
+            )
             assert (await client.ask(request("post", rid="9b1f")))[0] == 200
 
     run(test())
@@ -345,8 +359,8 @@
 ASKED = settings(Discovery="on_request")
 
 
-def listed(kind: int) -> Callable[[policy_api.Event], bool]:
-    return lambda event: isinstance(event, policy_api.EndpointUpdate) and event.kind == kind
+def listed(kind: int) -> Callable[[Event], bool]:
+    return lambda event: isinstance(event, EndpointUpdate) and event.kind == kind
 
 
 SPOILT = [
@@ -384,10 +398,10 @@
             node.discovery._hold, node.discovery._grace = 1.0, 0.0
             node.discovery._connect_timeout = WAIT
             first_comes.append(lambda: setattr(node.discovery, "_hold", WAIT))  # the others may be slow
-            node.discovery.watch(True)
-            told = await node.event(listed(policy_api.EndpointUpdateKind.DELTA))
-            assert told.endpoints[0].health == policy_api.EndpointHealth.DRAINING
-            assert not [e for e in node.events if listed(policy_api.EndpointUpdateKind.DISCOVERY_FAILED)(e)]
+            node.discovery.set_watching(True)
+            told = await node.event(listed(EndpointUpdateKind.DELTA))
+            assert told.endpoints[0].health == EndpointHealth.DRAINING
+            assert not [e for e in node.events if listed(EndpointUpdateKind.DISCOVERY_FAILED)(e)]
             assert [call.split(b"&")[0] for call in calls[:2]] == [b"/discovery/hosts?from=1"] * 2
 
     run(test())
@@ -406,8 +420,8 @@
             sidecar("127.0.0.1:9", discovery=served.dial, settings=ASKED) as node,
         ):
             node.discovery._grace = node.discovery._connect_timeout = WAIT
-            node.discovery.watch(True)
-            await node.event(listed(policy_api.EndpointUpdateKind.DISCOVERY_FAILED))
+            node.discovery.set_watching(True)
+            await node.event(listed(EndpointUpdateKind.DISCOVERY_FAILED))
             assert len(served.seen) == (2 if answer == SPOILT[1] else 1)
 
     run(test())
@@ -434,13 +448,13 @@
             endpoint(stumbling) as after,
             sidecar("127.0.0.1:9", discovery=before.dial, settings=ASKED) as node,
         ):
-            node.discovery.watch(True)
+            node.discovery.set_watching(True)
             await old.wait()
             host, _, port = after.dial.rpartition(":")
-            node.discovery.move((host, int(port)))
-            told = await node.event(listed(policy_api.EndpointUpdateKind.SNAPSHOT))
+            node.discovery.change_address((host, int(port)))
+            told = await node.event(listed(EndpointUpdateKind.SNAPSHOT))
             assert told.endpoints[0].id == config.endpoint_id("s-2")
-            assert not [e for e in node.events if listed(policy_api.EndpointUpdateKind.DISCOVERY_FAILED)(e)]
+            assert not [e for e in node.events if listed(EndpointUpdateKind.DISCOVERY_FAILED)(e)]
             assert [seen.line.split()[1] for seen in after.seen[:4]] == [b"/discovery/hosts"] * 4
             assert len(before.seen) == 1
 
--- a/tests/test_cut.py
+++ b/tests/test_cut.py
@@ -4,8 +4,17 @@
 
 import pytest
 
-from balancer import policy_api
 from balancer.policy import balancer as balance
+from balancer.policy_api import (
+    AttemptOutcome,
+    ClientDisconnected,
+    GossipReceived,
+    RejectRequest,
+    RequestReceived,
+    SendGossip,
+    StartAttempt,
+    Tenant,
+)
 from tests.helpers import MS, SECOND, Bench, endpoint, request_class, settings
 
 LOW, HIGH = request_class(priority_weight=1.0), request_class(priority_weight=5.0)
@@ -18,7 +27,7 @@
 def feed(b: Bench, cls: int, count: int, key: int = 0) -> None:
     for i in range(count):
         action = b.ask(cls, key=key and key + i)
-        if isinstance(action, policy_api.StartAttempt):
+        if isinstance(action, StartAttempt):
             b.answer(action)
 
 
@@ -28,21 +37,19 @@
 
 def test_business_beats_user_level_and_ties_go_to_the_user_level() -> None:
     b = bench()
-    level, place = b.balancer.level(policy_api.RequestReceived(1, 0, 0, 7, 0, 0, False), b.now)
+    level, place = b.balancer.level(RequestReceived(1, 0, 0, 7, 0, 0, False), b.now)
     b.balancer.cut = float(level + 1)  # just above this key's level: refused
-    assert isinstance(b.ask(0, key=7), policy_api.RejectRequest)
+    assert isinstance(b.ask(0, key=7), RejectRequest)
     b.balancer.cut = float(level)
-    assert isinstance(b.ask(0, key=7), policy_api.StartAttempt)
+    assert isinstance(b.ask(0, key=7), StartAttempt)
     b.balancer.cut = float(balance.USER_LEVELS)  # all of the low business level: the high one still passes
-    assert isinstance(b.ask(0, key=7), policy_api.RejectRequest) and isinstance(
-        b.ask(1, key=7), policy_api.StartAttempt
-    )
+    assert isinstance(b.ask(0, key=7), RejectRequest) and isinstance(b.ask(1, key=7), StartAttempt)
     assert 0 <= level < balance.USER_LEVELS and place == 0.5
 
 
 def test_the_salt_changes_with_the_hour_and_is_alike_everywhere() -> None:
     one, other = bench(instance_index=1, instance_count=9), bench(instance_index=2, instance_count=9)
-    ask = [policy_api.RequestReceived(1, 0, 0, key, 0, 0, False) for key in range(1, 40)]
+    ask = [RequestReceived(1, 0, 0, key, 0, 0, False) for key in range(1, 40)]
     now = [one.balancer.level(r, b.now)[0] for b in (one, other) for r in ask]
     assert now[:39] == now[39:]
     assert now[:39] != [one.balancer.level(r, one.now + balance.HOUR)[0] for r in ask]
@@ -52,7 +59,7 @@
     b = bench()
     feed(b, 0, 400, key=1000)
     b.balancer.raise_cut(0.25)
-    refused = sum(isinstance(b.ask(0, key=1000 + i), policy_api.RejectRequest) for i in range(400))
+    refused = sum(isinstance(b.ask(0, key=1000 + i), RejectRequest) for i in range(400))
     assert 80 <= refused <= 120
 
 
@@ -106,14 +113,14 @@
 
 def test_a_fleet_of_single_user_sidecars_sheds_smoothly() -> None:
     """Without keys a sidecar has one user level; tenants must not put a third of the fleet on one level."""
-    for tenants in ((), tuple(policy_api.Tenant(n, 100.0) for n in "abc")):
+    for tenants in ((), tuple(Tenant(n, 100.0) for n in "abc")):
         passed = []
         for cut in (0, 32, 64, 96, 128):
             count = 0
             for i in range(200):
                 b = Bench(settings(instance_index=i, instance_count=200, tenants=tenants), servers=2)
                 b.balancer.cut = float(cut)
-                count += isinstance(b.ask(tenant=i % 3 if tenants else 0), policy_api.StartAttempt)
+                count += isinstance(b.ask(tenant=i % 3 if tenants else 0), StartAttempt)
             passed.append(count)
         assert passed[0] == 200 and passed[4] == 0
         assert [abs(passed[i] - 200 * (4 - i) / 4) < 25 for i in range(5)] == [True] * 5, passed
@@ -129,7 +136,7 @@
 
 
 def test_time_outs_and_full_raise_the_cut() -> None:
-    for outcome in (policy_api.AttemptOutcome.TIMEOUT, policy_api.AttemptOutcome.REJECTED):
+    for outcome in (AttemptOutcome.TIMEOUT, AttemptOutcome.REJECTED):
         b = bench()
         overloaded(b, outcome)
         assert b.balancer.cut > 0, outcome
@@ -138,9 +145,9 @@
 def test_dead_or_erring_endpoints_are_no_evidence_of_load() -> None:
     """With a fifth of the servers dead, failed connects once shed most of what the others could serve."""
     for outcome in (
-        policy_api.AttemptOutcome.CONNECT_FAILED,
-        policy_api.AttemptOutcome.CONNECTION_RESET,
-        policy_api.AttemptOutcome.SERVER_ERROR,
+        AttemptOutcome.CONNECT_FAILED,
+        AttemptOutcome.CONNECTION_RESET,
+        AttemptOutcome.SERVER_ERROR,
     ):
         b = bench(max_attempts=1)
         overloaded(b, outcome)
@@ -158,8 +165,8 @@
         sends = [b.sent(left=took) for _ in range(60)]
         for send in sends:
             if gone:  # its client has left before
-                b.give(policy_api.ClientDisconnected(send.request_id))
-            b.answer(send, policy_api.AttemptOutcome.TIMEOUT, took=took)
+                b.give(ClientDisconnected(send.request_id))
+            b.answer(send, AttemptOutcome.TIMEOUT, took=took)
         out = [m for m in b.balancer.members.values() if m.out_until > b.now]
         b.tick()
         if left:  # with time enough they are what they seem
@@ -260,9 +267,9 @@
         old.tick()
     feed(old, 0, 10)
     old.balancer.cut = 77.0
-    [tell] = [a for a in old.tick(0.01) if isinstance(a, policy_api.SendGossip)]
+    [tell] = [a for a in old.tick(0.01) if isinstance(a, SendGossip)]
     assert tell.recipient_index == 1 and len(tell.payload) <= 256
-    new.give(policy_api.GossipReceived(0, tell.payload))
+    new.give(GossipReceived(0, tell.payload))
     assert new.balancer.cut == pytest.approx(old.balancer.cut)
     assert new.balancer.evidence[0][balance.SEEN] > 0
 
@@ -270,23 +277,23 @@
 @pytest.mark.parametrize("body", [b"", b"x" * 5, b"\xff" * 256, bytes(range(200))])
 def test_peer_bytes_of_any_content_are_passed_over(body: bytes) -> None:
     b = bench(gossip_enabled=True, instance_count=2)
-    b.give(policy_api.GossipReceived(1, body))
+    b.give(GossipReceived(1, body))
     size = balance.HEAD.size + 2 * sum(map(len, b.balancer.pooled()))
-    b.give(policy_api.GossipReceived(1, (body * 50)[:size].ljust(size, b"\xff")))
+    b.give(GossipReceived(1, (body * 50)[:size].ljust(size, b"\xff")))
     assert 0 <= b.balancer.cut < 1 and all(abs(x) < 1e6 for x in b.balancer.evidence[0])
-    assert isinstance(b.ask(), policy_api.StartAttempt)
+    assert isinstance(b.ask(), StartAttempt)
 
 
 def test_a_repeat_that_is_provably_too_late_is_refused() -> None:
     """Its answer could earn nothing, and it would take work from requests that still count."""
     b = bench()
     b.answer(b.sent(left=1500 * MS))
-    late = policy_api.RequestReceived(
+    late = RequestReceived(
         900, 0, 0, 0, b.now + 1000 * MS, 0, True
     )  # a second of two has gone; the aim is half
-    assert isinstance(b.give(late)[0], policy_api.RejectRequest)
-    first = policy_api.RequestReceived(901, 0, 0, 0, b.now + 1000 * MS, 0, False)
-    assert isinstance(b.give(first)[0], policy_api.StartAttempt)
+    assert isinstance(b.give(late)[0], RejectRequest)
+    first = RequestReceived(901, 0, 0, 0, b.now + 1000 * MS, 0, False)
+    assert isinstance(b.give(first)[0], StartAttempt)
 
 
 def test_a_cycle_ends_by_count_as_well_as_by_time() -> None:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -12,11 +12,16 @@
 
 import pytest
 
-from balancer import policy_api
 from balancer.policy import balancer as balance
+from balancer.policy_api import EndpointHealth, EndpointUpdate, EndpointUpdateKind, Event, WatchEndpoints
 from balancer.sidecar import configuration as config
 from balancer.sidecar import discovery_client as discovery
-from balancer.sidecar.discovery_client import CallFailed, CallSilent, CallSpoilt, Discovery
+from balancer.sidecar.discovery_client import (
+    DiscoveryCallError,
+    DiscoveryClient,
+    DiscoveryTimeoutError,
+    MalformedDiscoveryResponseError,
+)
 from tests.helpers import SECOND, Bench
 from tests.helpers import settings as rules
 from tests.sidecar import SETTINGS, WAIT, Sidecar, dead_dial, entry, ok, run, sidecar, status
@@ -103,10 +108,10 @@
         b = Bench(rules(polls_discovery=True, discovery_poll_window_ns=ask_within), seed=seed)
         for waits in (first, again):
             if waits is again:
-                b.give(policy_api.EndpointUpdate(policy_api.EndpointUpdateKind.DISCOVERY_FAILED, ()))
+                b.give(EndpointUpdate(EndpointUpdateKind.DISCOVERY_FAILED, ()))
             since = b.now
             while not any(
-                isinstance(action, policy_api.WatchEndpoints) for action in b.tick(balance.CYCLE / SECOND / 5)
+                isinstance(action, WatchEndpoints) for action in b.tick(balance.CYCLE / SECOND / 5)
             ):
                 assert b.now - since <= balance.ASK_MOST, "put off for too long"
             waits.add(b.now - since)
@@ -179,19 +184,19 @@
 
 
 HALF = b"HTTP/1.1 200 OK\r\nContent-Length: 40000\r\n\r\n" + DRAINS[:40]
-ENDINGS: dict[str, tuple[Any, type[CallFailed] | None]] = {
-    "status": (says(status(503)), CallFailed),
-    "closed": (closes(b""), CallFailed),
-    "reset": (resets, CallFailed),
-    "cut": (closes(HALF), CallSpoilt),
-    "junk": (says(b"HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n"), CallSpoilt),
-    "malformed": (says(ok(DRAINS[:-9])), CallSpoilt),
-    "silent": (says(b""), CallSilent),
-    "silent in the answer": (says(HALF), CallSilent),
-    "trickles": (trickles, CallSilent),
+ENDINGS: dict[str, tuple[Any, type[DiscoveryCallError] | None]] = {
+    "status": (says(status(503)), DiscoveryCallError),
+    "closed": (closes(b""), DiscoveryCallError),
+    "reset": (resets, DiscoveryCallError),
+    "cut": (closes(HALF), MalformedDiscoveryResponseError),
+    "junk": (says(b"HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n"), MalformedDiscoveryResponseError),
+    "malformed": (says(ok(DRAINS[:-9])), MalformedDiscoveryResponseError),
+    "silent": (says(b""), DiscoveryTimeoutError),
+    "silent in the answer": (says(HALF), DiscoveryTimeoutError),
+    "trickles": (trickles, DiscoveryTimeoutError),
     "nothing new": (says(ok(NOTHING_NEW)), None),
-    "connect refused": (None, CallFailed),
-    "connect hangs": (None, CallFailed),
+    "connect refused": (None, DiscoveryCallError),
+    "connect hangs": (None, DiscoveryCallError),
 }
 
 
@@ -216,34 +221,34 @@
 
     def __init__(self, patch: pytest.MonkeyPatch, short: int | None, short_connect: bool = False) -> None:
         self.made: list[tuple[str, float]] = []
-        self.failed: list[type[CallFailed]] = []
+        self.failed: list[type[DiscoveryCallError]] = []
         self.on_failure: Callable[[], Awaitable[None]] | None = None
-        original = Discovery._call
+        original = DiscoveryClient._call
 
-        async def call(node: Discovery, query: str, timeout: float) -> config.HostList:
+        async def call(node: DiscoveryClient, query: str, timeout: float) -> config.EndpointListUpdate:
             number = len(self.made)
             self.made.append((query, timeout))
             node._connect_timeout = SHORT if short_connect and not self.failed else WAIT
             try:
                 return await original(node, query, SHORT if number == short else 2 * WAIT)
-            except CallFailed as problem:
+            except DiscoveryCallError as problem:
                 self.failed.append(type(problem))
                 if self.on_failure is not None:
                     on_failure, self.on_failure = self.on_failure, None
                     await on_failure()
                 raise
 
-        patch.setattr(Discovery, "_call", call)
+        patch.setattr(DiscoveryClient, "_call", call)
 
 
-def drained(event: policy_api.Event) -> bool:
-    return isinstance(event, policy_api.EndpointUpdate) and any(
-        told.health == policy_api.EndpointHealth.DRAINING for told in event.endpoints
+def drained(event: Event) -> bool:
+    return isinstance(event, EndpointUpdate) and any(
+        told.health == EndpointHealth.DRAINING for told in event.endpoints
     )
 
 
 def begin(node: Sidecar, asked: bool) -> None:
-    node.discovery.watch(True) if asked else node.discovery.start()
+    node.discovery.set_watching(True) if asked else node.discovery.start()
 
 
 @pytest.mark.parametrize("asked", [False, True], ids=["pushed", "asked"])
@@ -253,7 +258,7 @@
 ) -> None:
     monkeypatch.setattr(balance, "ASK_MOST", SECOND // 100)
     end, kind = ENDINGS[ending]
-    calls = Calls(monkeypatch, 1 if kind is CallSilent else None, ending == "connect hangs")
+    calls = Calls(monkeypatch, 1 if kind is DiscoveryTimeoutError else None, ending == "connect hangs")
 
     async def test() -> None:
         stand_in = StandIn(end)
@@ -266,13 +271,11 @@
                 begin(node, asked)
                 await node.event(drained)
                 reported = [
-                    e
-                    for e in node.events
-                    if e == policy_api.EndpointUpdate(policy_api.EndpointUpdateKind.DISCOVERY_FAILED, ())
+                    e for e in node.events if e == EndpointUpdate(EndpointUpdateKind.DISCOVERY_FAILED, ())
                 ]
         assert calls.failed == ([kind] if kind else [])
         # A failed call is reported once, and the decisions call again; one that may have told they never see.
-        assert len(reported) == (asked and kind is CallFailed)
+        assert len(reported) == (asked and kind is DiscoveryCallError)
         assert stand_in.server is not None
         stand_in.server.close()
 
@@ -326,14 +329,12 @@
                     await asyncio.sleep(0.001)
                 for _ in range(5):
                     await asyncio.sleep(0)  # so that it is under way
-                node.discovery.move(new.address)
+                node.discovery.change_address(new.address)
                 while len(new.lines) < 1:
                     await asyncio.sleep(0.001)
                 assert new.lines[0] == b"GET /discovery/hosts HTTP/1.1"
                 assert not [
-                    e
-                    for e in node.events
-                    if e == policy_api.EndpointUpdate(policy_api.EndpointUpdateKind.DISCOVERY_FAILED, ())
+                    e for e in node.events if e == EndpointUpdate(EndpointUpdateKind.DISCOVERY_FAILED, ())
                 ]
                 assert new.connections == 1
 
@@ -357,11 +358,11 @@
         async with sidecar("127.0.0.1:9", discovery=dead_dial(), settings=site(True)) as node:
             monkeypatch.setattr(asyncio, "sleep", noted)
             host, _, port = dead_dial().rpartition(":")
-            node.discovery.move((host, int(port)))
+            node.discovery.change_address((host, int(port)))
             await enough.wait()
 
     run(test())
-    assert set(calls.failed) == {CallFailed}
+    assert set(calls.failed) == {DiscoveryCallError}
     pauses = [min(discovery.RETRY_ASKED * 2**n, discovery.RETRY_ASKED_MOST) for n in range(len(slept[:6]))]
     assert all(pause / 2 <= had <= pause for pause, had in zip(pauses, slept, strict=False))
     assert len({had / pause for pause, had in zip(pauses, slept, strict=False)}) > 1
@@ -397,12 +398,9 @@
         async with sidecar("127.0.0.1:9", discovery=dial, settings=site(True)) as node:
             begin(node, True)
             await arrived.wait()
-            node.discovery.fetch()
+            node.discovery.fetch_snapshot()
             await node.event(
-                lambda e: (
-                    isinstance(e, policy_api.EndpointUpdate)
-                    and e.kind == policy_api.EndpointUpdateKind.SNAPSHOT
-                )
+                lambda e: isinstance(e, EndpointUpdate) and e.kind == EndpointUpdateKind.SNAPSHOT
             )
             fetched.set()
             await node.event(drained)
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -8,10 +8,10 @@
 
 import pytest
 
-from balancer import policy_api
+from balancer.policy_api import Action, AttemptCompleted, AttemptOutcome, ClientDisconnected, Event
 from balancer.sidecar.downstream import listener as frontend
-from balancer.sidecar.downstream.listener import PIPELINE_MOST, ClientConnection
-from balancer.sidecar.upstream.connection import Connection, Pool
+from balancer.sidecar.downstream.listener import MAX_PIPELINED_REQUESTS, DownstreamConnection
+from balancer.sidecar.upstream.connection import EndpointPool, UpstreamConnection
 from tests.sidecar import Seen, Sidecar, always_ok, endpoint, ok, request, run, sidecar
 
 LAST = b"Connection: close\r\n"
@@ -42,7 +42,7 @@
 
 
 def gone(node: Sidecar) -> int:
-    return sum(isinstance(event, policy_api.ClientDisconnected) for event in node.events)
+    return sum(isinstance(event, ClientDisconnected) for event in node.events)
 
 
 async def until(condition: Any) -> None:
@@ -50,8 +50,8 @@
         await asyncio.sleep(0)
 
 
-def only(node: Sidecar) -> ClientConnection:
-    [connection] = [*node.frontend._others, *node.frontend._proven]
+def only(node: Sidecar) -> DownstreamConnection:
+    [connection] = [*node.listener._others, *node.listener._proven]
     return connection
 
 
@@ -61,9 +61,9 @@
 async def hide(node: Sidecar, peer: Peer, hidden: str, out: Any) -> int:
     """Ask, so that no event tells of the client's leaving once all requests have come; how many have."""
     if hidden == "pipelined":
-        peer.send(b"".join(request() for _ in range(PIPELINE_MOST + 3)))
-        await until(lambda: out() == PIPELINE_MOST and only(node)._paused)
-        return PIPELINE_MOST
+        peer.send(b"".join(request() for _ in range(MAX_PIPELINED_REQUESTS + 3)))
+        await until(lambda: out() == MAX_PIPELINED_REQUESTS and only(node)._paused)
+        return MAX_PIPELINED_REQUESTS
     peer.send(request(extra=LAST if hidden != "unread" else b""))
     await until(lambda: out() == 1)
     if hidden == "flooded":
@@ -82,10 +82,10 @@
 
     async def test() -> None:
         async with endpoint(always_ok) as served, sidecar(served.dial) as node:
-            waiting, connect = 0, node.host.upstream.connect
+            waiting, connect = 0, node.dispatcher.upstream.connect
             go_on = asyncio.Event()
 
-            async def late(pool: Pool) -> Connection:
+            async def late(pool: EndpointPool) -> UpstreamConnection:
                 nonlocal waiting
                 connection = await connect(pool)
                 waiting += 1
@@ -97,18 +97,18 @@
                 if peer.socket.fileno() >= 0:
                     peer.leave(how)
 
-            node.host.upstream.connect = late  # type: ignore[method-assign]
+            node.dispatcher.upstream.connect = late  # type: ignore[method-assign]
             peer = Peer(node)
             asked = await hide(node, peer, hidden, lambda: waiting)
             go_on.set()
             await until(lambda: gone(node) == asked)
-            await until(lambda: not node.host._open)
+            await until(lambda: not node.dispatcher._open)
             assert not served.seen
-            moot = [e for e in node.events if isinstance(e, policy_api.AttemptCompleted)]
+            moot = [e for e in node.events if isinstance(e, AttemptCompleted)]
             assert [(e.outcome, e.request_finished) for e in moot] == [
-                (policy_api.AttemptOutcome.NOT_SENT, True)
+                (AttemptOutcome.NOT_SENT, True)
             ] * asked
-            node.host.upstream.connect = connect  # type: ignore[method-assign]
+            node.dispatcher.upstream.connect = connect  # type: ignore[method-assign]
             other = await node.client()
             assert (await other.ask(request(rid="77")))[0] == 200
             assert [seen.headers[b"req-id"] for seen in served.seen] == [b"77"]
@@ -134,17 +134,17 @@
         ):
             peer = Peer(node)
             asked = await hide(node, peer, hidden, lambda: len(one.seen) + len(other.seen))
-            handle = node.host._balancer.handle
+            handle = node.dispatcher._balancer.handle
 
-            def leaves(now: int, event: policy_api.Event) -> list[policy_api.Action]:
+            def leaves(now: int, event: Event) -> list[Action]:
                 # The client goes as the first attempt's end is told: whatever is decided now comes later.
-                if isinstance(event, policy_api.AttemptCompleted) and peer.socket.fileno() >= 0:
+                if isinstance(event, AttemptCompleted) and peer.socket.fileno() >= 0:
                     peer.leave(how)
                 return handle(now, event)
 
-            node.host._balancer.handle = leaves  # type: ignore[method-assign]
+            node.dispatcher._balancer.handle = leaves  # type: ignore[method-assign]
             left.set()
-            await until(lambda: not node.host._open)
+            await until(lambda: not node.dispatcher._open)
             assert gone(node)  # of a full pipeline not all: some are refused, as retries are few
             assert len(one.seen) + len(other.seen) == asked
             peer.socket.close()
@@ -169,18 +169,18 @@
             return b"HTTP/1.1 503 X\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n"
 
         async with endpoint(script) as one, endpoint(script) as other, sidecar(one.dial, other.dial) as node:
-            node.host.upstream._store.most = 1 << 30
+            node.dispatcher.upstream._store.max_bytes = 1 << 30
             peer = Peer(node)
-            long = [request() for _ in range(PIPELINE_MOST - 1)]
+            long = [request() for _ in range(MAX_PIPELINED_REQUESTS - 1)]
             peer.send(b"".join(long) + request("post", body=b"x", extra=extra))
-            await until(lambda: posts and len(node.host._open) == 1)
+            await until(lambda: posts and len(node.dispatcher._open) == 1)
             connection = only(node)
             assert connection._clogged and connection._paused == (not extra)
             peer.leave(how)
             if extra and how == "half-close":
                 await until(lambda: gone(node))  # the event tells
             left.set()
-            await until(lambda: not node.host._open)
+            await until(lambda: not node.dispatcher._open)
             assert len(posts) == 1 and gone(node) == 1
             peer.socket.close()
 
