--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -15,18 +15,31 @@
 import httptools
 import pytest
 
-from balancer import policy_api
-from balancer.policy_api import AttemptOutcome
+from balancer.policy_api import (
+    AttemptCompleted,
+    AttemptOutcome,
+    ClientDisconnected,
+    EndpointHealth,
+    EndpointUpdate,
+    EndpointUpdateKind,
+    Event,
+    GossipReceived,
+    HealthCheckCompleted,
+    RequestReceived,
+    StartAttempt,
+    StartHealthCheck,
+    TimerFired,
+)
 from balancer.sidecar import configuration as config
 from balancer.sidecar.configuration import SECOND
-from balancer.sidecar.downstream.listener import PIPELINE_MOST
-from balancer.sidecar.gossip_transport import Peers
+from balancer.sidecar.downstream.listener import MAX_PIPELINED_REQUESTS
+from balancer.sidecar.gossip_transport import GossipTransport
 from balancer.sidecar.upstream.connection import (
-    ANSWER_MOST,
-    HEAD_MOST,
+    MAX_HEAD_BYTES,
+    MAX_RESPONSE_BODY_BYTES,
     SURPLUS_IDLE,
-    Connection,
-    Upstream,
+    UpstreamConnection,
+    UpstreamManager,
     parse_report,
 )
 from tests.sidecar import (
@@ -48,14 +61,12 @@
 )
 
 
-def completed(event: policy_api.Event) -> bool:
-    return isinstance(event, policy_api.AttemptCompleted)
+def completed(event: Event) -> bool:
+    return isinstance(event, AttemptCompleted)
 
 
-def probed(name: str) -> Callable[[policy_api.Event], bool]:
-    return lambda e: (
-        isinstance(e, policy_api.HealthCheckCompleted) and e.endpoint_id == config.endpoint_id(name)
-    )
+def probed(name: str) -> Callable[[Event], bool]:
+    return lambda e: isinstance(e, HealthCheckCompleted) and e.endpoint_id == config.endpoint_id(name)
 
 
 def test_a_request_goes_on_unchanged_and_its_answer_comes_back_unchanged() -> None:
@@ -102,11 +113,11 @@
         with socket.create_server(("127.0.0.1", 0)) as server:
             loop = asyncio.get_running_loop()
             address = server.getsockname()
-            _, connection = await loop.create_connection(Connection, *address)
+            _, connection = await loop.create_connection(UpstreamConnection, *address)
             peer, _ = server.accept()
-            assert connection.usable()
+            assert connection.is_reusable()
             peer.close()
-            assert not connection.usable()
+            assert not connection.is_reusable()
             connection.close()
 
     run(test())
@@ -116,7 +127,7 @@
     async def test() -> None:
         with socket.create_server(("127.0.0.1", 0)) as server:
             loop = asyncio.get_running_loop()
-            _, connection = await loop.create_connection(Connection, *server.getsockname())
+            _, connection = await loop.create_connection(UpstreamConnection, *server.getsockname())
             peer, _ = server.accept()
             peer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
             peer.close()  # with a reset
@@ -132,7 +143,7 @@
     async def test() -> None:
         with socket.create_server(("127.0.0.1", 0)) as server:
             loop = asyncio.get_running_loop()
-            _, connection = await loop.create_connection(Connection, *server.getsockname())
+            _, connection = await loop.create_connection(UpstreamConnection, *server.getsockname())
             peer, _ = server.accept()
             assert connection.send(b"GET / HTTP/1.1\r\n\r\n", lambda answer: None)
             connection.close()  # and the loop has not run since
@@ -155,10 +166,10 @@
     async def test() -> None:
         async with sidecar(dead_dial()) as node:
 
-            async def connect(pool: object) -> Connection:
+            async def connect(pool: object) -> UpstreamConnection:
                 raise problem
 
-            node.host.upstream.connect = connect  # type: ignore[method-assign]
+            node.dispatcher.upstream.connect = connect  # type: ignore[method-assign]
             client = await node.client()
             assert (await client.ask(request("post")))[0] == 503
             assert (await node.event(completed)).outcome == outcome
@@ -185,7 +196,10 @@
 UNSURE = [
     (hang_up, AttemptOutcome.CONNECTION_RESET),
     (broken, AttemptOutcome.CONNECTION_RESET),
-    (answering(b"HTTP/1.1 200 OK\r\n\r\n" + b"x" * (ANSWER_MOST + 1)), AttemptOutcome.CONNECTION_RESET),
+    (
+        answering(b"HTTP/1.1 200 OK\r\n\r\n" + b"x" * (MAX_RESPONSE_BODY_BYTES + 1)),
+        AttemptOutcome.CONNECTION_RESET,
+    ),
     (
         answering(b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nand so on"),
         AttemptOutcome.CONNECTION_RESET,
@@ -194,9 +208,9 @@
         answering(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 3\r\n\r\nabcd"),
         AttemptOutcome.CONNECTION_RESET,
     ),
-    (answering(b"HTTP/1.1 200 OK\r\nX: " + b"x" * (HEAD_MOST + 1)), AttemptOutcome.CONNECTION_RESET),
+    (answering(b"HTTP/1.1 200 OK\r\nX: " + b"x" * (MAX_HEAD_BYTES + 1)), AttemptOutcome.CONNECTION_RESET),
     (answering(b"HTTP/1.1 103 Early Hints\r\nX: y\r\n\r\n" * 2000), AttemptOutcome.CONNECTION_RESET),
-    (answering(CHUNKED + b"1;" + b"x" * 3 * ANSWER_MOST), AttemptOutcome.CONNECTION_RESET),
+    (answering(CHUNKED + b"1;" + b"x" * 3 * MAX_RESPONSE_BODY_BYTES), AttemptOutcome.CONNECTION_RESET),
     (answering(CHUNKED[:-2] + b"Content-Length: 4\r\n\r\nabcd"), AttemptOutcome.CONNECTION_RESET),
     (answering(b"\x00\xff noise"), AttemptOutcome.CONNECTION_RESET),
     (answering(status(500)), AttemptOutcome.SERVER_ERROR),
@@ -204,7 +218,7 @@
     (answering(status(503, b"Srv-Declined: 0")), AttemptOutcome.SERVER_ERROR),
     (answering(status(404, b"Srv-Declined: 1")), AttemptOutcome.CLIENT_ERROR),
     (answering(status(429)), AttemptOutcome.SERVER_ERROR),
-    (answering(ok(b"x" * (ANSWER_MOST + 1))), AttemptOutcome.CONNECTION_RESET),
+    (answering(ok(b"x" * (MAX_RESPONSE_BODY_BYTES + 1))), AttemptOutcome.CONNECTION_RESET),
     (answering(CHUNKED + b"4000\r\n%s\r\n" % (b"x" * 0x4000) * 65), AttemptOutcome.CONNECTION_RESET),
 ]
 
@@ -221,7 +235,7 @@
             code, _, _ = await client.ask(request("post"))
             assert code in (502, 504)
             assert len(served.seen) + len(other.seen) == 1
-            [event] = [e for e in node.events if isinstance(e, policy_api.AttemptCompleted)]
+            [event] = [e for e in node.events if isinstance(e, AttemptCompleted)]
             assert event.outcome == outcome
 
     run(test())
@@ -296,9 +310,9 @@
     async def test() -> None:
         async with endpoint(always_ok) as served, sidecar(served.dial) as node:
             client = await node.client()
-            node.host.now = lambda: 77 * SECOND
+            node.dispatcher.now_ns = lambda: 77 * SECOND
             client.writer.write(request(deadline=deadline))
-            taken = await node.event(lambda e: isinstance(e, policy_api.RequestReceived))
+            taken = await node.event(lambda e: isinstance(e, RequestReceived))
             assert taken.expires_at_ns == 77 * SECOND + left * 1_000_000
 
     run(test())
@@ -320,12 +334,12 @@
             client = await node.client()
             assert (await client.ask(request(deadline="1", rid="9b1f")))[0] == 503
             assert len(served.seen) == 1 and not served.seen[0].left.is_set()
-            assert node.host.knows(b"9b1f")  # no second copy of what is still out
-            assert len(node.host.upstream.outlived) == 1
+            assert node.dispatcher.is_duplicate(b"9b1f")  # no second copy of what is still out
+            assert len(node.dispatcher.upstream.background_attempts) == 1
             go_on.set()
-            while node.host.upstream.outlived:
+            while node.dispatcher.upstream.background_attempts:
                 await asyncio.sleep(0)
-            assert not node.host.knows(b"9b1f") and not node.host._open
+            assert not node.dispatcher.is_duplicate(b"9b1f") and not node.dispatcher._open
             assert (await client.ask(request()))[::2] == (200, b"next")
             assert served.connections == 1 and len(served.seen) == 2
 
@@ -342,9 +356,9 @@
             client = await node.client()
             assert (await client.ask(request(deadline="1")))[0] == 503
             if not outlive:
-                assert not node.host.upstream.outlived and not node.host._open
+                assert not node.dispatcher.upstream.background_attempts and not node.dispatcher._open
             await served.seen[0].left.wait()  # its connection ends in either case
-            assert not node.host.upstream.outlived and not node.host._open
+            assert not node.dispatcher.upstream.background_attempts and not node.dispatcher._open
 
     run(test())
 
@@ -359,14 +373,16 @@
                 outcomes.append(outcome)
                 ended.set()
 
-            attempt = node.host.upstream.attempt(config.endpoint_id("s-0"), request, done)
+            attempt = node.dispatcher.upstream.create_attempt(config.endpoint_id("s-0"), request, done)
             assert attempt is not None
             attempt.start()
             told = {"seq": 2, "whole": False, "hosts": [entry("s-0", served.dial, "draining")]}
-            node.host.learn(config.host_list(told, node.config.names), policy_api.EndpointUpdateKind.DELTA)
+            node.dispatcher.on_endpoint_update(
+                config.parse_endpoint_list(told, node.config.name_indices), EndpointUpdateKind.DELTA
+            )
             await ended.wait()
             assert outcomes == [AttemptOutcome.CONNECT_FAILED] and served.seen == []
-            assert node.host.upstream.attempt(config.endpoint_id("s-0"), request, done) is None
+            assert node.dispatcher.upstream.create_attempt(config.endpoint_id("s-0"), request, done) is None
 
     run(test())
 
@@ -384,7 +400,7 @@
             client.writer.write(request())
             await served.arrived.wait()
             client.writer.close()
-            await node.event(lambda e: isinstance(e, policy_api.ClientDisconnected))
+            await node.event(lambda e: isinstance(e, ClientDisconnected))
             go_on.set()
             assert (await node.event(completed)).request_finished
             other = await node.client()
@@ -402,13 +418,13 @@
             event = await node.event(completed)
             for again in (
                 event,
-                policy_api.ClientDisconnected(event.request_id),
-                policy_api.TimerFired(event.request_id + 1),
-                policy_api.TimerFired(77),
+                ClientDisconnected(event.request_id),
+                TimerFired(event.request_id + 1),
+                TimerFired(77),
             ):
-                node.host.post(again)
-            node.host._send(
-                policy_api.StartAttempt(event.request_id, event.endpoint_id, 0)
+                node.dispatcher.dispatch(again)
+            node.dispatcher._send(
+                StartAttempt(event.request_id, event.endpoint_id, 0)
             )  # over: must not go out
             assert (await client.ask(request()))[0] == 200 and len(served.seen) == 2
 
@@ -431,7 +447,7 @@
             for byte in request(extra=b"Req-Extra: n=0\r\n"):
                 client.writer.write(bytes((byte,)))
                 await client.writer.drain()
-            numbers = range(1, PIPELINE_MOST * 2)
+            numbers = range(1, MAX_PIPELINED_REQUESTS * 2)
             client.writer.write(b"".join(request(extra=b"Req-Extra: n=%d\r\n" % n) for n in numbers))
             for n in (0, *numbers):
                 assert (await client.answer())[2] == b"answer %d" % n
@@ -451,11 +467,13 @@
     async def test() -> None:
         up = b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n"
         async with sidecar() as node:
-            node.frontend.now = lambda: node.frontend._began  # no time passes
+            node.listener.now = lambda: node.listener._began  # no time passes
             client = await node.client()
             assert (await client.ask(up))[0] == 503
             told = {"seq": 2, "whole": True, "hosts": [entry("s-0", dead_dial())]}
-            node.host.learn(config.host_list(told, node.config.names), policy_api.EndpointUpdateKind.SNAPSHOT)
+            node.dispatcher.on_endpoint_update(
+                config.parse_endpoint_list(told, node.config.name_indices), EndpointUpdateKind.SNAPSHOT
+            )
             assert (await client.ask(up))[0] == 200
 
     run(test())
@@ -469,7 +487,7 @@
     async def test() -> None:
         async with endpoint(script) as served, sidecar(served.dial, dead_dial()) as node:
             for name in ("s-0", "s-1"):
-                node.host._probe(policy_api.StartHealthCheck(config.endpoint_id(name)))
+                node.dispatcher._probe(StartHealthCheck(config.endpoint_id(name)))
             good, bad = [await node.event(probed(name)) for name in ("s-0", "s-1")]
             assert (good.outcome, good.load_report) == (AttemptOutcome.SUCCESS, (140, 14.5, 0.5))
             assert (bad.outcome, bad.load_report) == (AttemptOutcome.CONNECT_FAILED, ())
@@ -551,22 +569,22 @@
         async with endpoint(always_ok) as served:
             now = [SECOND]
             told = config.parse(configuration(served.dial))
-            upstream = Upstream(told, asyncio.get_running_loop(), lambda: now[0])
-            upstream.learn(told.known.hosts, whole=True)
+            upstream = UpstreamManager(told, asyncio.get_running_loop(), lambda: now[0])
+            upstream.update_endpoints(told.known_endpoints.endpoints, whole=True)
             [pool] = upstream._pools.values()
             burst = [await upstream.connect(pool) for _ in range(3)]
             for connection in burst:
-                upstream.give(pool, connection)
+                upstream.release(pool, connection)
             now[0] += SURPLUS_IDLE // 2
-            assert upstream.take(pool) is burst[2]
-            upstream.give(pool, burst[2])
-            assert pool.idle == burst
+            assert upstream.acquire(pool) is burst[2]
+            upstream.release(pool, burst[2])
+            assert pool.idle_connections == burst
             now[0] += SURPLUS_IDLE
-            assert upstream.take(pool) is burst[2]
-            upstream.give(pool, burst[2])
-            assert pool.idle == [burst[2]] and not burst[0].usable()
-            now[0] += told.idle_limit  # the endpoint may close it any moment: not for use
-            assert upstream.take(pool) is None
+            assert upstream.acquire(pool) is burst[2]
+            upstream.release(pool, burst[2])
+            assert pool.idle_connections == [burst[2]] and not burst[0].is_reusable()
+            now[0] += told.connection_idle_timeout_ns  # the endpoint may close it any moment: not for use
+            assert upstream.acquire(pool) is None
 
     run(test())
 
@@ -578,18 +596,20 @@
             loop = asyncio.get_running_loop()
 
             class Losing:
-                async def create_connection(self, factory: Callable[[], Connection], *address: Any) -> None:
+                async def create_connection(
+                    self, factory: Callable[[], UpstreamConnection], *address: Any
+                ) -> None:
                     transport, connection = await loop.create_connection(factory, *address)
                     transport.abort()
                     while connection._transport is not None:
                         await asyncio.sleep(0)
 
             told = config.parse(configuration(served.dial))
-            upstream = Upstream(told, Losing(), lambda: SECOND)  # type: ignore[arg-type]
-            upstream.learn(told.known.hosts, whole=True)
+            upstream = UpstreamManager(told, Losing(), lambda: SECOND)  # type: ignore[arg-type]
+            upstream.update_endpoints(told.known_endpoints.endpoints, whole=True)
             [pool] = upstream._pools.values()
             connection = await upstream.connect(pool)
-            assert upstream._open == 0 and not connection.usable()
+            assert upstream._open == 0 and not connection.is_reusable()
             assert connection.send(request(), lambda answer: None) is False
 
     run(test())
@@ -608,7 +628,7 @@
             client.writer.write(b"".join(request(extra=b"Req-Extra: n=%d\r\n" % n) for n in range(3)))
             while len(served.seen) < 3:
                 await asyncio.sleep(0.01)
-            node.frontend.draining = True
+            node.listener.is_draining = True
             go_on.set()
             answers = [await client.answer() for _ in range(3)]
             assert [body for _, _, body in answers] == [b"answer 0", b"answer 1", b"answer 2"]
@@ -625,13 +645,15 @@
             endpoint(always_ok) as other,
             sidecar(served.dial, limits={"sockets": 2}) as node,
         ):
-            upstream = node.host.upstream
+            upstream = node.dispatcher.upstream
             told = {"seq": 2, "whole": False, "hosts": [entry("s-1", other.dial)]}
-            node.host.learn(config.host_list(told, node.config.names), policy_api.EndpointUpdateKind.DELTA)
+            node.dispatcher.on_endpoint_update(
+                config.parse_endpoint_list(told, node.config.name_indices), EndpointUpdateKind.DELTA
+            )
             outcomes: asyncio.Queue[int] = asyncio.Queue()
 
             def start(name: str) -> None:
-                attempt = upstream.attempt(
+                attempt = upstream.create_attempt(
                     config.endpoint_id(name), request, lambda outcome, answer: outcomes.put_nowait(outcome)
                 )
                 assert attempt is not None
@@ -657,11 +679,11 @@
         async with endpoint(answering(ok(body))) as served, sidecar(served.dial) as node:
             client = await node.client()
             assert await client.ask(request()) == (200, {b"content-length": b"400000"}, body)
-            store = node.host.upstream._store
-            assert store.held == 0
-            store.most = 300_000
+            store = node.dispatcher.upstream._store
+            assert store.used_bytes == 0
+            store.max_bytes = 300_000
             assert (await client.ask(request("post")))[0] == 502
-            assert store.held == 0
+            assert store.used_bytes == 0
 
     run(test())
 
@@ -711,13 +733,10 @@
             node.discovery._grace = node.discovery._connect_timeout = WAIT
             node.discovery.start()
             full = await node.event(
-                lambda e: (
-                    isinstance(e, policy_api.EndpointUpdate)
-                    and e.kind == policy_api.EndpointUpdateKind.SNAPSHOT
-                )
+                lambda e: isinstance(e, EndpointUpdate) and e.kind == EndpointUpdateKind.SNAPSHOT
             )
             assert [e.id for e in full.endpoints] == [config.endpoint_id("s-2")]
-            lists = [e for e in node.events if isinstance(e, policy_api.EndpointUpdate)]
+            lists = [e for e in node.events if isinstance(e, EndpointUpdate)]
             assert [e.kind for e in lists] == [1, 2, 2, 3]
             assert [e.endpoints[0].health for e in lists] == [1, 1, 2, 1]
             while len(calls) < 11:
@@ -743,20 +762,15 @@
         async with endpoint(script) as served, sidecar("127.0.0.1:9", discovery=served.dial) as node:
             node.discovery.start()
             await node.event(
-                lambda e: (
-                    isinstance(e, policy_api.EndpointUpdate)
-                    and e.kind == policy_api.EndpointUpdateKind.SNAPSHOT
-                )
+                lambda e: isinstance(e, EndpointUpdate) and e.kind == EndpointUpdateKind.SNAPSHOT
             )
             assert calls[0].left.is_set() and len(calls) >= 2
 
     run(test())
 
 
-def full_list(event: policy_api.Event) -> bool:
-    return (
-        isinstance(event, policy_api.EndpointUpdate) and event.kind == policy_api.EndpointUpdateKind.SNAPSHOT
-    )
+def full_list(event: Event) -> bool:
+    return isinstance(event, EndpointUpdate) and event.kind == EndpointUpdateKind.SNAPSHOT
 
 
 def test_a_new_address_of_discovery_is_asked_for_the_whole_list_at_once() -> None:
@@ -775,8 +789,8 @@
             while len(before.seen) < 2:
                 await asyncio.sleep(0.01)
             host, _, port = after.dial.rpartition(":")
-            node.discovery.move((host, int(port)))
-            node.discovery.move((host, int(port)))  # told twice, it is the same address
+            node.discovery.change_address((host, int(port)))
+            node.discovery.change_address((host, int(port)))  # told twice, it is the same address
             await node.event(lambda e: full_list(e) and e.endpoints[0].id == config.endpoint_id("s-2"))
             await before.seen[1].left.wait()  # the old watch has ended
             while len(calls) < 4:
@@ -799,7 +813,7 @@
             node.discovery.start()
             for dial in (first.dial, dead_dial(), first.dial, second.dial):
                 host, _, port = dial.rpartition(":")
-                node.discovery.move((host, int(port)))
+                node.discovery.change_address((host, int(port)))
             full = await node.event(full_list)
             assert full.endpoints[0].id == config.endpoint_id("s-2") and calls
 
@@ -807,16 +821,16 @@
 
 
 def test_one_entry_that_makes_no_sense_hides_no_other() -> None:
-    names = config.Names({}, {})
+    names = config.NameIndices({}, {})
     good, drained = entry("s-1", "127.0.0.1:9"), entry("s-2", "nowhere", "draining")
     odd = [7, {}, entry("s-3", "nowhere"), good | {"share": math.inf}, good | {"health": []}]
-    told = config.host_list({"seq": 1, "whole": True, "hosts": [*odd, drained, good]}, names)
-    assert [(h.endpoint.id, h.endpoint.health) for h in told.hosts] == [
+    told = config.parse_endpoint_list({"seq": 1, "whole": True, "hosts": [*odd, drained, good]}, names)
+    assert [(h.endpoint.id, h.endpoint.health) for h in told.endpoints] == [
         (
             config.endpoint_id("s-2"),
-            policy_api.EndpointHealth.DRAINING,
+            EndpointHealth.DRAINING,
         ),  # that it drains is plain, whatever its address
-        (config.endpoint_id("s-1"), policy_api.EndpointHealth.READY),
+        (config.endpoint_id("s-1"), EndpointHealth.READY),
     ]
 
 
@@ -833,19 +847,19 @@
         peers = ["127.0.0.1:9", f"127.0.0.1:{other.getsockname()[1]}"]
         async with sidecar(peers=peers, peers_all=peers[1], peer_listen="127.0.0.1:1") as node:
             transport, _ = await loop.create_datagram_endpoint(
-                lambda: Peers(node.config, node.host), local_addr=("127.0.0.1", 0)
+                lambda: GossipTransport(node.config, node.dispatcher), local_addr=("127.0.0.1", 0)
             )
             address = transport.get_extra_info("sockname")
-            node.host.tell(1, b"to one")
-            node.host.tell(-1, b"to all")
-            node.host.tell(1, b"x" * 257)
-            node.host.tell(1, b"last")
+            node.dispatcher.send_gossip(1, b"to one")
+            node.dispatcher.send_gossip(-1, b"to all")
+            node.dispatcher.send_gossip(1, b"x" * 257)
+            node.dispatcher.send_gossip(1, b"last")
             heard = [await loop.sock_recv(other, 999) for _ in range(3)]
             assert heard == [b"to one", b"to all", b"last"]
             stranger.sendto(b"no peer", address)
             other.sendto(b"a peer", address)
-            event = await node.event(lambda e: isinstance(e, policy_api.GossipReceived))
-            assert event == policy_api.GossipReceived(1, b"a peer")
+            event = await node.event(lambda e: isinstance(e, GossipReceived))
+            assert event == GossipReceived(1, b"a peer")
             transport.close()
         other.close()
         stranger.close()
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -8,7 +8,7 @@
 from collections import Counter
 from typing import Any
 
-from balancer import policy_api
+from balancer.policy_api import TimerFired
 from tests.sidecar import SETTINGS, Client, Script, Seen, endpoint, entry, never, ok, request, run, sidecar
 
 
@@ -124,7 +124,7 @@
                 waiting[-1].writer.write(request())
                 await hung.get()
             ticks = len(node.events)
-            while node.events[ticks:].count(policy_api.TimerFired(0)) < 6:
+            while node.events[ticks:].count(TimerFired(0)) < 6:
                 for name in ("half", "whole"):
                     await answer_post(name)
                     await ask_post()
@@ -179,7 +179,9 @@
             assert {code for code, _, _ in await serve_until(first)} <= {503, 504}
             hung.clear()
             well.set()
-            node.host._balancer.rand = lambda: 0.5  # a tenth is never given up, to tell what becomes of it
+            node.dispatcher._balancer.rand = lambda: (
+                0.5
+            )  # a tenth is never given up, to tell what becomes of it
             last = asyncio.ensure_future(clients[0].ask(request(deadline="9")))
             assert (await serve_until(last))[::2] == (200, b"again")
             assert len(hung) == 1
--- a/tests/test_policy_characterization.py
+++ b/tests/test_policy_characterization.py
@@ -23,8 +23,39 @@
 
 import pytest
 
-from balancer import policy_api
 from balancer.policy.balancer import Balancer
+from balancer.policy_api import (
+    Action,
+    AttemptCompleted,
+    AttemptOutcome,
+    CancelAttempt,
+    ClientDisconnected,
+    CloseIdleConnections,
+    DeduplicationScope,
+    Endpoint,
+    EndpointHealth,
+    EndpointUpdate,
+    EndpointUpdateKind,
+    Event,
+    FailRequest,
+    FetchEndpoints,
+    GossipReceived,
+    HealthCheckCompleted,
+    Idempotency,
+    RejectRequest,
+    RequestClass,
+    RequestReceived,
+    SendGossip,
+    SetTimer,
+    Settings,
+    StartAttempt,
+    Started,
+    StartHealthCheck,
+    StreamStarted,
+    TimerFired,
+    WatchEndpoints,
+    WriteLog,
+)
 from tests.helpers import MS, SECOND, START
 
 DIGEST_FILE = Path(__file__).with_name("policy_digests.json")
@@ -44,43 +75,43 @@
     "silent",
 )
 ACTION_TYPES = (
-    policy_api.StartAttempt,
-    policy_api.RejectRequest,
-    policy_api.FailRequest,
-    policy_api.CancelAttempt,
-    policy_api.SetTimer,
-    policy_api.WatchEndpoints,
-    policy_api.FetchEndpoints,
-    policy_api.StartHealthCheck,
-    policy_api.CloseIdleConnections,
-    policy_api.SendGossip,
-    policy_api.WriteLog,
+    StartAttempt,
+    RejectRequest,
+    FailRequest,
+    CancelAttempt,
+    SetTimer,
+    WatchEndpoints,
+    FetchEndpoints,
+    StartHealthCheck,
+    CloseIdleConnections,
+    SendGossip,
+    WriteLog,
 )
 
-READ = policy_api.RequestClass("read", 300 * MS, 1500 * MS, 1.0, 0.5)
-BROWSE = policy_api.RequestClass("browse", 150 * MS, 600 * MS, 0.3)
-CHANGE = policy_api.RequestClass(
+READ = RequestClass("read", 300 * MS, 1500 * MS, 1.0, 0.5)
+BROWSE = RequestClass("browse", 150 * MS, 600 * MS, 0.3)
+CHANGE = RequestClass(
     "change",
     500 * MS,
     2500 * MS,
     3.0,
     0.0,
-    policy_api.Idempotency.IDEMPOTENCY_KEY,
-    policy_api.DeduplicationScope.ZONE,
+    Idempotency.IDEMPOTENCY_KEY,
+    DeduplicationScope.ZONE,
     900 * MS,
 )
-MOVE = policy_api.RequestClass(
+MOVE = RequestClass(
     "move",
     400 * MS,
     2000 * MS,
     3.0,
     0.2,
-    policy_api.Idempotency.IDEMPOTENCY_KEY,
-    policy_api.DeduplicationScope.CELL,
+    Idempotency.IDEMPOTENCY_KEY,
+    DeduplicationScope.CELL,
     5 * SECOND,
 )
-BILL = policy_api.RequestClass("bill", 600 * MS, 3000 * MS, 6.0, 0.1, policy_api.Idempotency.NOT_IDEMPOTENT)
-SEARCH = policy_api.RequestClass("search", 2 * SECOND, 3 * SECOND, 1.0, 0.5)
+BILL = RequestClass("bill", 600 * MS, 3000 * MS, 6.0, 0.1, Idempotency.NOT_IDEMPOTENT)
+SEARCH = RequestClass("search", 2 * SECOND, 3 * SECOND, 1.0, 0.5)
 CLASSES = (READ, BROWSE, CHANGE, MOVE, BILL)
 
 
@@ -88,7 +119,7 @@
 class Scenario:
     """What one recorded stream is made of."""
 
-    settings: policy_api.Settings
+    settings: Settings
     seed: int
     balancers: int = 1
     requests_per_second: float = 120.0
@@ -99,13 +130,11 @@
 
 SCENARIOS = {
     "one_zone": Scenario(
-        policy_api.Settings(
-            CLASSES, slow_start_capacity=0.3, slow_start_duration_ns=6 * SECOND, max_attempts=5
-        ),
+        Settings(CLASSES, slow_start_capacity=0.3, slow_start_duration_ns=6 * SECOND, max_attempts=5),
         1,
     ),
     "three_zones_priced": Scenario(
-        policy_api.Settings(
+        Settings(
             CLASSES,
             instance_index=3,
             instance_count=40,
@@ -123,7 +152,7 @@
         requests_per_second=60.0,
     ),
     "polled_lists_and_health_checks": Scenario(
-        policy_api.Settings(
+        Settings(
             CLASSES,
             polls_discovery=True,
             discovery_poll_window_ns=2 * SECOND,
@@ -138,7 +167,7 @@
         3,
     ),
     "active_probing_of_load": Scenario(
-        policy_api.Settings(
+        Settings(
             CLASSES,
             health_checks_enabled=True,
             load_report_fields=("rif", "lat_ms"),
@@ -152,7 +181,7 @@
         4,
     ),
     "gossip": Scenario(
-        policy_api.Settings(
+        Settings(
             CLASSES,
             instance_count=3,
             zone_count=2,
@@ -166,7 +195,7 @@
         requests_per_second=40.0,
     ),
     "key_affinity_few_connections": Scenario(
-        policy_api.Settings(
+        Settings(
             CLASSES,
             instance_index=7,
             instance_count=60,
@@ -181,7 +210,7 @@
         6,
     ),
     "streams_and_hurried_clients": Scenario(
-        policy_api.Settings(
+        Settings(
             (READ, BROWSE, BILL),
             streams_per_connection=4,
             max_attempts=5,
@@ -192,14 +221,14 @@
         hurried=0.3,
     ),
     "hanging_calls": Scenario(
-        policy_api.Settings((SEARCH, READ, CHANGE), max_attempts=5, attempts_can_be_cancelled=True),
+        Settings((SEARCH, READ, CHANGE), max_attempts=5, attempts_can_be_cancelled=True),
         9,
         requests_per_second=250.0,
         phases=("hanging_class",),
         phase_ns=SECOND,
     ),
     "lasting_overload": Scenario(
-        policy_api.Settings(
+        Settings(
             CLASSES,
             max_attempts=5,
             attempts_can_be_cancelled=True,
@@ -251,12 +280,12 @@
         self.events = 0
         self.action_counts = [0] * len(ACTION_TYPES)
         self.servers = {
-            number: policy_api.Endpoint(
+            number: Endpoint(
                 number.to_bytes(6, "little"),
                 number % self.settings.zone_count,
                 0,
                 number // 3,
-                policy_api.EndpointHealth.READY,
+                EndpointHealth.READY,
                 1.0 + number % 2,
                 0,
             )
@@ -270,10 +299,10 @@
 
     def run(self) -> str:
         for instance in self.instances:
-            self.give(instance, policy_api.Started())
+            self.give(instance, Started())
             self.give(
                 instance,
-                policy_api.EndpointUpdate(policy_api.EndpointUpdateKind.CACHED, tuple(self.servers.values())),
+                EndpointUpdate(EndpointUpdateKind.CACHED, tuple(self.servers.values())),
             )
             self.after(0, partial(self.arrive, instance))
         self.after(self.scenario.phase_ns, self.change_phase)
@@ -285,7 +314,7 @@
     def after(self, delay: int, action: Callable[[], None]) -> None:
         heapq.heappush(self.due, (self.now + max(0, delay), next(self.order), action))
 
-    def give(self, instance: Instance, event: policy_api.Event) -> None:
+    def give(self, instance: Instance, event: Event) -> None:
         self.events += 1
         actions = instance.balancer.handle(self.now, event)
         for action in actions:
@@ -293,7 +322,7 @@
         for action in actions:
             self.carry_out(instance, action)
 
-    def record(self, action: policy_api.Action) -> None:
+    def record(self, action: Action) -> None:
         code = ACTION_TYPES.index(type(action))
         self.action_counts[code] += 1
         values = [value.hex() if isinstance(value, bytes) else str(int(value)) for value in action]
@@ -308,15 +337,13 @@
         entries = []
         for number, server in self.servers.items():
             if self.phase == "restart" and server.id in self.affected:
-                server = server._replace(started_at_ns=self.now, health=policy_api.EndpointHealth.READY)
+                server = server._replace(started_at_ns=self.now, health=EndpointHealth.READY)
             elif self.phase == "drain" and server.id in self.affected:
                 server = server._replace(
-                    health=self.random.choice(
-                        (policy_api.EndpointHealth.DRAINING, policy_api.EndpointHealth.REMOVED)
-                    )
+                    health=self.random.choice((EndpointHealth.DRAINING, EndpointHealth.REMOVED))
                 )
-            elif server.health != policy_api.EndpointHealth.READY:
-                server = server._replace(started_at_ns=self.now, health=policy_api.EndpointHealth.READY)
+            elif server.health != EndpointHealth.READY:
+                server = server._replace(started_at_ns=self.now, health=EndpointHealth.READY)
             else:
                 continue
             self.servers[number] = server
@@ -326,22 +353,20 @@
                 self.tell(instance, entries)
         self.after(self.scenario.phase_ns, self.change_phase)
 
-    def tell(self, instance: Instance, entries: list[policy_api.Endpoint]) -> None:
+    def tell(self, instance: Instance, entries: list[Endpoint]) -> None:
         if self.random.random() < 0.3:
-            present = tuple(s for s in self.servers.values() if s.health != policy_api.EndpointHealth.REMOVED)
-            self.give(instance, policy_api.EndpointUpdate(policy_api.EndpointUpdateKind.SNAPSHOT, present))
+            present = tuple(s for s in self.servers.values() if s.health != EndpointHealth.REMOVED)
+            self.give(instance, EndpointUpdate(EndpointUpdateKind.SNAPSHOT, present))
         elif entries:
-            self.give(
-                instance, policy_api.EndpointUpdate(policy_api.EndpointUpdateKind.DELTA, tuple(entries))
-            )
+            self.give(instance, EndpointUpdate(EndpointUpdateKind.DELTA, tuple(entries)))
 
     def answer_watch(self, instance: Instance) -> None:
         if self.random.random() < 0.4:
-            self.give(instance, policy_api.EndpointUpdate(policy_api.EndpointUpdateKind.DISCOVERY_FAILED, ()))
+            self.give(instance, EndpointUpdate(EndpointUpdateKind.DISCOVERY_FAILED, ()))
             return
         self.tell(instance, list(self.servers.values()))
         # The watch breaks some time later, and the decisions have to ask anew.
-        broken = policy_api.EndpointUpdate(policy_api.EndpointUpdateKind.DISCOVERY_FAILED, ())
+        broken = EndpointUpdate(EndpointUpdateKind.DISCOVERY_FAILED, ())
         self.after(self.random.randrange(4 * SECOND), partial(self.give, instance, broken))
 
     def outcome_of(self, endpoint: bytes, cls: int) -> tuple[int, int]:
@@ -350,76 +375,70 @@
         if self.phase == "overload":
             usual *= 8
             if self.random.random() < 0.3:
-                return policy_api.AttemptOutcome.REJECTED, usual // 4
+                return AttemptOutcome.REJECTED, usual // 4
         if endpoint not in self.affected:
             return (
-                policy_api.AttemptOutcome.SUCCESS
-                if self.random.random() < 0.99
-                else policy_api.AttemptOutcome.SERVER_ERROR
+                AttemptOutcome.SUCCESS if self.random.random() < 0.99 else AttemptOutcome.SERVER_ERROR
             ), usual
         if self.phase == "slow":
-            return policy_api.AttemptOutcome.SUCCESS, usual * 6
+            return AttemptOutcome.SUCCESS, usual * 6
         if self.phase == "erring" and self.random.random() < 0.8:
-            return policy_api.AttemptOutcome.SERVER_ERROR, 2 * MS
+            return AttemptOutcome.SERVER_ERROR, 2 * MS
         if self.phase == "unreachable":
-            return policy_api.AttemptOutcome.CONNECT_FAILED, 1 * MS
+            return AttemptOutcome.CONNECT_FAILED, 1 * MS
         if self.phase == "resets" and self.random.random() < 0.5:
-            return policy_api.AttemptOutcome.CONNECTION_RESET, usual
+            return AttemptOutcome.CONNECTION_RESET, usual
         if self.phase == "rejecting":
-            return policy_api.AttemptOutcome.REJECTED, 1 * MS
+            return AttemptOutcome.REJECTED, 1 * MS
         if self.phase == "silent" or (self.phase == "hanging_class" and cls == 0):
-            return policy_api.AttemptOutcome.SUCCESS, 60 * SECOND
+            return AttemptOutcome.SUCCESS, 60 * SECOND
         return self.random.choice(
             (
-                policy_api.AttemptOutcome.SUCCESS,
-                policy_api.AttemptOutcome.SUCCESS,
-                policy_api.AttemptOutcome.SUCCESS,
-                policy_api.AttemptOutcome.CLIENT_ERROR,
+                AttemptOutcome.SUCCESS,
+                AttemptOutcome.SUCCESS,
+                AttemptOutcome.SUCCESS,
+                AttemptOutcome.CLIENT_ERROR,
             )
         ), usual
 
     # What the sidecar does with the actions.
 
-    def carry_out(self, instance: Instance, action: policy_api.Action) -> None:
-        if isinstance(action, policy_api.StartAttempt):
+    def carry_out(self, instance: Instance, action: Action) -> None:
+        if isinstance(action, StartAttempt):
             self.start_attempt(instance, action)
-        elif isinstance(action, policy_api.RejectRequest | policy_api.FailRequest):
+        elif isinstance(action, RejectRequest | FailRequest):
             instance.requests[action.request_id].answered = True
             self.forget(instance, action.request_id)
-        elif isinstance(action, policy_api.CancelAttempt):
-            self.end_attempt(
-                instance, action.request_id, action.attempt_index, policy_api.AttemptOutcome.CANCELLED
-            )
-        elif isinstance(action, policy_api.SetTimer):
-            self.after(action.delay_ns, partial(self.give, instance, policy_api.TimerFired(action.token)))
-        elif isinstance(action, policy_api.WatchEndpoints):
+        elif isinstance(action, CancelAttempt):
+            self.end_attempt(instance, action.request_id, action.attempt_index, AttemptOutcome.CANCELLED)
+        elif isinstance(action, SetTimer):
+            self.after(action.delay_ns, partial(self.give, instance, TimerFired(action.token)))
+        elif isinstance(action, WatchEndpoints):
             self.after(30 * MS, partial(self.answer_watch, instance))
-        elif isinstance(action, policy_api.StartHealthCheck):
+        elif isinstance(action, StartHealthCheck):
             self.answer_health_check(instance, action.endpoint_id)
-        elif isinstance(action, policy_api.SendGossip):
+        elif isinstance(action, SendGossip):
             self.deliver(action)
 
     def answer_health_check(self, instance: Instance, endpoint: bytes) -> None:
-        outcome, took = policy_api.AttemptOutcome.SUCCESS, self.random.randrange(1 * MS, 8 * MS)
+        outcome, took = AttemptOutcome.SUCCESS, self.random.randrange(1 * MS, 8 * MS)
         if endpoint in self.affected and self.phase in ("unreachable", "silent", "rejecting"):
             outcome = self.random.choice(
                 (
-                    policy_api.AttemptOutcome.TIMEOUT,
-                    policy_api.AttemptOutcome.REJECTED,
-                    policy_api.AttemptOutcome.CONNECT_FAILED,
+                    AttemptOutcome.TIMEOUT,
+                    AttemptOutcome.REJECTED,
+                    AttemptOutcome.CONNECT_FAILED,
                 )
             )
             took = 100 * MS
-        self.after(
-            took, partial(self.give, instance, policy_api.HealthCheckCompleted(endpoint, outcome, took, ()))
-        )
+        self.after(took, partial(self.give, instance, HealthCheckCompleted(endpoint, outcome, took, ())))
 
-    def deliver(self, action: policy_api.SendGossip) -> None:
+    def deliver(self, action: SendGossip) -> None:
         body = action.payload
         if self.random.random() < 0.05:
             body = self.random.choice((body[:-1], b"", self.random.randbytes(len(body))))
         recipient = self.instances[action.recipient_index % len(self.instances)]
-        self.after(MS, partial(self.give, recipient, policy_api.GossipReceived(0, body)))
+        self.after(MS, partial(self.give, recipient, GossipReceived(0, body)))
 
     def arrive(self, instance: Instance) -> None:
         rate = self.scenario.requests_per_second * (2.0 if self.phase == "overload" else 1.0)
@@ -433,7 +452,7 @@
         instance.requests[number] = OpenRequest(cls, expires)
         key = self.random.randrange(1, 200) if self.random.random() < 0.5 else 0
         repeat = self.random.random() < 0.1
-        event = policy_api.RequestReceived(number, cls, self.random.randrange(3), key, expires, 0, repeat)
+        event = RequestReceived(number, cls, self.random.randrange(3), key, expires, 0, repeat)
         self.give(instance, event)
         if self.random.random() < 0.02:
             self.after(self.random.randrange(100 * MS), partial(self.leave, instance, number))
@@ -443,24 +462,20 @@
         if request is None or request.answered:
             return
         request.answered = True
-        left: policy_api.Event = (
-            policy_api.ClientDisconnected(number)
-            if self.random.random() < 0.7
-            else policy_api.StreamStarted(number)
-        )
+        left: Event = ClientDisconnected(number) if self.random.random() < 0.7 else StreamStarted(number)
         self.give(instance, left)
         self.forget(instance, number)
 
-    def start_attempt(self, instance: Instance, action: policy_api.StartAttempt) -> None:
+    def start_attempt(self, instance: Instance, action: StartAttempt) -> None:
         request = instance.requests[action.request_id]
         number, request.attempts = request.attempts, request.attempts + 1
         request.attempt = Attempt(number, action.endpoint_id, self.now)
         outcome, took = self.outcome_of(action.endpoint_id, request.cls)
         most = min(action.timeout_ns or request.expires - self.now, request.expires - self.now)
         if took > most:
-            outcome, took = policy_api.AttemptOutcome.TIMEOUT, most
+            outcome, took = AttemptOutcome.TIMEOUT, most
         elif self.random.random() < 0.005:
-            outcome, took = policy_api.AttemptOutcome.NOT_SENT, 0
+            outcome, took = AttemptOutcome.NOT_SENT, 0
         self.after(took, partial(self.end_attempt, instance, action.request_id, number, outcome))
 
     def end_attempt(self, instance: Instance, number: int, attempt: int, outcome: int) -> None:
@@ -468,13 +483,11 @@
         if request is None or request.attempt is None or request.attempt.number != attempt:
             return
         ended, request.attempt = request.attempt, None
-        if outcome == policy_api.AttemptOutcome.SUCCESS:
+        if outcome == AttemptOutcome.SUCCESS:
             request.answered = True
         took, over = self.now - ended.sent, request.answered
         self.forget(instance, number)
-        self.give(
-            instance, policy_api.AttemptCompleted(number, attempt, ended.endpoint, outcome, took, over, ())
-        )
+        self.give(instance, AttemptCompleted(number, attempt, ended.endpoint, outcome, took, over, ()))
 
     def forget(self, instance: Instance, number: int) -> None:
         request = instance.requests[number]
@@ -493,7 +506,7 @@
 
 
 def test_the_scenarios_bring_about_every_action_that_the_policy_takes() -> None:
-    never_taken = {policy_api.FetchEndpoints, policy_api.WriteLog}
+    never_taken = {FetchEndpoints, WriteLog}
     totals = dict.fromkeys(ACTION_TYPES, 0)
     for scenario in SCENARIOS.values():
         driver = Driver(scenario)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -10,15 +10,33 @@
 from hypothesis import settings as hypothesis_settings
 from hypothesis import strategies as st
 
-from balancer import policy_api
 from balancer.policy import balancer as balance
 from balancer.policy.balancer import Balancer
 from balancer.policy_api import (
     OUTCOMES_NEVER_EXECUTED,
+    AttemptCompleted,
     AttemptOutcome,
+    ClientDisconnected,
     DeduplicationScope,
+    Endpoint,
     EndpointHealth,
+    EndpointUpdate,
+    EndpointUpdateKind,
+    Event,
+    FailRequest,
+    GossipReceived,
+    HealthCheckCompleted,
     Idempotency,
+    RejectRequest,
+    RequestReceived,
+    SetTimer,
+    Settings,
+    StartAttempt,
+    Started,
+    StartHealthCheck,
+    StreamStarted,
+    Tenant,
+    TimerFired,
 )
 from tests.helpers import MS, SECOND, START, Bench, endpoint, request_class, settings
 
@@ -39,21 +57,21 @@
 class World:
     """Plays the caller's part and checks every action against the rules."""
 
-    config: policy_api.Settings
+    config: Settings
     balancer: Balancer
     now: int = START
     owed: dict[int, Owed] = field(default_factory=dict)
     told: dict[bytes, tuple[int, int]] = field(default_factory=dict)  # health, and since when
-    where: dict[bytes, policy_api.Endpoint] = field(default_factory=dict)
+    where: dict[bytes, Endpoint] = field(default_factory=dict)
     answered: int = 0
     probes: list[bytes] = field(default_factory=list)  # not answered yet
     timers: list[tuple[int, int]] = field(default_factory=list)
 
-    def give(self, event: policy_api.Event) -> None:
+    def give(self, event: Event) -> None:
         for action in self.balancer.handle(self.now, event):
-            if isinstance(action, policy_api.StartAttempt):
+            if isinstance(action, StartAttempt):
                 self.check_send(action)
-            elif isinstance(action, policy_api.RejectRequest):
+            elif isinstance(action, RejectRequest):
                 owed = self.owed.pop(action.request_id)  # a second final answer would find nothing
                 assert owed.out is None
                 if owed.ran:
@@ -63,15 +81,15 @@
                         and cls.deduplication_scope == DeduplicationScope.ALL
                     )
                 self.answered += 1
-            elif isinstance(action, policy_api.FailRequest):
+            elif isinstance(action, FailRequest):
                 assert self.owed.pop(action.request_id).out is None
                 self.answered += 1
-            elif isinstance(action, policy_api.StartHealthCheck):
+            elif isinstance(action, StartHealthCheck):
                 assert self.config.health_checks_enabled and action.endpoint_id not in self.probes
                 health, since = self.told[action.endpoint_id]
                 assert health == EndpointHealth.READY or self.now - since <= GRACE
                 self.probes.append(action.endpoint_id)
-            elif isinstance(action, policy_api.SetTimer) and action.token:
+            elif isinstance(action, SetTimer) and action.token:
                 assert action.delay_ns > 0
                 self.timers.append((self.now + action.delay_ns, action.token))
 
@@ -80,9 +98,9 @@
         due = sorted(t for t in self.timers if t[0] <= self.now)
         self.timers = [t for t in self.timers if t[0] > self.now]
         for _, token in due:
-            self.give(policy_api.TimerFired(token))
+            self.give(TimerFired(token))
 
-    def check_send(self, send: policy_api.StartAttempt) -> None:
+    def check_send(self, send: StartAttempt) -> None:
         owed, cls = self.owed[send.request_id], self.config.classes[self.owed[send.request_id].cls]
         assert owed.out is None, "two attempts out"
         assert owed.attempts < self.config.max_attempts
@@ -104,7 +122,7 @@
         assert owed.out is not None
         if outcome not in OUTCOMES_NEVER_EXECUTED and owed.ran is None:
             owed.ran = (owed.out, owed.sent)
-        event = policy_api.AttemptCompleted(
+        event = AttemptCompleted(
             rid,
             owed.attempts - 1,
             owed.out,
@@ -118,27 +136,27 @@
             del self.owed[rid]
         self.give(event)
 
-    def learn(self, kind: int, entries: list[policy_api.Endpoint]) -> None:
+    def learn(self, kind: int, entries: list[Endpoint]) -> None:
         for entry in entries:
             if entry.health != self.told.get(entry.id, (None, 0))[0]:
                 self.told[entry.id] = (entry.health, self.now)
             self.where[entry.id] = entry
-        if kind != policy_api.EndpointUpdateKind.DELTA:
+        if kind != EndpointUpdateKind.DELTA:
             for missing in set(self.told) - {e.id for e in entries}:
                 if self.told[missing][0] != EndpointHealth.REMOVED:
                     self.told[missing] = (EndpointHealth.REMOVED, self.now)
-        self.give(policy_api.EndpointUpdate(kind, tuple(entries)))
+        self.give(EndpointUpdate(kind, tuple(entries)))
 
     def probed(self, which: int, outcome: int) -> None:
         endpoint = self.probes.pop(which % len(self.probes))
-        self.give(policy_api.HealthCheckCompleted(endpoint, outcome, MS, ()))
+        self.give(HealthCheckCompleted(endpoint, outcome, MS, ()))
 
     def stop(self) -> None:
         """Killed and started anew: all that it held is void."""
         self.owed, self.told, self.probes, self.timers = {}, {}, [], []
         self.balancer = Balancer(self.config, 5)
-        self.give(policy_api.Started())
-        self.learn(policy_api.EndpointUpdateKind.CACHED, list(self.where.values()))
+        self.give(Started())
+        self.learn(EndpointUpdateKind.CACHED, list(self.where.values()))
 
     def expire(self) -> None:
         """What is out at its deadline times out then, as a time-out never outlasts the client."""
@@ -169,7 +187,7 @@
     instance_count=st.just(3),
     cross_zone_price=st.sampled_from([0.0, 0.2]),
     polls_discovery=st.booleans(),
-    tenants=st.sampled_from([(), (policy_api.Tenant("a", 9.0), policy_api.Tenant("b", 0.0))]),
+    tenants=st.sampled_from([(), (Tenant("a", 9.0), Tenant("b", 0.0))]),
     max_retry_after_ns=st.sampled_from([0, SECOND]),
 )
 ENDPOINTS = st.builds(
@@ -203,12 +221,10 @@
 )
 
 
-def play(config: policy_api.Settings, steps: list[Any], seed: int = 3) -> World:
+def play(config: Settings, steps: list[Any], seed: int = 3) -> World:
     world = World(config, Balancer(config, seed))
-    world.give(policy_api.Started())
-    world.learn(
-        policy_api.EndpointUpdateKind.CACHED, [endpoint(n, zone=n % 2, cell=n % 4) for n in range(1, 9)]
-    )
+    world.give(Started())
+    world.learn(EndpointUpdateKind.CACHED, [endpoint(n, zone=n % 2, cell=n % 4) for n in range(1, 9)])
     next_id = 1000
     for kind, a, b in steps:
         world.now += MS
@@ -219,9 +235,7 @@
             key = next_id if config.classes[cls].idempotency == Idempotency.IDEMPOTENCY_KEY else 0
             tenant = next_id % 2 if config.tenants else 0
             world.give(
-                policy_api.RequestReceived(
-                    next_id, cls, tenant, key, world.now + b * MS, 0, bool(next_id % 3 == 0)
-                )
+                RequestReceived(next_id, cls, tenant, key, world.now + b * MS, 0, bool(next_id % 3 == 0))
             )
             next_id += 1
         elif kind == "answer" and out:
@@ -233,31 +247,29 @@
         elif kind == "gone" and out:
             rid = out[a % len(out)]
             owed = world.owed.pop(rid)
-            world.give(policy_api.ClientDisconnected(rid))
+            world.give(ClientDisconnected(rid))
             assert owed.out is not None
-            world.give(policy_api.AttemptCompleted(rid, 0, owed.out, AttemptOutcome.CANCELLED, 0, True, ()))
+            world.give(AttemptCompleted(rid, 0, owed.out, AttemptOutcome.CANCELLED, 0, True, ()))
         elif kind == "probed" and world.probes:
             world.probed(a, b)
         elif kind == "stream" and out:
             rid = out[a % len(out)]
             owed = world.owed.pop(rid)
-            world.give(policy_api.StreamStarted(rid))
+            world.give(StreamStarted(rid))
             assert owed.out is not None
-            world.give(
-                policy_api.AttemptCompleted(rid, 0, owed.out, AttemptOutcome.CONNECTION_RESET, 0, True, ())
-            )
+            world.give(AttemptCompleted(rid, 0, owed.out, AttemptOutcome.CONNECTION_RESET, 0, True, ()))
         elif kind == "stop":
             world.stop()
         elif kind == "tick":
-            world.give(policy_api.TimerFired(0))
+            world.give(TimerFired(0))
         elif kind == "failed":
-            world.give(policy_api.EndpointUpdate(policy_api.EndpointUpdateKind.DISCOVERY_FAILED, ()))
+            world.give(EndpointUpdate(EndpointUpdateKind.DISCOVERY_FAILED, ()))
         elif kind == "peer":
-            world.give(policy_api.GossipReceived(1, b))
+            world.give(GossipReceived(1, b))
         elif kind == "stray":  # fits nothing that is held
-            world.give(policy_api.AttemptCompleted(a, 0, a.to_bytes(6, "little"), b, MS, False, ()))
-            world.give(policy_api.ClientDisconnected(a))
-            world.give(policy_api.TimerFired(77))
+            world.give(AttemptCompleted(a, 0, a.to_bytes(6, "little"), b, MS, False, ()))
+            world.give(ClientDisconnected(a))
+            world.give(TimerFired(77))
         world.ring()
         world.expire()
         held = [owed for owed in world.owed.values() if not owed.out]
@@ -270,13 +282,13 @@
 
 @hypothesis_settings(max_examples=300, derandomize=True, deadline=None)
 @given(SETTINGS, st.lists(STEPS, max_size=80))
-def test_the_rules_hold_on_any_legal_events(config: policy_api.Settings, steps: list[Any]) -> None:
+def test_the_rules_hold_on_any_legal_events(config: Settings, steps: list[Any]) -> None:
     play(config, steps)
 
 
 @hypothesis_settings(max_examples=30, derandomize=True, deadline=None)
 @given(SETTINGS, st.lists(STEPS, max_size=40))
-def test_the_same_events_give_the_same_actions(config: policy_api.Settings, steps: list[Any]) -> None:
+def test_the_same_events_give_the_same_actions(config: Settings, steps: list[Any]) -> None:
     one, two = play(config, steps), play(config, steps)
     assert one.told == two.told and one.owed == two.owed and one.balancer.cut == two.balancer.cut
     assert one.balancer.rand() == two.balancer.rand()
@@ -292,17 +304,15 @@
     b.now += 50 * MS
     [action] = b.answer(send, outcome, 50 * MS)
     if outcome == AttemptOutcome.NOT_SENT:
-        assert isinstance(action, policy_api.RejectRequest)
+        assert isinstance(action, RejectRequest)
     elif (
         outcome == AttemptOutcome.CLIENT_ERROR
     ):  # no other server would take it; a refusal says that a repeat is harmless
-        assert isinstance(
-            action, policy_api.RejectRequest if effect == Idempotency.IDEMPOTENT else policy_api.FailRequest
-        )
+        assert isinstance(action, RejectRequest if effect == Idempotency.IDEMPOTENT else FailRequest)
     elif effect == Idempotency.NOT_IDEMPOTENT and outcome not in OUTCOMES_NEVER_EXECUTED:
-        assert isinstance(action, policy_api.FailRequest)
+        assert isinstance(action, FailRequest)
     else:
-        assert isinstance(action, policy_api.StartAttempt) and action.endpoint_id != send.endpoint_id
+        assert isinstance(action, StartAttempt) and action.endpoint_id != send.endpoint_id
 
 
 @pytest.mark.parametrize("scope", [DeduplicationScope.ZONE, DeduplicationScope.CELL])
@@ -322,13 +332,11 @@
         b.now += wait * MS
         [action] = b.answer(send, AttemptOutcome.SERVER_ERROR, wait * MS)
         if again:
-            assert isinstance(action, policy_api.StartAttempt)
+            assert isinstance(action, StartAttempt)
             groups = 2 if scope == DeduplicationScope.ZONE else 4
             assert action.endpoint_id[0] % groups == send.endpoint_id[0] % groups
         else:
-            assert isinstance(
-                action, policy_api.FailRequest
-            )  # a refusal would promise that a repeat does no harm
+            assert isinstance(action, FailRequest)  # a refusal would promise that a repeat does no harm
 
 
 def test_retries_keep_to_a_budget_and_never_go_into_overload() -> None:
@@ -337,13 +345,10 @@
     for _ in range(200):
         send = b.sent()
         b.now += 5 * MS
-        again += sum(
-            isinstance(a, policy_api.StartAttempt)
-            for a in b.answer(send, AttemptOutcome.SERVER_ERROR, 5 * MS)
-        )
+        again += sum(isinstance(a, StartAttempt) for a in b.answer(send, AttemptOutcome.SERVER_ERROR, 5 * MS))
     assert 0 < again <= 200 * balance.RETRY_SHARE + balance.RETRY_SAVED + 1
     b.balancer.pressure, b.balancer.budget = 9.0, 5.0
-    assert not any(isinstance(a, policy_api.StartAttempt) for a in b.answer(b.sent(), AttemptOutcome.TIMEOUT))
+    assert not any(isinstance(a, StartAttempt) for a in b.answer(b.sent(), AttemptOutcome.TIMEOUT))
 
 
 def test_every_endpoint_failing_still_answers_everything() -> None:
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -12,11 +12,23 @@
 
 import pytest
 
-from balancer import policy_api
-from balancer.policy_api import AttemptOutcome
+from balancer.policy_api import (
+    AttemptCompleted,
+    AttemptOutcome,
+    ClientDisconnected,
+    EndpointUpdateKind,
+    Event,
+)
 from balancer.sidecar import configuration as config
 from balancer.sidecar.configuration import SECOND
-from balancer.sidecar.upstream.connection import ANSWER_MOST, REST, Answer, Connection, Pool, outcome_of
+from balancer.sidecar.upstream.connection import (
+    CONNECTION_REST_NS,
+    MAX_RESPONSE_BODY_BYTES,
+    EndpointPool,
+    HttpResponse,
+    UpstreamConnection,
+    outcome_of_response,
+)
 from tests.sidecar import (
     SETTINGS,
     WAIT,
@@ -36,8 +48,8 @@
 DECLINED = b"HTTP/1.1 503 X\r\nSrv-Declined: 1\r\n\r\n"
 
 
-def completed(event: policy_api.Event) -> bool:
-    return isinstance(event, policy_api.AttemptCompleted)
+def completed(event: Event) -> bool:
+    return isinstance(event, AttemptCompleted)
 
 
 def reset(peer: socket.socket) -> None:
@@ -48,9 +60,9 @@
 class Exchanged:
     """A connection with its request out, and the peer's side of it, on which a test does things at once."""
 
-    def __init__(self, connection: Connection, peer: socket.socket) -> None:
+    def __init__(self, connection: UpstreamConnection, peer: socket.socket) -> None:
         self.connection, self.peer = connection, peer
-        self.answered: asyncio.Future[Answer | None] = asyncio.get_running_loop().create_future()
+        self.answered: asyncio.Future[HttpResponse | None] = asyncio.get_running_loop().create_future()
         assert connection.send(b"GET / HTTP/1.1\r\n\r\n", self.answered.set_result)
         assert peer.recv(100) == b"GET / HTTP/1.1\r\n\r\n"
 
@@ -59,7 +71,7 @@
 async def exchanged() -> AsyncIterator[Exchanged]:
     with socket.create_server(("127.0.0.1", 0)) as server:
         loop = asyncio.get_running_loop()
-        _, connection = await loop.create_connection(Connection, *server.getsockname())
+        _, connection = await loop.create_connection(UpstreamConnection, *server.getsockname())
         peer, _ = server.accept()
         peer.settimeout(WAIT)
         with peer:
@@ -106,8 +118,8 @@
                 out.peer.sendall(part)
                 await asyncio.sleep(0)
             out.peer.shutdown(socket.SHUT_WR)
-            assert await out.answered == Answer(200, [(b"x-shard", b"7")], b"done")
-            assert not out.connection.usable() and out.connection._store.held == 0
+            assert await out.answered == HttpResponse(200, [(b"x-shard", b"7")], b"done")
+            assert not out.connection.is_reusable() and out.connection._store.used_bytes == 0
             assert out.peer.recv(1) == b""
 
     run(test())
@@ -125,7 +137,7 @@
                 out.peer.shutdown(socket.SHUT_WR)
             reset(out.peer)
             assert await out.answered is None
-            assert not out.connection.usable() and out.connection._store.held == 0
+            assert not out.connection.is_reusable() and out.connection._store.used_bytes == 0
 
     run(test())
 
@@ -166,8 +178,8 @@
     async def test() -> None:
         async with exchanged() as out:
             out.peer.sendall(raw)  # and no end
-            assert outcome_of(await out.answered) == outcome
-            assert not out.connection.usable()
+            assert outcome_of_response(await out.answered) == outcome
+            assert not out.connection.is_reusable()
             assert out.peer.recv(1) == b""
 
     run(test())
@@ -180,7 +192,7 @@
             out.peer.sendall(b"HTTP/1.1 %d X\r\n\r\n" % code)
             answer = await out.answered
             assert answer is not None and (answer.status, answer.body) == (code, b"")
-            assert out.connection.usable()
+            assert out.connection.is_reusable()
 
     run(test())
 
@@ -238,12 +250,12 @@
             raw_endpoint(NO_LENGTH + b"x" * 1000, ending) as (other, second),
             sidecar(dial, second) as node,
         ):
-            client, upstream = await node.client(), node.host.upstream
+            client, upstream = await node.client(), node.dispatcher.upstream
             client.writer.write(request(cls))
             if ending == "never":
-                while not upstream._store.held:
+                while not upstream._store.used_bytes:
                     await asyncio.sleep(0)
-                node.host.end_within(0)
+                node.dispatcher.expire_all_within(0)
             answered, headers, body = await client.answer()
             assert answered == code
             if code == 200:
@@ -256,25 +268,29 @@
             while upstream._open:
                 await asyncio.sleep(0)
             assert len(one.connections) + len(other.connections) == 1
-            assert upstream._store.held == 0 and not upstream.outlived and not node.host._open
+            assert (
+                upstream._store.used_bytes == 0
+                and not upstream.background_attempts
+                and not node.dispatcher._open
+            )
 
     run(test())
 
 
-@pytest.mark.parametrize("together", [ANSWER_MOST // 2, 3 * ANSWER_MOST])
+@pytest.mark.parametrize("together", [MAX_RESPONSE_BODY_BYTES // 2, 3 * MAX_RESPONSE_BODY_BYTES])
 def test_an_answer_with_no_length_that_is_too_long_is_refused_in_time(together: int) -> None:
     """By what one answer may hold, and by what all may hold together."""
 
     async def test() -> None:
-        long = NO_LENGTH + b"x" * 2 * ANSWER_MOST
+        long = NO_LENGTH + b"x" * 2 * MAX_RESPONSE_BODY_BYTES
         async with raw_endpoint(long, "never") as (served, dial), sidecar(dial) as node:
-            store = node.host.upstream._store
-            store.most = together
+            store = node.dispatcher.upstream._store
+            store.max_bytes = together
             client = await node.client()
             assert (await client.ask(request("post")))[0] == 502
             assert (await node.event(completed)).outcome == AttemptOutcome.CONNECTION_RESET
             await served.left.wait()  # while the endpoint would have held it
-            assert store.held == 0
+            assert store.used_bytes == 0
 
     run(test())
 
@@ -285,8 +301,8 @@
             client = await node.client()
             for n in range(1, 4):
                 assert (await client.ask(request("post")))[::2] == (200, b"done")
-                [pool] = node.host.upstream._pools.values()
-                assert not pool.idle and len(served.connections) == n
+                [pool] = node.dispatcher.upstream._pools.values()
+                assert not pool.idle_connections and len(served.connections) == n
 
     run(test())
 
@@ -300,10 +316,10 @@
     def __init__(self, node: Sidecar, problem: OSError | None = None) -> None:
         self.opened, self.reached, self.made = asyncio.Event(), asyncio.Event(), 0
         self._problem = problem  # of the first
-        self._connect = node.host.upstream.connect
-        node.host.upstream.connect = self._late  # type: ignore[method-assign]
+        self._connect = node.dispatcher.upstream.connect
+        node.dispatcher.upstream.connect = self._late  # type: ignore[method-assign]
 
-    async def _late(self, pool: Pool) -> Connection:
+    async def _late(self, pool: EndpointPool) -> UpstreamConnection:
         connection = await self._connect(pool)
         self.made += 1
         self.reached.set()
@@ -330,24 +346,24 @@
             endpoint(always_ok) as served,
             sidecar(served.dial, settings=brief if over == "patience" else SETTINGS) as node,
         ):
-            gate, upstream = Gate(node), node.host.upstream
+            gate, upstream = Gate(node), node.dispatcher.upstream
             client = await node.client()
             client.writer.write(request(cls, rid="9b1f"))
             await gate.reached.wait()
             if over == "deadline":
-                node.host.end_within(0)
+                node.dispatcher.expire_all_within(0)
             assert (await client.answer())[0] == 503  # refused: trying again is harmless
             ended = await node.event(completed)
             assert (ended.outcome, ended.request_finished) == (AttemptOutcome.NOT_SENT, False)
-            assert not node.host._open and not node.host.knows(b"9b1f")
+            assert not node.dispatcher._open and not node.dispatcher.is_duplicate(b"9b1f")
             # It says nothing of the endpoint, whose connection is not in vain.
-            [member] = node.host._balancer.members.values()
+            [member] = node.dispatcher._balancer.members.values()
             assert (member.fails, member.streak, member.out_until, member.inflight) == (0.0, 0, 0, 0)
             gate.opened.set()
-            while upstream.outlived:
+            while upstream.background_attempts:
                 await asyncio.sleep(0)
             [pool] = upstream._pools.values()
-            assert len(pool.idle) == 1 and not served.seen and gate.made == 1
+            assert len(pool.idle_connections) == 1 and not served.seen and gate.made == 1
 
     run(test())
 
@@ -357,7 +373,9 @@
 
 def move(node: Sidecar, dial: str, health: str = "up") -> None:
     told = {"seq": 2, "whole": False, "hosts": [entry("s-0", dial, health)]}
-    node.host.learn(config.host_list(told, node.config.names), policy_api.EndpointUpdateKind.DELTA)
+    node.dispatcher.on_endpoint_update(
+        config.parse_endpoint_list(told, node.config.name_indices), EndpointUpdateKind.DELTA
+    )
 
 
 def test_a_connection_in_use_to_an_old_address_is_not_kept_for_the_new_one() -> None:
@@ -377,10 +395,10 @@
             move(node, new.dial)
             going.set()
             assert (await client.answer())[::2] == (200, b"old")  # what is out goes on
-            [pool] = node.host.upstream._pools.values()
-            assert not pool.idle
+            [pool] = node.dispatcher.upstream._pools.values()
+            assert not pool.idle_connections
             assert (await client.ask(request("post")))[::2] == (200, b"done")
-            assert (len(old.seen), len(new.seen), len(pool.idle)) == (1, 1, 1)
+            assert (len(old.seen), len(new.seen), len(pool.idle_connections)) == (1, 1, 1)
 
     run(test())
 
@@ -401,8 +419,8 @@
             ended = await node.event(completed)
             assert (ended.outcome, ended.attempt_index) == (AttemptOutcome.SUCCESS, 0)
             assert (len(old.seen), len(new.seen), gate.made) == (0, 1, 2)
-            [pool] = node.host.upstream._pools.values()
-            assert [connection.dial for connection in pool.idle] == [pool.dial]
+            [pool] = node.dispatcher.upstream._pools.values()
+            assert [connection.address for connection in pool.idle_connections] == [pool.address]
 
     run(test())
 
@@ -415,13 +433,13 @@
             endpoint(always_ok) as new,
             sidecar(old.dial) as node,
         ):
-            gate, upstream = Gate(node), node.host.upstream
+            gate, upstream = Gate(node), node.dispatcher.upstream
             client = await node.client()
             client.writer.write(request("post"))
             await gate.reached.wait()
             move(node, new.dial, "draining" if then == "draining" else "up")
             if then == "gone":
-                node.host.end_within(0)
+                node.dispatcher.expire_all_within(0)
             elif then == "no room":
                 upstream._most = 1
             gate.opened.set()
@@ -432,7 +450,7 @@
             )
             while upstream._open:
                 await asyncio.sleep(0)
-            assert not old.seen and not new.seen and gate.made == 1 and not upstream.outlived
+            assert not old.seen and not new.seen and gate.made == 1 and not upstream.background_attempts
 
     run(test())
 
@@ -441,10 +459,10 @@
     """Lets what waits for a connection to have rested go on only when the test says so; time stands still."""
 
     def __init__(self, node: Sidecar, monkeypatch: pytest.MonkeyPatch) -> None:
-        upstream, sleep = node.host.upstream, asyncio.sleep
-        self.now = upstream.now()
+        upstream, sleep = node.dispatcher.upstream, asyncio.sleep
+        self.now = upstream.now_ns()
         self.waiting: list[asyncio.Future[None]] = []
-        upstream.now = lambda: self.now
+        upstream.now_ns = lambda: self.now
 
         async def held(seconds: float) -> None:
             if not seconds:
@@ -500,10 +518,10 @@
             brief = {"ConnectTimeoutNs": 50_000_000 if ending == "timeout" else 9_000_000_000}
             told = SETTINGS | {"Limits": brief}
             async with sidecar(f"{address[0]}:{address[1]}", settings=told) as node:
-                upstream, before, outcomes = node.host.upstream, descriptors(), list[int]()
+                upstream, before, outcomes = node.dispatcher.upstream, descriptors(), list[int]()
                 attempts = []
                 for _ in range(5):
-                    attempt = upstream.attempt(
+                    attempt = upstream.create_attempt(
                         config.endpoint_id("s-0"), request, lambda outcome, _: outcomes.append(outcome)
                     )
                     assert attempt is not None
@@ -514,12 +532,12 @@
                 assert upstream._open == 5
                 if ending == "cancel":
                     for attempt in attempts:
-                        attempt.abandon(AttemptOutcome.CANCELLED)
+                        attempt.abort(AttemptOutcome.CANCELLED)
                 while len(outcomes) < 5 or upstream._open:
                     await asyncio.sleep(0)
                 while descriptors() > before:
                     await asyncio.sleep(0)
-                assert upstream._open == 0 and not upstream.outlived
+                assert upstream._open == 0 and not upstream.background_attempts
                 wanted = AttemptOutcome.CONNECT_FAILED if ending == "timeout" else AttemptOutcome.CANCELLED
                 assert outcomes == [wanted] * 5
 
@@ -529,18 +547,18 @@
 def test_what_comes_up_after_its_endpoint_began_to_drain_is_not_kept_for_anybody() -> None:
     async def test() -> None:
         async with endpoint(always_ok) as served, sidecar(served.dial) as node:
-            gate, upstream = Gate(node), node.host.upstream
+            gate, upstream = Gate(node), node.dispatcher.upstream
             client = await node.client()
             client.writer.write(request("post"))
             await gate.reached.wait()
             client.writer.close()
-            await node.event(lambda e: isinstance(e, policy_api.ClientDisconnected))
+            await node.event(lambda e: isinstance(e, ClientDisconnected))
             [pool] = upstream._pools.values()
             move(node, served.dial, "draining")
             gate.opened.set()
             while upstream._open:
                 await asyncio.sleep(0)
-            assert not pool.idle and not served.seen and not upstream.outlived
+            assert not pool.idle_connections and not served.seen and not upstream.background_attempts
 
     run(test())
 
@@ -551,11 +569,11 @@
 ) -> None:
     async def test() -> None:
         async with endpoint(always_ok) as served, sidecar(served.dial) as node:
-            rests, upstream = Rests(node, monkeypatch), node.host.upstream
+            rests, upstream = Rests(node, monkeypatch), node.dispatcher.upstream
             outcomes = asyncio.Queue[int]()
 
             def start(latest: int) -> None:
-                attempt = upstream.attempt(
+                attempt = upstream.create_attempt(
                     config.endpoint_id("s-0"),
                     request,
                     lambda outcome, _: outcomes.put_nowait(outcome),
@@ -566,13 +584,17 @@
 
             start(0)
             assert await outcomes.get() == AttemptOutcome.SUCCESS
-            start(rests.now + 2 * REST)
+            start(rests.now + 2 * CONNECTION_REST_NS)
             await rests.reached(1)
-            rests.now += 2 * REST - (not late)
+            rests.now += 2 * CONNECTION_REST_NS - (not late)
             rests.waiting[0].set_result(None)
             assert await outcomes.get() == (AttemptOutcome.NOT_SENT if late else AttemptOutcome.SUCCESS)
             [pool] = upstream._pools.values()
-            assert (len(served.seen), served.connections, len(pool.idle)) == (1 if late else 2, 1, 1)
+            assert (len(served.seen), served.connections, len(pool.idle_connections)) == (
+                1 if late else 2,
+                1,
+                1,
+            )
 
     run(test())
 
@@ -599,8 +621,8 @@
             gate = Gate(node)
             gates.append(gate)
             gate.opened.set()
-            now = [node.host.now()]
-            node.host.now = node.host.upstream.now = lambda: now[0]
+            now = [node.dispatcher.now_ns()]
+            node.dispatcher.now_ns = node.dispatcher.upstream.now_ns = lambda: now[0]
             client = await node.client()
             client.writer.write(request("post"))
             while gate.made < 2:
@@ -625,12 +647,12 @@
 
     async def test() -> None:
         async with endpoint(always_ok) as served, sidecar(served.dial) as node:
-            gate, now = Gate(node), node.host.now()
-            node.host.now = lambda: now
+            gate, now = Gate(node), node.dispatcher.now_ns()
+            node.dispatcher.now_ns = lambda: now
             client = await node.client()
             client.writer.write(request("post"))
             await gate.reached.wait()
-            node.host.end_within(4)
+            node.dispatcher.expire_all_within(4)
             gate.opened.set()
             assert (await client.answer())[0] == 200
             assert float(served.seen[0].headers[b"req-deadline"]) == 4
@@ -648,10 +670,10 @@
             server.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
             host, port = server.getsockname()
             async with sidecar(f"{host}:{port}") as node:
-                upstream = node.host.upstream
+                upstream = node.dispatcher.upstream
                 connect = upstream.connect
 
-                async def narrow(pool: Pool) -> Connection:
+                async def narrow(pool: EndpointPool) -> UpstreamConnection:
                     connection = await connect(pool)
                     assert connection._transport is not None
                     end = connection._transport.get_extra_info("socket")
@@ -661,10 +683,10 @@
                 upstream.connect = narrow  # type: ignore[method-assign]
                 whole = request("post", body=b"x" * 60_000)
                 if over == "window":
-                    now = upstream.now()
-                    upstream.now = lambda: now  # the connection is up in time, however slowly
+                    now = upstream.now_ns()
+                    upstream.now_ns = lambda: now  # the connection is up in time, however slowly
                     ended = asyncio.get_running_loop().create_future()
-                    attempt = upstream.attempt(
+                    attempt = upstream.create_attempt(
                         config.endpoint_id("s-0"),
                         lambda: whole,
                         lambda outcome, _: ended.set_result(outcome),
@@ -676,20 +698,20 @@
                 else:
                     client = await node.client()
                     client.writer.write(whole)
-                    while not upstream._open or not node.host._open:
+                    while not upstream._open or not node.dispatcher._open:
                         await asyncio.sleep(0)
-                    [sent] = node.host._open.values()
+                    [sent] = node.dispatcher._open.values()
                     while sent.attempt is None or sent.attempt._connection is None:
                         await asyncio.sleep(0)
                     if over == "deadline":
-                        node.host.end_within(0)
+                        node.dispatcher.expire_all_within(0)
                     else:
-                        sent.attempt.time_out()
+                        sent.attempt.expire()
                     assert (await client.answer())[0] == 503
                     assert (await node.event(completed)).outcome == AttemptOutcome.NOT_SENT
                 while upstream._open:
                     await asyncio.sleep(0)
-                assert not upstream.outlived and not node.host._open
+                assert not upstream.background_attempts and not node.dispatcher._open
                 peer, _ = server.accept()
                 peer.settimeout(WAIT / 4)
                 with peer, contextlib.suppress(ConnectionResetError):
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -9,7 +9,23 @@
 
 import pytest
 
-from balancer import policy_api
+from balancer import settings_parser
+from balancer.policy_api import (
+    Action,
+    AttemptCompleted,
+    AttemptOutcome,
+    ClientDisconnected,
+    DeduplicationScope,
+    EndpointHealth,
+    EndpointUpdate,
+    EndpointUpdateKind,
+    Idempotency,
+    RequestReceived,
+    SetTimer,
+    StartAttempt,
+    TimerFired,
+    WriteLog,
+)
 from balancer.simulator import adapter, wire_codec
 
 SAMPLE_BATCH = bytes.fromhex(
@@ -38,20 +54,20 @@
     events = list(wire_codec.Decoder().events(SAMPLE_BATCH[16:], count))
     rid = int.from_bytes(bytes.fromhex("c4913a5dfa790900"), "little")
     key = int.from_bytes(bytes.fromhex("640ad2557c3bf091"), "little")
-    assert events[0] == (3, policy_api.RequestReceived(rid, 0, 0, key, 0x203B6DB90, 12_000_000, False))
-    assert events[1] == (3, policy_api.TimerFired(0x4D))
+    assert events[0] == (3, RequestReceived(rid, 0, 0, key, 0x203B6DB90, 12_000_000, False))
+    assert events[1] == (3, TimerFired(0x4D))
     assert events[2] == (
         5,
-        policy_api.ClientDisconnected(int.from_bytes(bytes.fromhex("192b6f0e625f0b00"), "little")),
+        ClientDisconnected(int.from_bytes(bytes.fromhex("192b6f0e625f0b00"), "little")),
     )
 
 
 def test_reply_of_the_page() -> None:
     rid = int.from_bytes(bytes.fromhex("c4913a5dfa790900"), "little")
-    actions: list[policy_api.Action] = [
-        policy_api.StartAttempt(rid, bytes.fromhex("0a124a078b13"), 80_000_000),
-        policy_api.SetTimer(500_000_000, 77),
-        policy_api.WriteLog("two servers known"),
+    actions: list[Action] = [
+        StartAttempt(rid, bytes.fromhex("0a124a078b13"), 80_000_000),
+        SetTimer(500_000_000, 77),
+        WriteLog("two servers known"),
     ]
     assert wire_codec.frame([wire_codec.encode(3, a) for a in actions]) == SAMPLE_REPLY
 
@@ -60,17 +76,13 @@
     again = bytes.fromhex("10 0000 00000000  17 0400 04 0000 2a00000000000000")
     events = list(wire_codec.Decoder().events(POOL_AND_SYNC + again, 4))
     instance, first = events[0]
-    assert (
-        instance == 3
-        and isinstance(first, policy_api.EndpointUpdate)
-        and first.kind == policy_api.EndpointUpdateKind.CACHED
-    )
+    assert instance == 3 and isinstance(first, EndpointUpdate) and first.kind == EndpointUpdateKind.CACHED
     assert [e.weight for e in first.endpoints] == [1.0, 1.5]
     assert (
         first.endpoints[1].started_at_ns == 6_100_000_000
-        and first.endpoints[0].health == policy_api.EndpointHealth.READY
+        and first.endpoints[0].health == EndpointHealth.READY
     )
-    assert events[1] == (4, policy_api.EndpointUpdate(policy_api.EndpointUpdateKind.SNAPSHOT, ()))
+    assert events[1] == (4, EndpointUpdate(EndpointUpdateKind.SNAPSHOT, ()))
 
 
 def test_completed_with_report() -> None:
@@ -78,11 +90,9 @@
         "18 0300 c4913a5dfa790900 00 0a124a07 8b13 0000 a0491a0100000000 01 03 00000c43 00006841 52b81e3f"
     )
     [(_, event)] = wire_codec.Decoder().events(raw, 1)
-    assert isinstance(event, policy_api.AttemptCompleted)
+    assert isinstance(event, AttemptCompleted)
     assert (
-        event.outcome == policy_api.AttemptOutcome.SUCCESS
-        and event.request_finished
-        and event.duration_ns == 18_500_000
+        event.outcome == AttemptOutcome.SUCCESS and event.request_finished and event.duration_ns == 18_500_000
     )
     assert event.load_report == pytest.approx((140.0, 14.5, 0.62))
 
@@ -102,7 +112,7 @@
     ],
 )
 def test_malformed_records_are_refused(raw: str, count: int, said: str) -> None:
-    with pytest.raises(wire_codec.WireError, match=said):
+    with pytest.raises(wire_codec.WireFormatError, match=said):
         list(wire_codec.Decoder().events(bytes.fromhex(raw), count))
 
 
@@ -112,17 +122,17 @@
 
 
 def test_settings_ignore_unknown_keys_and_live_without_optional_ones() -> None:
-    parsed = wire_codec.settings(json.dumps(GOOD | {"Novel": [1]}).encode())
+    parsed = settings_parser.parse_settings(json.dumps(GOOD | {"Novel": [1]}).encode())
     [cls] = parsed.classes
     assert (cls.idempotency, cls.deduplication_scope, cls.priority_weight, cls.late_answer_value) == (
-        policy_api.Idempotency.IDEMPOTENCY_KEY,
-        policy_api.DeduplicationScope.CELL,
+        Idempotency.IDEMPOTENCY_KEY,
+        DeduplicationScope.CELL,
         2,
         0,
     )
     assert parsed.streams_per_connection == 1
     assert (
-        wire_codec.settings(
+        settings_parser.parse_settings(
             json.dumps(GOOD | {"Limits": {"StreamsPerConn": 100}}).encode()
         ).streams_per_connection
         == 100
@@ -143,8 +153,8 @@
     ],
 )
 def test_settings_that_make_no_sense_name_the_key(change: dict[str, object], named: str) -> None:
-    with pytest.raises(wire_codec.WireError, match=named):
-        wire_codec.settings(json.dumps(GOOD | change).encode())
+    with pytest.raises(settings_parser.SettingsError, match=named):
+        settings_parser.parse_settings(json.dumps(GOOD | change).encode())
 
 
 def batch(*records: bytes) -> bytes:
