--- a/balancer/__main__.py
+++ b/balancer/__main__.py
@@ -13,9 +13,10 @@
 import uvloop
 
 from balancer.errors import ConfigurationError
+from balancer.sidecar.clock import Clock
 from balancer.sidecar.configuration import SECOND, SidecarConfiguration, load
 from balancer.sidecar.discovery_client import DiscoveryClient
-from balancer.sidecar.dispatcher import Clock, Dispatcher
+from balancer.sidecar.dispatcher import Dispatcher
 from balancer.sidecar.downstream.listener import DownstreamConnection, Listener
 from balancer.sidecar.gossip_transport import GossipTransport
 
--- /dev/null
+++ b/balancer/sidecar/clock.py
@@ -0,0 +1,20 @@
+"""The clock of the sidecar."""
+
+from __future__ import annotations
+
+import time
+
+
+class Clock:
+    """Monotonic time, anchored once to the wall clock.
+
+    All sidecars agree on it closely enough to share hours and the start times of endpoints, and it never
+    jumps as the wall clock may.
+    """
+
+    def __init__(self) -> None:
+        self._anchor_ns = time.time_ns() - time.monotonic_ns()
+
+    def now_ns(self) -> int:
+        """Return nanoseconds since the Unix epoch."""
+        return time.monotonic_ns() + self._anchor_ns
--- a/balancer/sidecar/discovery_client.py
+++ b/balancer/sidecar/discovery_client.py
@@ -15,7 +15,8 @@
     parse_endpoint_list,
 )
 from balancer.sidecar.dispatcher import Dispatcher
-from balancer.sidecar.upstream.connection import BufferBudget, HttpResponse, UpstreamConnection
+from balancer.sidecar.http_message import HttpResponse
+from balancer.sidecar.upstream.connection import BufferBudget, UpstreamConnection
 
 log = logging.getLogger(__name__)
 
--- a/balancer/sidecar/dispatcher.py
+++ b/balancer/sidecar/dispatcher.py
@@ -7,11 +7,10 @@
 
 import asyncio
 import logging
-import time
 from collections import deque
 from collections.abc import Callable
 from functools import partial
-from typing import Any, NamedTuple, Protocol
+from typing import Any
 
 from balancer.policy.balancer import Balancer
 from balancer.policy_api import (
@@ -40,8 +39,11 @@
     WatchEndpoints,
     WriteLog,
 )
+from balancer.sidecar.client_request import ClientRequest, ResponseSink
+from balancer.sidecar.clock import Clock
 from balancer.sidecar.configuration import SECOND, EndpointListUpdate, SidecarConfiguration
-from balancer.sidecar.upstream.connection import Attempt, HttpResponse, UpstreamManager
+from balancer.sidecar.http_message import HttpResponse
+from balancer.sidecar.upstream.connection import Attempt, UpstreamManager
 
 log = logging.getLogger(__name__)
 
@@ -51,42 +53,6 @@
 DEADLINE_MARGIN, MARGIN_SHARE = 10 * MS, 0.1
 
 
-class Clock:
-    """Monotonic time, anchored once to the wall clock so that all sidecars agree on hours and births."""
-
-    def __init__(self) -> None:
-        self._anchor = time.time_ns() - time.monotonic_ns()
-
-    def now_ns(self) -> int:
-        return time.monotonic_ns() + self._anchor
-
-
-class ResponseSink(Protocol):
-    """Where the final answer of a request goes."""
-
-    def send_response(self, answer: HttpResponse) -> None: ...
-
-    def reject(self, stay_away: int) -> None: ...
-
-    def fail(self, timed_out: bool) -> None: ...
-
-    def is_disconnected(self) -> bool: ...
-
-
-class ClientRequest(NamedTuple):
-    """A request as the client sent it, checked."""
-
-    client_request_id: bytes  # its Req-Id
-    class_index: int
-    tenant_index: int
-    key_hash: int
-    timeout_ns: int
-    work_hint_ns: int
-    is_retry: bool
-    head: bytes  # the request line and the headers that go on, but for the deadline and the empty line
-    body: bytes
-
-
 class InFlightRequest:
     """A request in the ledger: owed its final answer, or with an attempt still out."""
 
--- a/balancer/sidecar/downstream/listener.py
+++ b/balancer/sidecar/downstream/listener.py
@@ -12,8 +12,9 @@
 
 from balancer.sidecar.configuration import SECOND, SidecarConfiguration
 from balancer.sidecar.dispatcher import Dispatcher
+from balancer.sidecar.http_message import MAX_REQUEST_BODY_BYTES, Headers, HttpResponse
 from balancer.sidecar.http_request import Checker, Head, HttpRequestError, begins_badly, parse_head
-from balancer.sidecar.upstream.connection import MAX_REQUEST_BODY_BYTES, Headers, HttpResponse, shut
+from balancer.sidecar.sockets import shut_down_socket
 
 MAX_PIPELINED_REQUESTS = 16  # requests taken ahead of their turn on one connection
 # What concerns one connection only, is written anew, or is meant for sidecars.
@@ -266,7 +267,7 @@
             transport.write_eof()
         else:
             # The loop would do it in a later turn and might read a request before, which would be lost.
-            shut(self._fd, socket.SHUT_WR)
+            shut_down_socket(self._fd, socket.SHUT_WR)
         self.listener.on_connection_lingering(self)
         self._pace()
 
--- a/balancer/sidecar/http_request.py
+++ b/balancer/sidecar/http_request.py
@@ -12,9 +12,9 @@
 from typing import NamedTuple
 
 from balancer.policy_api import Idempotency
+from balancer.sidecar.client_request import ClientRequest
 from balancer.sidecar.configuration import SECOND, SidecarConfiguration
-from balancer.sidecar.dispatcher import ClientRequest
-from balancer.sidecar.upstream.connection import MAX_HEAD_BYTES, MAX_REQUEST_BODY_BYTES
+from balancer.sidecar.http_message import MAX_HEAD_BYTES, MAX_REQUEST_BODY_BYTES
 
 _TOKEN = rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]++"
 _LINE = re.compile(rb"(?:\r\n)?(" + _TOKEN + rb") ([\x21-\x7e]++) HTTP/1\.([01])\r\n")
--- a/balancer/sidecar/upstream/connection.py
+++ b/balancer/sidecar/upstream/connection.py
@@ -3,25 +3,21 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import errno
 import os
 import re
 import select
 import socket
 from collections.abc import Callable, Iterable
-from typing import NamedTuple, TypeAlias, cast
+from typing import cast
 
 import httptools
 
 from balancer.policy_api import AttemptOutcome, EndpointHealth, EndpointId
 from balancer.sidecar.configuration import SECOND, Address, DiscoveredEndpoint, SidecarConfiguration
+from balancer.sidecar.http_message import MAX_HEAD_BYTES, MAX_RESPONSE_BODY_BYTES, Headers, HttpResponse
+from balancer.sidecar.sockets import shut_down_socket
 
-MAX_REQUEST_BODY_BYTES = 64 * 1024
-MAX_HEAD_BYTES = 32 * 1024
-# The protocol says 64 KiB, endpoints send several times as much at times; an answer that clients can have is
-# passed on. What all answers under way may hold together is bounded by the memory.
-MAX_RESPONSE_BODY_BYTES = 1024 * 1024
 PROBE_TIMEOUT = 0.5
 IDLE_SHARE = 0.9  # a connection idle for this share of the endpoint's limit is not used again
 # A surplus connection, left by a burst, is closed once idle for so long. Each takes a part of the endpoint's
@@ -39,17 +35,6 @@
 # What a failure to connect says of this machine, not of the endpoint.
 OWN_LACK = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL))
 
-Headers: TypeAlias = list[tuple[bytes, bytes]]
-
-
-class HttpResponse(NamedTuple):
-    status: int
-    headers: Headers
-    body: bytes
-
-    def header(self, name: bytes) -> bytes | None:
-        return next((value for key, value in self.headers if key == name), None)
-
 
 class BufferBudget:
     """What the bodies of answers under way take, together."""
@@ -138,7 +123,7 @@
         if self._done is not None and self._transport is not None and not self._transport.is_closing():
             # The loop closes the socket in its next turn only. A further attempt may be written before that,
             # and two would be out at once: this one ends now.
-            shut(self._fd, socket.SHUT_RDWR)
+            shut_down_socket(self._fd, socket.SHUT_RDWR)
         self._done = None
         self._finish(None, False)
 
@@ -179,7 +164,9 @@
         self._held = 0
         if not keep and self._transport is not None:
             if done is not None and not self._transport.is_closing():
-                shut(self._fd, socket.SHUT_RDWR)  # a further attempt may go out at once: see `close`
+                shut_down_socket(
+                    self._fd, socket.SHUT_RDWR
+                )  # a further attempt may go out at once: see `close`
             self._transport.abort()
         if done is not None:
             done(answer)
@@ -234,17 +221,6 @@
             raise ValueError("answer too long")
 
 
-def shut(fd: int, how: int) -> None:
-    """Shut a connection's sending side (socket.SHUT_WR) or both (SHUT_RDWR) at once; the loop would do it in
-    a later turn."""
-    with contextlib.suppress(OSError):  # the peer has reset it: its event is to come
-        ending = socket.socket(socket.AF_INET, socket.SOCK_STREAM, 0, fileno=fd)
-        try:
-            ending.shutdown(how)
-        finally:
-            ending.detach()
-
-
 class EndpointPool:
     """What is held to one endpoint."""
 
--- a/tests/sidecar.py
+++ b/tests/sidecar.py
@@ -14,8 +14,9 @@
 
 from balancer.policy_api import Action, Event
 from balancer.sidecar import configuration as config
+from balancer.sidecar.clock import Clock
 from balancer.sidecar.discovery_client import DiscoveryClient
-from balancer.sidecar.dispatcher import Clock, Dispatcher
+from balancer.sidecar.dispatcher import Dispatcher
 from balancer.sidecar.downstream.listener import DownstreamConnection, Listener
 
 Script: TypeAlias = Callable[["Seen"], Awaitable[bytes | None]]
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -34,9 +34,8 @@
 from balancer.sidecar.configuration import SECOND
 from balancer.sidecar.downstream.listener import MAX_PIPELINED_REQUESTS
 from balancer.sidecar.gossip_transport import GossipTransport
+from balancer.sidecar.http_message import MAX_HEAD_BYTES, MAX_RESPONSE_BODY_BYTES
 from balancer.sidecar.upstream.connection import (
-    MAX_HEAD_BYTES,
-    MAX_RESPONSE_BODY_BYTES,
     SURPLUS_IDLE,
     UpstreamConnection,
     UpstreamManager,
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -21,11 +21,10 @@
 )
 from balancer.sidecar import configuration as config
 from balancer.sidecar.configuration import SECOND
+from balancer.sidecar.http_message import MAX_RESPONSE_BODY_BYTES, HttpResponse
 from balancer.sidecar.upstream.connection import (
     CONNECTION_REST_NS,
-    MAX_RESPONSE_BODY_BYTES,
     EndpointPool,
-    HttpResponse,
     UpstreamConnection,
     outcome_of_response,
 )
