Type outcomes and update kinds as enums, and give discovery and gossip typed ports

Cause: events carried bare integers for enums, and the dispatcher had lambda slots set from outside.

--- a/balancer/policy/balancer.py
+++ b/balancer/policy/balancer.py
@@ -755,7 +755,7 @@
         elif member.out_until > now:
             self.eject(member, now)
 
-    def measure(self, member: Member, took: int, outcome: int, request: Pending) -> None:
+    def measure(self, member: Member, took: int, outcome: AttemptOutcome, request: Pending) -> None:
         """Put an outcome into the class means, the endpoint's pace and this cycle's evidence of waiting."""
         cls = request.cls
         aim = self.classes[cls].latency_objective_ns
@@ -1102,7 +1102,7 @@
         else:
             self.finish(request, now)
 
-    def worth_resending(self, request: Pending, outcome: int, now: int) -> bool:
+    def worth_resending(self, request: Pending, outcome: AttemptOutcome, now: int) -> bool:
         cls = self.classes[request.cls]
         if request.attempts >= self.settings.max_attempts or self.budget < 1 or now >= request.expires:
             return False
--- a/balancer/sidecar/discovery_client.py
+++ b/balancer/sidecar/discovery_client.py
@@ -69,7 +69,7 @@
         self._connection: UpstreamConnection | None = None  # idle, kept for the next call
         self._watcher: asyncio.Task[None] | None = None
         self._fetcher: asyncio.Task[None] | None = None
-        host.set_watching, host.fetch_snapshot = self.set_watching, self.fetch_snapshot
+        host.attach_discovery(self)
 
     def start(self) -> None:
         if self._pushed:
@@ -92,11 +92,11 @@
         elif fetching or not self._pushed:
             self.set_watching(True)  # which begins with the whole list
 
-    def set_watching(self, on: bool) -> None:
-        if self._watcher is not None and not on:
+    def set_watching(self, enabled: bool) -> None:
+        if self._watcher is not None and not enabled:
             self._watcher.cancel()
             self._watcher = None
-        elif on and (self._watcher is None or self._watcher.done()):
+        elif enabled and (self._watcher is None or self._watcher.done()):
             self._watcher = self._loop.create_task(self._watch())
 
     def fetch_snapshot(self) -> None:
--- a/balancer/sidecar/dispatcher.py
+++ b/balancer/sidecar/dispatcher.py
@@ -10,7 +10,7 @@
 from collections import deque
 from collections.abc import Callable
 from functools import partial
-from typing import Any
+from typing import Any, Protocol
 
 from balancer.policy.balancer import Balancer
 from balancer.policy_api import (
@@ -26,7 +26,6 @@
     Event,
     FailRequest,
     FetchEndpoints,
-    HealthCheckCompleted,
     Idempotency,
     RejectRequest,
     RequestReceived,
@@ -53,6 +52,23 @@
 DEADLINE_MARGIN, MARGIN_SHARE = 10 * MS, 0.1
 
 
+class EndpointDiscovery(Protocol):
+    """What the decisions may ask of discovery."""
+
+    def set_watching(self, enabled: bool) -> None:
+        """Start or stop to ask for changes of the endpoint list."""
+
+    def fetch_snapshot(self) -> None:
+        """Ask for the whole endpoint list once."""
+
+
+class GossipSender(Protocol):
+    """Carries messages to other sidecars."""
+
+    def send(self, recipient_index: int, payload: bytes) -> None:
+        """Send a message to a sidecar by its number, or to all of them (-1)."""
+
+
 class InFlightRequest:
     """A request in the ledger: owed its final answer, or with an attempt still out."""
 
@@ -122,23 +138,29 @@
             StartHealthCheck: self._probe,
             WriteLog: self._log,
             CloseIdleConnections: lambda a: self.upstream.close_idle_connections(a.endpoint_id),
-            WatchEndpoints: lambda a: self.set_watching(a.enabled),
-            FetchEndpoints: lambda a: self.fetch_snapshot(),
-            SendGossip: lambda a: self.send_gossip(a.recipient_index, a.payload),
+            WatchEndpoints: self._set_watching,
+            FetchEndpoints: self._fetch_snapshot,
+            SendGossip: self._send_gossip,
         }
-        # Set by the parts that do them.
-        self.set_watching: Callable[[bool], None] = lambda on: None
-        self.fetch_snapshot: Callable[[], None] = lambda: None
-        self.send_gossip: Callable[[int, bytes], None] = lambda peer, body: None
+        self._discovery: EndpointDiscovery | None = None
+        self._gossip: GossipSender | None = None
         self.has_endpoints = False  # whether any endpoint has been named yet
 
+    def attach_discovery(self, discovery: EndpointDiscovery) -> None:
+        """Let this client carry out what the decisions ask of discovery."""
+        self._discovery = discovery
+
+    def attach_gossip(self, gossip: GossipSender) -> None:
+        """Let this transport carry messages to other sidecars; until then they are dropped."""
+        self._gossip = gossip
+
     # ---- events
 
     def start(self, known: EndpointListUpdate) -> None:
         self.dispatch(Started())
         self.on_endpoint_update(known, EndpointUpdateKind.CACHED)
 
-    def on_endpoint_update(self, told: EndpointListUpdate, kind: int) -> None:
+    def on_endpoint_update(self, told: EndpointListUpdate, kind: EndpointUpdateKind) -> None:
         self.has_endpoints = self.has_endpoints or bool(told.endpoints)
         self.upstream.update_endpoints(told.endpoints, whole=kind != EndpointUpdateKind.DELTA)
         self.dispatch(EndpointUpdate(kind, tuple(host.endpoint for host in told.endpoints)))
@@ -319,7 +341,7 @@
         )
 
     def _completed(
-        self, request: InFlightRequest, number: int, outcome: int, answer: HttpResponse | None
+        self, request: InFlightRequest, number: int, outcome: AttemptOutcome, answer: HttpResponse | None
     ) -> None:
         request.attempt, request.last_outcome = None, outcome
         request.may_have_run |= outcome not in OUTCOMES_NEVER_EXECUTED
@@ -362,12 +384,19 @@
         self._loop.call_later(action.delay_ns / SECOND, self.dispatch, TimerFired(action.token))
 
     def _probe(self, action: StartHealthCheck) -> None:
-        self.upstream.start_health_check(
-            action.endpoint_id,
-            lambda outcome, took, report: self.dispatch(
-                HealthCheckCompleted(action.endpoint_id, outcome, took, report)
-            ),
-        )
+        self.upstream.start_health_check(action.endpoint_id, self.dispatch)
 
     def _log(self, action: WriteLog) -> None:
         log.info("%s", action.text)
+
+    def _set_watching(self, action: WatchEndpoints) -> None:
+        if self._discovery is not None:
+            self._discovery.set_watching(action.enabled)
+
+    def _fetch_snapshot(self, action: FetchEndpoints) -> None:
+        if self._discovery is not None:
+            self._discovery.fetch_snapshot()
+
+    def _send_gossip(self, action: SendGossip) -> None:
+        if self._gossip is not None:
+            self._gossip.send(action.recipient_index, action.payload)
--- a/balancer/sidecar/gossip_transport.py
+++ b/balancer/sidecar/gossip_transport.py
@@ -22,13 +22,19 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         # uvloop's transports have the methods but are no subclasses of asyncio's: nothing to check by type.
         self._transport = cast(asyncio.DatagramTransport, transport)
-        self._host.send_gossip = self.send
+        self._host.attach_gossip(self)
 
-    def send(self, peer: int, body: bytes) -> None:
+    def send(self, recipient_index: int, payload: bytes) -> None:
         """Send a message to a sidecar by its number, or to all of them (-1)."""
-        address = self._all if peer < 0 else self._peers[peer] if peer < len(self._peers) else None
-        if self._transport is not None and address is not None and len(body) <= MESSAGE_MOST:
-            self._transport.sendto(body, address)
+        address = (
+            self._all
+            if recipient_index < 0
+            else self._peers[recipient_index]
+            if recipient_index < len(self._peers)
+            else None
+        )
+        if self._transport is not None and address is not None and len(payload) <= MESSAGE_MOST:
+            self._transport.sendto(payload, address)
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         number = self._numbers.get((addr[0], addr[1]))
--- a/balancer/sidecar/upstream/connection.py
+++ b/balancer/sidecar/upstream/connection.py
@@ -13,7 +13,7 @@
 
 import httptools
 
-from balancer.policy_api import AttemptOutcome, EndpointHealth, EndpointId
+from balancer.policy_api import AttemptOutcome, EndpointHealth, EndpointId, HealthCheckCompleted
 from balancer.sidecar.configuration import SECOND, Address, DiscoveredEndpoint, SidecarConfiguration
 from balancer.sidecar.http_message import MAX_HEAD_BYTES, MAX_RESPONSE_BODY_BYTES, Headers, HttpResponse
 from balancer.sidecar.sockets import shut_down_socket
@@ -226,7 +226,7 @@
 
     __slots__ = ("address", "health", "idle_connections")
 
-    def __init__(self, dial: Address, health: int) -> None:
+    def __init__(self, dial: Address, health: EndpointHealth) -> None:
         self.address, self.health = dial, health
         self.idle_connections: list[UpstreamConnection] = []
 
@@ -252,11 +252,11 @@
         upstream: UpstreamManager,
         pool: EndpointPool,
         payload: Callable[[], bytes],
-        done: Callable[[int, HttpResponse | None], None],
+        done: Callable[[AttemptOutcome, HttpResponse | None], None],
         latest: int,
     ) -> None:
         self._upstream, self._pool, self._payload, self._latest = upstream, pool, payload, latest
-        self._done: Callable[[int, HttpResponse | None], None] | None = done
+        self._done: Callable[[AttemptOutcome, HttpResponse | None], None] | None = done
         self._connection: UpstreamConnection | None = None
         self._connect: asyncio.Task[None] | None = None
         self._freed: Callable[[], None] | None = (
@@ -276,7 +276,7 @@
                 AttemptOutcome.NOT_SENT, None
             )  # the lack of room is ours: it says nothing of the endpoint
 
-    def abort(self, outcome: int) -> None:
+    def abort(self, outcome: AttemptOutcome) -> None:
         """Stop waiting: the connection closes before anything else happens for the request."""
         if self._connect is not None:
             self._connect.cancel()
@@ -397,7 +397,7 @@
             self._upstream.release(self._pool, self._connection)
         self._end(outcome_of_response(answer), answer)
 
-    def _end(self, outcome: int, answer: HttpResponse | None) -> None:
+    def _end(self, outcome: AttemptOutcome, answer: HttpResponse | None) -> None:
         done, self._done = self._done, None
         freed, self._freed = self._freed, None
         self._connection = self._connect = None
@@ -411,7 +411,7 @@
             freed()
 
 
-def outcome_of_response(answer: HttpResponse | None) -> int:
+def outcome_of_response(answer: HttpResponse | None) -> AttemptOutcome:
     """What is not plainly declined or served may have run."""
     if answer is None:
         return AttemptOutcome.CONNECTION_RESET
@@ -481,7 +481,7 @@
         self,
         endpoint: EndpointId,
         payload: Callable[[], bytes],
-        done: Callable[[int, HttpResponse | None], None],
+        done: Callable[[AttemptOutcome, HttpResponse | None], None],
         latest: int = 0,
     ) -> Attempt | None:
         """A new attempt, not yet started; None where the endpoint wants nothing new. With its connection up
@@ -492,20 +492,21 @@
         return Attempt(self, pool, payload, done, latest)
 
     def start_health_check(
-        self, endpoint: EndpointId, done: Callable[[int, int, tuple[float, ...]], None]
+        self, endpoint: EndpointId, on_completed: Callable[[HealthCheckCompleted], None]
     ) -> None:
         began = self.now_ns()
 
-        def ended(outcome: int, answer: HttpResponse | None) -> None:
+        def ended(outcome: AttemptOutcome, answer: HttpResponse | None) -> None:
             timer.cancel()
             self._probes.discard(attempt)
             if answer is not None and answer.status == 503:
                 outcome = AttemptOutcome.REJECTED
-            done(outcome, self.now_ns() - began, self.parse_load_report(answer, body=True))
+            report = self.parse_load_report(answer, body=True)
+            on_completed(HealthCheckCompleted(endpoint, outcome, self.now_ns() - began, report))
 
         attempt = self.create_attempt(endpoint, lambda: self._probe, ended)
         if attempt is None:
-            done(AttemptOutcome.CONNECT_FAILED, 0, ())
+            on_completed(HealthCheckCompleted(endpoint, AttemptOutcome.CONNECT_FAILED, 0, ()))
             return
         self._probes.add(attempt)
         timer = self.loop.call_later(PROBE_TIMEOUT, attempt.abort, AttemptOutcome.TIMEOUT)
--- a/balancer/simulator/wire_codec.py
+++ b/balancer/simulator/wire_codec.py
@@ -10,11 +10,13 @@
 from balancer.policy_api import (
     Action,
     AttemptCompleted,
+    AttemptOutcome,
     CancelAttempt,
     ClientDisconnected,
     CloseIdleConnections,
     Endpoint,
     EndpointUpdate,
+    EndpointUpdateKind,
     Event,
     FailRequest,
     FetchEndpoints,
@@ -44,8 +46,22 @@
 _A_DROP, _A_BARE, _A_FLAG = Struct("<BHQB"), Struct("<BH"), Struct("<BHB")
 _A_ENDPOINT, _A_TELL, _A_TEXT = Struct("<BH6s"), Struct("<BHHH"), Struct("<BHH")
 
-OUTCOMES = {0: 0, 13: 1, 8: 2, 4: 3, 14: 4, 10: 5, 1: 6, 9: 7}  # the wire's code: AttemptOutcome
-LIST_KINDS = {0: 0, 2: 1, 3: 2, 4: 3}  # the wire's code: EndpointUpdateKind
+_OUTCOMES = {
+    0: AttemptOutcome.SUCCESS,
+    13: AttemptOutcome.SERVER_ERROR,
+    8: AttemptOutcome.REJECTED,
+    4: AttemptOutcome.TIMEOUT,
+    14: AttemptOutcome.CONNECT_FAILED,
+    10: AttemptOutcome.CONNECTION_RESET,
+    1: AttemptOutcome.CANCELLED,
+    9: AttemptOutcome.NOT_SENT,
+}
+_UPDATE_KINDS = {
+    0: EndpointUpdateKind.DISCOVERY_FAILED,
+    2: EndpointUpdateKind.CACHED,
+    3: EndpointUpdateKind.DELTA,
+    4: EndpointUpdateKind.SNAPSHOT,
+}
 _HEALTHS = (0, 1, 2)
 
 
@@ -114,12 +130,12 @@
 
     def _sync(self, b: bytes, at: int) -> Any:
         instance, kind, number, _ = _SYNC.unpack_from(b, at)
-        if kind not in LIST_KINDS:
+        if kind not in _UPDATE_KINDS:
             raise WireFormatError(f"unknown list kind {kind}")
         if kind and number not in self._lists:
             raise WireFormatError(f"list {number} was never defined")
         entries = self._lists[number] if kind else ()
-        return at + 13, instance, EndpointUpdate(LIST_KINDS[kind], entries)
+        return at + 13, instance, EndpointUpdate(_UPDATE_KINDS[kind], entries)
 
     def _inbound(self, b: bytes, at: int) -> Any:
         instance, rid, cls, tenant, key, expires, hint, marks = _INBOUND.unpack_from(b, at)
@@ -183,10 +199,10 @@
 }
 
 
-def _outcome(status: int) -> int:
-    if status not in OUTCOMES:
+def _outcome(status: int) -> AttemptOutcome:
+    if status not in _OUTCOMES:
         raise WireFormatError(f"unknown outcome code {status}")
-    return OUTCOMES[status]
+    return _OUTCOMES[status]
 
 
 def encode(instance: int, action: Action) -> bytes:
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -168,7 +168,7 @@
         server.sent.append(begun)
         life = self.life
 
-        def end(outcome: int) -> None:
+        def end(outcome: AttemptOutcome) -> None:
             alive = life == self.life
             if alive and outcome == AttemptOutcome.SUCCESS:
                 self.idle[server.id].append(self.fleet.now)
@@ -258,7 +258,7 @@
             self.calls.append(call)
             self.at(at, partial(sidecar.ask, call))
 
-    def entry(self, server: Server, health: int = EndpointHealth.READY) -> Endpoint:
+    def entry(self, server: Server, health: EndpointHealth = EndpointHealth.READY) -> Endpoint:
         return Endpoint(server.id, server.zone, 0, 0, health, 1.0, server.started)
 
     def tell(self, servers: Iterable[Server]) -> None:
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -48,7 +48,9 @@
     return Settings(**(base | changes))
 
 
-def endpoint(number: int, health: int = EndpointHealth.READY, zone: int = 0, **changes: Any) -> Endpoint:
+def endpoint(
+    number: int, health: EndpointHealth = EndpointHealth.READY, zone: int = 0, **changes: Any
+) -> Endpoint:
     entry = Endpoint(number.to_bytes(6, "little"), zone, 0, 0, health, 1.0, 0)
     return entry._replace(**changes)
 
@@ -68,7 +70,9 @@
         self.actions = self.balancer.handle(self.now, event)
         return self.actions
 
-    def list_of(self, *entries: Endpoint, kind: int = EndpointUpdateKind.CACHED) -> list[Action]:
+    def list_of(
+        self, *entries: Endpoint, kind: EndpointUpdateKind = EndpointUpdateKind.CACHED
+    ) -> list[Action]:
         return self.give(EndpointUpdate(kind, entries))
 
     def ask(self, cls: int = 0, left: int = 2 * SECOND, key: int = 0, tenant: int = 0) -> Action:
@@ -85,7 +89,7 @@
     def answer(
         self,
         send: StartAttempt,
-        outcome: int = AttemptOutcome.SUCCESS,
+        outcome: AttemptOutcome = AttemptOutcome.SUCCESS,
         took: int = 50 * MS,
     ) -> list[Action]:
         over = outcome == AttemptOutcome.SUCCESS
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -359,7 +359,7 @@
 ASKED = settings(Discovery="on_request")
 
 
-def listed(kind: int) -> Callable[[Event], bool]:
+def listed(kind: EndpointUpdateKind) -> Callable[[Event], bool]:
     return lambda event: isinstance(event, EndpointUpdate) and event.kind == kind
 
 
--- a/tests/test_cut.py
+++ b/tests/test_cut.py
@@ -126,7 +126,7 @@
         assert [abs(passed[i] - 200 * (4 - i) / 4) < 25 for i in range(5)] == [True] * 5, passed
 
 
-def overloaded(b: Bench, outcome: int, count: int = 30) -> None:
+def overloaded(b: Bench, outcome: AttemptOutcome, count: int = 30) -> None:
     feed(b, 0, 10)
     b.tick()
     sends = [b.sent() for _ in range(count)]
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -26,6 +26,7 @@
     GossipReceived,
     HealthCheckCompleted,
     RequestReceived,
+    SendGossip,
     StartAttempt,
     StartHealthCheck,
     TimerFired,
@@ -161,7 +162,9 @@
         (TimeoutError(), AttemptOutcome.CONNECT_FAILED),
     ],
 )
-def test_what_this_machine_lacks_is_no_failure_of_the_endpoint(problem: OSError, outcome: int) -> None:
+def test_what_this_machine_lacks_is_no_failure_of_the_endpoint(
+    problem: OSError, outcome: AttemptOutcome
+) -> None:
     async def test() -> None:
         async with sidecar(dead_dial()) as node:
 
@@ -223,7 +226,7 @@
 
 
 @pytest.mark.parametrize(("script", "outcome"), UNSURE)
-def test_what_may_have_run_is_not_sent_again_and_not_refused(script: Any, outcome: int) -> None:
+def test_what_may_have_run_is_not_sent_again_and_not_refused(script: Any, outcome: AttemptOutcome) -> None:
     async def test() -> None:
         async with (
             endpoint(script) as served,
@@ -368,7 +371,7 @@
             outcomes: list[int] = []
             ended = asyncio.Event()
 
-            def done(outcome: int, answer: object) -> None:
+            def done(outcome: AttemptOutcome, answer: object) -> None:
                 outcomes.append(outcome)
                 ended.set()
 
@@ -849,10 +852,10 @@
                 lambda: GossipTransport(node.config, node.dispatcher), local_addr=("127.0.0.1", 0)
             )
             address = transport.get_extra_info("sockname")
-            node.dispatcher.send_gossip(1, b"to one")
-            node.dispatcher.send_gossip(-1, b"to all")
-            node.dispatcher.send_gossip(1, b"x" * 257)
-            node.dispatcher.send_gossip(1, b"last")
+            node.dispatcher._send_gossip(SendGossip(1, b"to one"))
+            node.dispatcher._send_gossip(SendGossip(-1, b"to all"))
+            node.dispatcher._send_gossip(SendGossip(1, b"x" * 257))
+            node.dispatcher._send_gossip(SendGossip(1, b"last"))
             heard = [await loop.sock_recv(other, 999) for _ in range(3)]
             assert heard == [b"to one", b"to all", b"last"]
             stranger.sendto(b"no peer", address)
--- a/tests/test_policy_characterization.py
+++ b/tests/test_policy_characterization.py
@@ -369,7 +369,7 @@
         broken = EndpointUpdate(EndpointUpdateKind.DISCOVERY_FAILED, ())
         self.after(self.random.randrange(4 * SECOND), partial(self.give, instance, broken))
 
-    def outcome_of(self, endpoint: bytes, cls: int) -> tuple[int, int]:
+    def outcome_of(self, endpoint: bytes, cls: int) -> tuple[AttemptOutcome, int]:
         """What becomes of an attempt, and after which time if nobody ends it before."""
         usual = int(self.random.expovariate(1) * 30 * MS) + 5 * MS
         if self.phase == "overload":
@@ -478,7 +478,7 @@
             outcome, took = AttemptOutcome.NOT_SENT, 0
         self.after(took, partial(self.end_attempt, instance, action.request_id, number, outcome))
 
-    def end_attempt(self, instance: Instance, number: int, attempt: int, outcome: int) -> None:
+    def end_attempt(self, instance: Instance, number: int, attempt: int, outcome: AttemptOutcome) -> None:
         request = instance.requests.get(number)
         if request is None or request.attempt is None or request.attempt.number != attempt:
             return
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -117,7 +117,7 @@
                 assert first.cell == other.cell
         owed.out, owed.sent, owed.attempts = send.endpoint_id, self.now, owed.attempts + 1
 
-    def complete(self, rid: int, outcome: int) -> None:
+    def complete(self, rid: int, outcome: AttemptOutcome) -> None:
         owed = self.owed[rid]
         assert owed.out is not None
         if outcome not in OUTCOMES_NEVER_EXECUTED and owed.ran is None:
@@ -136,7 +136,7 @@
             del self.owed[rid]
         self.give(event)
 
-    def learn(self, kind: int, entries: list[Endpoint]) -> None:
+    def learn(self, kind: EndpointUpdateKind, entries: list[Endpoint]) -> None:
         for entry in entries:
             if entry.health != self.told.get(entry.id, (None, 0))[0]:
                 self.told[entry.id] = (entry.health, self.now)
@@ -147,7 +147,7 @@
                     self.told[missing] = (EndpointHealth.REMOVED, self.now)
         self.give(EndpointUpdate(kind, tuple(entries)))
 
-    def probed(self, which: int, outcome: int) -> None:
+    def probed(self, which: int, outcome: AttemptOutcome) -> None:
         endpoint = self.probes.pop(which % len(self.probes))
         self.give(HealthCheckCompleted(endpoint, outcome, MS, ()))
 
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -171,7 +171,7 @@
         (b"HTTP/1.1 404 X\r\n\r\n<html>", AttemptOutcome.CLIENT_ERROR),
     ],
 )
-def test_of_an_answer_that_serves_nothing_the_head_is_enough(raw: bytes, outcome: int) -> None:
+def test_of_an_answer_that_serves_nothing_the_head_is_enough(raw: bytes, outcome: AttemptOutcome) -> None:
     """Its body goes nowhere, so it is not waited for, nor does it matter what becomes of it."""
 
     async def test() -> None:
@@ -240,7 +240,9 @@
         ("never", "read", 503, AttemptOutcome.TIMEOUT),
     ],
 )
-def test_what_an_answer_with_no_length_comes_to(ending: str, cls: str, code: int, outcome: int) -> None:
+def test_what_an_answer_with_no_length_comes_to(
+    ending: str, cls: str, code: int, outcome: AttemptOutcome
+) -> None:
     """The client gets it with its length; one that never ends is given up with the client's time."""
 
     async def test() -> None:
