--- /dev/null
+++ b/tests/test_example.py
@@ -0,0 +1,33 @@
+"""The example configuration and the request that the example prints are valid."""
+
+from __future__ import annotations
+
+import re
+import shlex
+from pathlib import Path
+
+from balancer.sidecar.configuration import SidecarConfiguration, load
+from balancer.sidecar.http_request import Checker, parse_head
+
+EXAMPLE = Path(__file__).parent.parent / "deploy" / "example"
+
+
+def load_example() -> SidecarConfiguration:
+    return load({"PROXY_CONFIG": str(EXAMPLE / "config.json")})
+
+
+def test_example_configuration_names_the_two_account_servers() -> None:
+    addresses = [entry.address for entry in load_example().known_endpoints.endpoints]
+    assert addresses == [("127.0.0.1", 9001), ("127.0.0.1", 9002)]
+    script = (EXAMPLE / "run").read_text()
+    assert all(f"account_server.py {port}" in script for _, port in addresses)
+
+
+def test_printed_request_is_accepted() -> None:
+    [command] = re.findall(r"^ +(curl .*)$", (EXAMPLE / "run").read_text(), re.MULTILINE)
+    words = shlex.split(command)
+    headers = [words[index + 1] for index, word in enumerate(words) if word == "-H"]
+    target = words[-1].removeprefix("http://127.0.0.1:8080")
+    head = parse_head("\r\n".join([f"GET {target} HTTP/1.1", *headers, "", ""]).encode())
+    request = Checker(load_example()).check(head, b"")
+    assert (request.client_request_id, request.timeout_ns) == (b"1", 2_000_000_000)
