Read settings, configuration and endpoint lists through one typed JSON reader

Cause: The settings parser and the configuration checked lists, objects and numbers each for itself, passed bare ValueErrors between parts, and the configuration held the parsing of endpoint lists and addresses too. Change: balancer/json_object.py reads fields by type and reports them by the error of the document. sidecar/endpoint_list.py has the endpoint list with MalformedEndpointListError and InvalidEndpointEntryError, sidecar/address.py the one parser of addresses. ConfigurationError and SettingsError carry key, problem and value. The settings are read section by section. Constants are whole names with units. Public functions are load_configuration, parse_configuration and derive_endpoint_id.

--- a/balancer/__main__.py
+++ b/balancer/__main__.py
@@ -14,11 +14,12 @@
 
 from balancer.errors import ConfigurationError
 from balancer.sidecar.clock import Clock
-from balancer.sidecar.configuration import SECOND, SidecarConfiguration, load
+from balancer.sidecar.configuration import SidecarConfiguration, load_configuration
 from balancer.sidecar.discovery_client import DiscoveryClient
 from balancer.sidecar.dispatcher import Dispatcher
 from balancer.sidecar.downstream.listener import DownstreamConnection, Listener
 from balancer.sidecar.gossip_transport import GossipTransport
+from balancer.time_units import SECOND_NS
 
 # Stopping. Clients use the connections that they have until these close, and where sidecars restart in turn
 # no other may be up: so one serves on for nearly as long as it may live. In seconds after SIGTERM, or before
@@ -58,7 +59,7 @@
     def _reload(self) -> None:
         self._due = None
         try:
-            config = load(os.environ)
+            config = load_configuration(os.environ)
         except ConfigurationError as problem:
             log.error("the old configuration stays: %s", problem)
             return
@@ -98,7 +99,7 @@
 ) -> None:
     """Serve on, then let the clients go and finish what was taken; sooner if all clients have left."""
     loop = asyncio.get_running_loop()
-    longest = min(LONGEST, max(cls.client_timeout_ns for cls in config.settings.classes) / SECOND)
+    longest = min(LONGEST, max(cls.client_timeout_ns for cls in config.settings.classes) / SECOND_NS)
     accepted = loop.time() + ACCEPT_ON
     end = max(accepted, loop.time() + longest + KILLED_AFTER - SPARE)
     host.expire_all_within(end - LAST_ANSWERS - loop.time())
@@ -120,7 +121,7 @@
 def main() -> int:
     logging.basicConfig(level=logging.WARNING, format="%(levelname)s %(name)s: %(message)s")
     try:
-        config = load(os.environ)
+        config = load_configuration(os.environ)
     except ConfigurationError as problem:
         print(f"balancer: {problem}", file=sys.stderr)
         return 2
--- a/balancer/errors.py
+++ b/balancer/errors.py
@@ -12,7 +12,22 @@
 
 
 class ConfigurationError(BalancerError):
-    """The configuration or the settings are missing or invalid."""
+    """The configuration or the settings are missing or invalid.
+
+    Attributes:
+        key: What is wrong: a key of the file, or the environment variable that names the file.
+        problem: What is wrong with it, as the rest of a sentence that begins with the key.
+        value: The invalid value; None where it is missing or is not a single value.
+    """
+
+    def __init__(self, key: str, problem: str, value: object = None) -> None:
+        super().__init__(key, problem, value)
+        self.key = key
+        self.problem = problem
+        self.value = value
+
+    def __str__(self) -> str:
+        return f"{self.key} {self.problem}"
 
 
 class DiscoveryError(BalancerError):
--- a/balancer/settings_parser.py
+++ b/balancer/settings_parser.py
@@ -3,17 +3,22 @@
 from __future__ import annotations
 
 import json
-from typing import Any
+from dataclasses import replace
 
 from balancer.errors import ConfigurationError
+from balancer.json_object import JsonObject, is_object
 from balancer.policy_api import DeduplicationScope, Idempotency, RequestClass, Settings, Tenant
+from balancer.time_units import MILLISECOND_NS, SECOND_NS
 
-_EFFECTS = {
+DEFAULT_POLL_WINDOW_NS = 10 * SECOND_NS
+DEFAULT_SCHEDULING_TICK_NS = 5 * MILLISECOND_NS
+
+_IDEMPOTENCY_BY_NAME = {
     "retryable": Idempotency.IDEMPOTENT,
     "dedup": Idempotency.IDEMPOTENCY_KEY,
     "fragile": Idempotency.NOT_IDEMPOTENT,
 }
-_SCOPES = {
+_SCOPE_BY_NAME = {
     "all": DeduplicationScope.ALL,
     "zone": DeduplicationScope.ZONE,
     "cell": DeduplicationScope.CELL,
@@ -21,7 +26,12 @@
 
 
 class SettingsError(ConfigurationError):
-    """A setting is missing or invalid."""
+    """A setting is missing or invalid. The key is empty where it is the settings as a whole."""
+
+    def __str__(self) -> str:
+        if not self.key:
+            return f"settings {self.problem}"
+        return f"settings: {self.key} {self.problem}"
 
 
 def parse_settings(text: bytes) -> Settings:
@@ -30,90 +40,115 @@
     Raises SettingsError, which names the missing or invalid key.
     """
     try:
-        top = json.loads(text)
-    except ValueError as problem:
-        raise SettingsError(f"settings are not JSON: {problem}") from None
-    if not isinstance(top, dict):
-        raise SettingsError("settings are not an object")
-    limits, rules, prices = (read_object(top, key) for key in ("Limits", "Rules", "Deductions"))
-    stats = read_object(top, "Stats")
-    fields = tuple(str(x) for x in read_list(stats, "Fields"))
-    classes = tuple(_request_class(c) for c in read_list(top, "Categories"))
+        value = json.loads(text)
+    except ValueError as error:
+        raise SettingsError("", f"are not JSON: {error}") from None
+    if not is_object(value):
+        raise SettingsError("", "are not an object", value)
+    return read_settings(JsonObject(value, SettingsError))
+
+
+def read_settings(top: JsonObject) -> Settings:
+    """Translate the settings of an instance from JSON that is decoded.
+
+    Raises SettingsError, which names the missing or invalid key, if `top` was made with it.
+    """
+    classes = tuple(_read_request_class(fields) for fields in top.read_objects("Categories"))
     if not classes:
-        raise SettingsError("settings: Categories is empty")
+        raise SettingsError("Categories", "is empty")
+    settings = Settings(classes=classes)
+    settings = _add_instance(settings, top)
+    settings = _add_tenants(settings, top)
+    settings = _add_discovery(settings, top)
+    settings = _add_limits(settings, top.read_object("Limits"))
+    settings = _add_slow_start(settings, top.read_object("Rules"))
+    settings = _add_prices(settings, top.read_object("Deductions"))
+    settings = _add_load_reports(settings, top.read_object("Stats"))
+    return replace(
+        settings,
+        weight_by_work=top.get("WorthBy") == "work",
+        key_affinity=top.read_object("Extra").read_flag("WarmKeys"),
+        scheduling_tick_ns=top.read_integer("TickNs", DEFAULT_SCHEDULING_TICK_NS, low=1),
+    )
+
+
+def _read_request_class(fields: JsonObject) -> RequestClass:
+    return RequestClass(
+        name=fields.read_text("Name"),
+        latency_objective_ns=fields.read_integer("AimNs", low=1),
+        client_timeout_ns=fields.read_integer("HardLimitNs", low=1),
+        priority_weight=fields.read_number("Importance", 0),
+        late_answer_value=fields.read_number("LateWorth", 0),
+        idempotency=fields.read_choice("Effect", _IDEMPOTENCY_BY_NAME),
+        deduplication_scope=fields.read_choice("KeyScope", _SCOPE_BY_NAME, "all"),
+        deduplication_window_ns=fields.read_integer("WindowNs", 0),
+        objective_stretch=fields.read_number("AimStretch", 0),
+    )
+
+
+def _add_instance(settings: Settings, top: JsonObject) -> Settings:
+    """Add which of the sidecars this is, and where it runs."""
+    return replace(
+        settings,
+        instance_index=top.read_integer("Position", 0),
+        instance_count=top.read_integer("NInstances", 1, low=1),
+        local_zone=top.read_integer("Zone", 0),
+        zone_count=max(1, len(top.read_list("Azs"))),
+    )
+
+
+def _add_tenants(settings: Settings, top: JsonObject) -> Settings:
     tenants = tuple(
-        Tenant(str(t.get("Name", "")), read_number(t, "QuotaPerS", 0)) for t in read_list(top, "Orgs")
+        Tenant(fields.read_text("Name"), fields.read_number("QuotaPerS", 0))
+        for fields in top.read_objects("Orgs")
     )
-    return Settings(
-        classes=classes,
-        instance_index=int(read_number(top, "Position", 0)),
-        instance_count=int(read_number(top, "NInstances", 1, low=1)),
-        local_zone=int(read_number(top, "Zone", 0)),
-        zone_count=max(1, len(read_list(top, "Azs"))),
-        tenants=tenants,
-        over_quota_weight=read_number(top, "OverShareWorth", 1),
+    return replace(settings, tenants=tenants, over_quota_weight=top.read_number("OverShareWorth", 1))
+
+
+def _add_discovery(settings: Settings, top: JsonObject) -> Settings:
+    rules = top.read_object("Rules")
+    return replace(
+        settings,
         polls_discovery=top.get("Discovery") == "on_request",
-        discovery_poll_window_ns=int(read_number(rules, "AskWithinNs", 10_000_000_000)),
-        slow_start_capacity=read_number(rules, "ColdFrom", 1),
-        slow_start_duration_ns=int(read_number(rules, "ColdNs", 0)),
-        cold_overload_multiple=read_number(rules, "FallMultiple", 2),
-        max_attempts=int(read_number(limits, "MaxAttempts", 1, low=1)),
-        streams_per_connection=int(read_number(limits, "StreamsPerConn", 1, low=1)),
-        attempts_can_be_cancelled=bool(limits.get("Cancel")),
-        concurrent_attempts_allowed=bool(limits.get("ParallelTries")),
-        gossip_enabled=bool(limits.get("Peers")),
-        health_checks_enabled=bool(limits.get("Probes")),
-        max_retry_after_ns=int(read_number(limits, "MaxRetryAfterNs", 0)) if limits.get("RetryAfter") else 0,
-        load_report_fields=() if stats.get("Via") == "off" else fields,
-        cross_zone_price=read_number(prices, "CrossZone", 0),
-        handshake_price=read_number(prices, "Handshake", 0),
-        connection_price=read_number(prices, "Connection", 0),
-        wasted_work_price=read_number(prices, "Waste", 0),
-        weight_by_work=top.get("WorthBy") == "work",
-        key_affinity=bool(read_object(top, "Extra").get("WarmKeys")),
-        scheduling_tick_ns=int(read_number(top, "TickNs", 5_000_000, low=1)),
+        discovery_poll_window_ns=rules.read_integer("AskWithinNs", DEFAULT_POLL_WINDOW_NS),
     )
 
 
-def _request_class(c: Any) -> RequestClass:
-    if not isinstance(c, dict):
-        raise SettingsError("settings: Categories holds something that is not an object")
-    effect, scope = c.get("Effect"), c.get("KeyScope", "all")
-    if effect not in _EFFECTS:
-        raise SettingsError(f"settings: Effect is {effect!r}")
-    if scope not in _SCOPES:
-        raise SettingsError(f"settings: KeyScope is {scope!r}")
-    return RequestClass(
-        name=str(c.get("Name", "")),
-        latency_objective_ns=int(read_number(c, "AimNs", low=1)),
-        client_timeout_ns=int(read_number(c, "HardLimitNs", low=1)),
-        priority_weight=read_number(c, "Importance", 0),
-        late_answer_value=read_number(c, "LateWorth", 0),
-        idempotency=_EFFECTS[effect],
-        deduplication_scope=_SCOPES[scope],
-        deduplication_window_ns=int(read_number(c, "WindowNs", 0)),
-        objective_stretch=read_number(c, "AimStretch", 0),
+def _add_limits(settings: Settings, limits: JsonObject) -> Settings:
+    """Add what the instance can do and how often it may retry."""
+    clients_heed_retry_after = limits.read_flag("RetryAfter")
+    return replace(
+        settings,
+        max_attempts=limits.read_integer("MaxAttempts", 1, low=1),
+        streams_per_connection=limits.read_integer("StreamsPerConn", 1, low=1),
+        attempts_can_be_cancelled=limits.read_flag("Cancel"),
+        concurrent_attempts_allowed=limits.read_flag("ParallelTries"),
+        gossip_enabled=limits.read_flag("Peers"),
+        health_checks_enabled=limits.read_flag("Probes"),
+        max_retry_after_ns=limits.read_integer("MaxRetryAfterNs", 0) if clients_heed_retry_after else 0,
     )
 
 
-def read_object(parent: dict[str, Any], key: str) -> dict[str, Any]:
-    value = parent.get(key, {})
-    if not isinstance(value, dict):
-        raise SettingsError(f"settings: {key} is not an object")
-    return value
+def _add_slow_start(settings: Settings, rules: JsonObject) -> Settings:
+    return replace(
+        settings,
+        slow_start_capacity=rules.read_number("ColdFrom", 1),
+        slow_start_duration_ns=rules.read_integer("ColdNs", 0),
+        cold_overload_multiple=rules.read_number("FallMultiple", 2),
+    )
 
 
-def read_list(parent: dict[str, Any], key: str) -> list[Any]:
-    value = parent.get(key)
-    if value is None:
-        return []
-    if not isinstance(value, list):
-        raise SettingsError(f"settings: {key} is not a list")
-    return value
+def _add_prices(settings: Settings, prices: JsonObject) -> Settings:
+    return replace(
+        settings,
+        cross_zone_price=prices.read_number("CrossZone", 0),
+        handshake_price=prices.read_number("Handshake", 0),
+        connection_price=prices.read_number("Connection", 0),
+        wasted_work_price=prices.read_number("Waste", 0),
+    )
 
 
-def read_number(parent: dict[str, Any], key: str, default: float | None = None, low: float = 0) -> float:
-    value = parent.get(key, default)
-    if isinstance(value, bool) or not isinstance(value, int | float) or not low <= value < float("inf"):
-        raise SettingsError(f"settings: {key} is {value!r}")
-    return value
+def _add_load_reports(settings: Settings, statistics: JsonObject) -> Settings:
+    field_names = tuple(str(name) for name in statistics.read_list("Fields"))
+    are_off = statistics.get("Via") == "off"
+    return replace(settings, load_report_fields=() if are_off else field_names)
--- a/balancer/sidecar/discovery_client.py
+++ b/balancer/sidecar/discovery_client.py
@@ -8,13 +8,14 @@
 import random
 
 from balancer.policy_api import EndpointUpdate, EndpointUpdateKind
-from balancer.sidecar.configuration import (
-    Address,
+from balancer.sidecar.address import Address
+from balancer.sidecar.configuration import SidecarConfiguration
+from balancer.sidecar.dispatcher import Dispatcher
+from balancer.sidecar.endpoint_list import (
     EndpointListUpdate,
-    SidecarConfiguration,
+    MalformedEndpointListError,
     parse_endpoint_list,
 )
-from balancer.sidecar.dispatcher import Dispatcher
 from balancer.sidecar.http_message import HttpResponse
 from balancer.sidecar.upstream.connection import BufferBudget, UpstreamConnection
 
@@ -199,7 +200,7 @@
                 connection.close()
         try:
             return parse_endpoint_list(json.loads(answer.body), self._names)
-        except (ValueError, RecursionError) as problem:
+        except (ValueError, RecursionError, MalformedEndpointListError) as problem:
             raise MalformedDiscoveryResponseError(f"malformed list: {problem}") from None
 
     async def _exchange(self, connection: UpstreamConnection, request: bytes) -> HttpResponse | None:
--- /dev/null
+++ b/balancer/sidecar/endpoint_list.py
@@ -0,0 +1,200 @@
+"""Endpoint lists in the JSON form of discovery, which stored lists share, as typed entries."""
+
+from __future__ import annotations
+
+import logging
+import math
+from collections.abc import Callable, Iterator, Mapping
+from contextlib import suppress
+from dataclasses import dataclass
+from functools import partial
+from hashlib import blake2b
+from typing import TypeVar
+
+from balancer.errors import ProtocolError
+from balancer.json_object import JsonObject, is_integer, is_list, is_object
+from balancer.policy_api import Endpoint, EndpointHealth, EndpointId
+from balancer.sidecar.address import Address, parse_address
+from balancer.time_units import MILLISECOND_NS
+
+log = logging.getLogger(__name__)
+
+Number = TypeVar("Number", int, float)
+
+ENDPOINT_ID_BYTES = 8
+"""The decisions hash the first 64 bits of an id: a longer one would lose its last bytes."""
+
+NO_ADDRESS: Address = ("", 0)
+"""Of an endpoint that gets no new connections."""
+
+_DEPARTING_HEALTH_BY_NAME = {
+    "draining": EndpointHealth.DRAINING,
+    "removed": EndpointHealth.REMOVED,
+}
+_HEALTH_BY_NAME = {"up": EndpointHealth.READY, **_DEPARTING_HEALTH_BY_NAME}
+
+
+class MalformedEndpointListError(ProtocolError):
+    """An endpoint list does not have discovery's form.
+
+    Attributes:
+        key: The invalid field.
+        problem: What is wrong with it, as the rest of a sentence that begins with the key.
+        value: Its value.
+    """
+
+    def __init__(self, key: str, problem: str, value: object) -> None:
+        super().__init__(key, problem, value)
+        self.key = key
+        self.problem = problem
+        self.value = value
+
+    def __str__(self) -> str:
+        return f"{self.key} {self.problem}"
+
+
+class InvalidEndpointEntryError(MalformedEndpointListError):
+    """An entry of an endpoint list is invalid.
+
+    Attributes:
+        host: The host of the entry as it was decoded; None if it has none.
+    """
+
+    def __init__(self, host: object, key: str, problem: str, value: object) -> None:
+        super().__init__(key, problem, value)
+        self.host = host
+
+    def __str__(self) -> str:
+        return f"host {self.host!r}: {self.key} {self.problem}"
+
+
+@dataclass(frozen=True, slots=True)
+class DiscoveredEndpoint:
+    """An entry of an endpoint list: what the decisions see of it, and where it listens."""
+
+    endpoint: Endpoint
+    address: Address
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointListUpdate:
+    """A whole endpoint list, or the entries that changed since an earlier version."""
+
+    version: int
+    is_snapshot: bool
+    endpoints: tuple[DiscoveredEndpoint, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class NameIndices:
+    """Positions of zones and machine classes in the settings, by name."""
+
+    zones: Mapping[str, int]
+    machine_classes: Mapping[str, int]
+
+
+def parse_endpoint_list(raw: object, names: NameIndices) -> EndpointListUpdate:
+    """Translate a decoded endpoint list. Invalid entries are logged and skipped.
+
+    Raises MalformedEndpointListError if it is no list of endpoints or has no version.
+    """
+    if not is_object(raw):
+        raise MalformedEndpointListError("list", "is not an object", raw)
+    entries = raw.get("hosts")
+    if not is_list(entries):
+        raise MalformedEndpointListError("hosts", "is not a list", entries)
+    version = raw.get("seq")
+    if not is_integer(version):
+        raise MalformedEndpointListError("seq", f"is {version!r}", version)
+    is_snapshot = raw.get("whole") is True
+    return EndpointListUpdate(version, is_snapshot, tuple(_parse_entries(entries, names)))
+
+
+def derive_endpoint_id(host: str) -> EndpointId:
+    """Return the id by which the decisions know a host.
+
+    Raises InvalidEndpointEntryError if the host is not text that can be encoded.
+    """
+    try:
+        encoded = host.encode()
+    except UnicodeEncodeError as error:
+        raise InvalidEndpointEntryError(host, "host", f"cannot be encoded: {error}", host) from None
+    return blake2b(encoded, digest_size=ENDPOINT_ID_BYTES).digest()
+
+
+def _parse_entries(entries: list[object], names: NameIndices) -> Iterator[DiscoveredEndpoint]:
+    """Parse each entry. An invalid one must not hide the others, which may say that an endpoint drains."""
+    for entry in entries:
+        try:
+            yield _parse_entry(entry, names)
+        except InvalidEndpointEntryError as error:
+            departing = _parse_departing(entry)
+            if departing is not None:
+                yield departing
+            else:
+                log.warning("endpoint list entry skipped: %s: %.200s", type(error).__name__, error)
+
+
+def _parse_entry(entry: object, names: NameIndices) -> DiscoveredEndpoint:
+    if not is_object(entry):
+        raise InvalidEndpointEntryError(None, "entry", "is not an object", entry)
+    host = entry.get("host")
+    if not isinstance(host, str):
+        raise InvalidEndpointEntryError(host, "host", "is not a text", host)
+    fields = JsonObject(entry, partial(InvalidEndpointEntryError, host))
+    endpoint = Endpoint(
+        id=derive_endpoint_id(host),
+        zone=names.zones.get(str(fields.get("site")), 0),
+        machine_class=names.machine_classes.get(str(fields.get("class")), 0),
+        cell=_read_integer(fields, "block"),
+        health=fields.read_choice("health", _HEALTH_BY_NAME, "up"),
+        weight=_read_weight(fields),
+        started_at_ns=_read_integer(fields, "born_ms") * MILLISECOND_NS,
+    )
+    return DiscoveredEndpoint(endpoint, parse_address(fields.get("dial"), "dial", fields.make_error))
+
+
+def _parse_departing(entry: object) -> DiscoveredEndpoint | None:
+    """Parse an entry by its host and health alone if it says that the endpoint drains or is removed.
+
+    Whatever else is wrong with it, no new connection goes there.
+    """
+    if not is_object(entry):
+        return None
+    host = entry.get("host")
+    health = entry.get("health")
+    if not isinstance(host, str) or not isinstance(health, str) or health not in _DEPARTING_HEALTH_BY_NAME:
+        return None
+    endpoint = Endpoint(
+        id=derive_endpoint_id(host),
+        zone=0,
+        machine_class=0,
+        cell=0,
+        health=_DEPARTING_HEALTH_BY_NAME[health],
+        weight=1.0,
+        started_at_ns=0,
+    )
+    return DiscoveredEndpoint(endpoint, NO_ADDRESS)
+
+
+def _read_integer(fields: JsonObject, key: str) -> int:
+    return _read_converted(fields, key, default=0, convert=int)
+
+
+def _read_weight(fields: JsonObject) -> float:
+    """Return the registered size; JSON as Python reads it knows NaN and Infinity, which are no sizes."""
+    weight = _read_converted(fields, "share", default=1.0, convert=float)
+    if not math.isfinite(weight):
+        raise fields.make_error("share", f"is {weight!r}, not finite", weight)
+    return weight
+
+
+def _read_converted(
+    fields: JsonObject, key: str, default: Number, convert: Callable[[int | float | str], Number]
+) -> Number:
+    """Return a number, which may be written as text or as another kind of number: lists are not strict."""
+    value = fields.get(key, default)
+    if isinstance(value, int | float | str):
+        with suppress(ValueError, OverflowError):
+            return convert(value)
+    raise fields.make_error(key, f"is {value!r}, not a number", value)
--- a/tests/sidecar.py
+++ b/tests/sidecar.py
@@ -174,7 +174,7 @@
 
 class Sidecar:
     def __init__(self, told: dict[str, Any]) -> None:
-        self.config = config.parse(json.loads(json.dumps(told)))
+        self.config = config.parse_configuration(json.loads(json.dumps(told)))
         self.events: list[Event] = []
         self.changed = asyncio.Event()
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -19,10 +19,10 @@
     Event,
     RequestReceived,
 )
-from balancer.sidecar import configuration as config
-from balancer.sidecar.configuration import SECOND
 from balancer.sidecar.downstream.listener import MAX_PIPELINED_REQUESTS
+from balancer.sidecar.endpoint_list import derive_endpoint_id, parse_endpoint_list
 from balancer.sidecar.upstream.connection import CONNECTION_REST_NS, EndpointPool, UpstreamConnection
+from balancer.time_units import SECOND_NS as SECOND
 from tests.sidecar import (
     SETTINGS,
     WAIT,
@@ -346,7 +346,7 @@
             assert (await client.ask(request("post", rid="9b1f")))[0] == 503
             told = {"seq": 2, "whole": True, "hosts": [entry("s-1", served.dial)]}
             node.dispatcher.on_endpoint_update(
-                config.parse_endpoint_list(told, node.config.name_indices), EndpointUpdateKind.SNAPSHOT
+                parse_endpoint_list(told, node.config.name_indices), EndpointUpdateKind.SNAPSHOT
             )
             assert (await client.ask(request("post", rid="9b1f")))[0] == 200
 
@@ -453,7 +453,7 @@
             host, _, port = after.dial.rpartition(":")
             node.discovery.change_address((host, int(port)))
             told = await node.event(listed(EndpointUpdateKind.SNAPSHOT))
-            assert told.endpoints[0].id == config.endpoint_id("s-2")
+            assert told.endpoints[0].id == derive_endpoint_id("s-2")
             assert not [e for e in node.events if listed(EndpointUpdateKind.DISCOVERY_FAILED)(e)]
             assert [seen.line.split()[1] for seen in after.seen[:4]] == [b"/discovery/hosts"] * 4
             assert len(before.seen) == 1
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -14,7 +14,6 @@
 
 from balancer.policy import balancer as balance
 from balancer.policy_api import EndpointHealth, EndpointUpdate, EndpointUpdateKind, Event, WatchEndpoints
-from balancer.sidecar import configuration as config
 from balancer.sidecar import discovery_client as discovery
 from balancer.sidecar.discovery_client import (
     DiscoveryCallError,
@@ -22,6 +21,7 @@
     DiscoveryTimeoutError,
     MalformedDiscoveryResponseError,
 )
+from balancer.sidecar.endpoint_list import EndpointListUpdate
 from tests.helpers import SECOND, Bench
 from tests.helpers import settings as rules
 from tests.sidecar import SETTINGS, WAIT, Sidecar, dead_dial, entry, ok, run, sidecar, status
@@ -225,7 +225,7 @@
         self.on_failure: Callable[[], Awaitable[None]] | None = None
         original = DiscoveryClient._call
 
-        async def call(node: DiscoveryClient, query: str, timeout: float) -> config.EndpointListUpdate:
+        async def call(node: DiscoveryClient, query: str, timeout: float) -> EndpointListUpdate:
             number = len(self.made)
             self.made.append((query, timeout))
             node._connect_timeout = SHORT if short_connect and not self.failed else WAIT
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -32,8 +32,8 @@
     TimerFired,
 )
 from balancer.sidecar import configuration as config
-from balancer.sidecar.configuration import SECOND
 from balancer.sidecar.downstream.listener import MAX_PIPELINED_REQUESTS
+from balancer.sidecar.endpoint_list import NameIndices, derive_endpoint_id, parse_endpoint_list
 from balancer.sidecar.gossip_transport import GossipTransport
 from balancer.sidecar.http_message import MAX_HEAD_BYTES, MAX_RESPONSE_BODY_BYTES
 from balancer.sidecar.upstream.connection import (
@@ -42,6 +42,7 @@
     UpstreamManager,
     parse_report,
 )
+from balancer.time_units import SECOND_NS as SECOND
 from tests.sidecar import (
     SETTINGS,
     WAIT,
@@ -66,7 +67,7 @@
 
 
 def probed(name: str) -> Callable[[Event], bool]:
-    return lambda e: isinstance(e, HealthCheckCompleted) and e.endpoint_id == config.endpoint_id(name)
+    return lambda e: isinstance(e, HealthCheckCompleted) and e.endpoint_id == derive_endpoint_id(name)
 
 
 def test_a_request_goes_on_unchanged_and_its_answer_comes_back_unchanged() -> None:
@@ -375,16 +376,16 @@
                 outcomes.append(outcome)
                 ended.set()
 
-            attempt = node.dispatcher.upstream.create_attempt(config.endpoint_id("s-0"), request, done)
+            attempt = node.dispatcher.upstream.create_attempt(derive_endpoint_id("s-0"), request, done)
             assert attempt is not None
             attempt.start()
             told = {"seq": 2, "whole": False, "hosts": [entry("s-0", served.dial, "draining")]}
             node.dispatcher.on_endpoint_update(
-                config.parse_endpoint_list(told, node.config.name_indices), EndpointUpdateKind.DELTA
+                parse_endpoint_list(told, node.config.name_indices), EndpointUpdateKind.DELTA
             )
             await ended.wait()
             assert outcomes == [AttemptOutcome.CONNECT_FAILED] and served.seen == []
-            assert node.dispatcher.upstream.create_attempt(config.endpoint_id("s-0"), request, done) is None
+            assert node.dispatcher.upstream.create_attempt(derive_endpoint_id("s-0"), request, done) is None
 
     run(test())
 
@@ -460,7 +461,9 @@
 def test_a_real_connection_carries_one_request_at_a_time_whatever_the_settings_say() -> None:
     limits = {"Limits": {"StreamsPerConn": 100}}
     assert (
-        config.parse(configuration(dead_dial(), settings=SETTINGS | limits)).settings.streams_per_connection
+        config.parse_configuration(
+            configuration(dead_dial(), settings=SETTINGS | limits)
+        ).settings.streams_per_connection
         == 1
     )
 
@@ -474,7 +477,7 @@
             assert (await client.ask(up))[0] == 503
             told = {"seq": 2, "whole": True, "hosts": [entry("s-0", dead_dial())]}
             node.dispatcher.on_endpoint_update(
-                config.parse_endpoint_list(told, node.config.name_indices), EndpointUpdateKind.SNAPSHOT
+                parse_endpoint_list(told, node.config.name_indices), EndpointUpdateKind.SNAPSHOT
             )
             assert (await client.ask(up))[0] == 200
 
@@ -489,7 +492,7 @@
     async def test() -> None:
         async with endpoint(script) as served, sidecar(served.dial, dead_dial()) as node:
             for name in ("s-0", "s-1"):
-                node.dispatcher._probe(StartHealthCheck(config.endpoint_id(name)))
+                node.dispatcher._probe(StartHealthCheck(derive_endpoint_id(name)))
             good, bad = [await node.event(probed(name)) for name in ("s-0", "s-1")]
             assert (good.outcome, good.load_report) == (AttemptOutcome.SUCCESS, (140, 14.5, 0.5))
             assert (bad.outcome, bad.load_report) == (AttemptOutcome.CONNECT_FAILED, ())
@@ -570,7 +573,7 @@
     async def test() -> None:
         async with endpoint(always_ok) as served:
             now = [SECOND]
-            told = config.parse(configuration(served.dial))
+            told = config.parse_configuration(configuration(served.dial))
             upstream = UpstreamManager(told, asyncio.get_running_loop(), lambda: now[0])
             upstream.update_endpoints(told.known_endpoints.endpoints, whole=True)
             [pool] = upstream._pools.values()
@@ -606,7 +609,7 @@
                     while connection._transport is not None:
                         await asyncio.sleep(0)
 
-            told = config.parse(configuration(served.dial))
+            told = config.parse_configuration(configuration(served.dial))
             upstream = UpstreamManager(told, Losing(), lambda: SECOND)  # type: ignore[arg-type]
             upstream.update_endpoints(told.known_endpoints.endpoints, whole=True)
             [pool] = upstream._pools.values()
@@ -650,13 +653,13 @@
             upstream = node.dispatcher.upstream
             told = {"seq": 2, "whole": False, "hosts": [entry("s-1", other.dial)]}
             node.dispatcher.on_endpoint_update(
-                config.parse_endpoint_list(told, node.config.name_indices), EndpointUpdateKind.DELTA
+                parse_endpoint_list(told, node.config.name_indices), EndpointUpdateKind.DELTA
             )
             outcomes: asyncio.Queue[int] = asyncio.Queue()
 
             def start(name: str) -> None:
                 attempt = upstream.create_attempt(
-                    config.endpoint_id(name), request, lambda outcome, answer: outcomes.put_nowait(outcome)
+                    derive_endpoint_id(name), request, lambda outcome, answer: outcomes.put_nowait(outcome)
                 )
                 assert attempt is not None
                 attempt.start()
@@ -737,7 +740,7 @@
             full = await node.event(
                 lambda e: isinstance(e, EndpointUpdate) and e.kind == EndpointUpdateKind.SNAPSHOT
             )
-            assert [e.id for e in full.endpoints] == [config.endpoint_id("s-2")]
+            assert [e.id for e in full.endpoints] == [derive_endpoint_id("s-2")]
             lists = [e for e in node.events if isinstance(e, EndpointUpdate)]
             assert [e.kind for e in lists] == [1, 2, 2, 3]
             assert [e.endpoints[0].health for e in lists] == [1, 1, 2, 1]
@@ -793,7 +796,7 @@
             host, _, port = after.dial.rpartition(":")
             node.discovery.change_address((host, int(port)))
             node.discovery.change_address((host, int(port)))  # told twice, it is the same address
-            await node.event(lambda e: full_list(e) and e.endpoints[0].id == config.endpoint_id("s-2"))
+            await node.event(lambda e: full_list(e) and e.endpoints[0].id == derive_endpoint_id("s-2"))
             await before.seen[1].left.wait()  # the old watch has ended
             while len(calls) < 4:
                 await asyncio.sleep(0.01)
@@ -817,22 +820,22 @@
                 host, _, port = dial.rpartition(":")
                 node.discovery.change_address((host, int(port)))
             full = await node.event(full_list)
-            assert full.endpoints[0].id == config.endpoint_id("s-2") and calls
+            assert full.endpoints[0].id == derive_endpoint_id("s-2") and calls
 
     run(test())
 
 
 def test_one_entry_that_makes_no_sense_hides_no_other() -> None:
-    names = config.NameIndices({}, {})
+    names = NameIndices({}, {})
     good, drained = entry("s-1", "127.0.0.1:9"), entry("s-2", "nowhere", "draining")
     odd = [7, {}, entry("s-3", "nowhere"), good | {"share": math.inf}, good | {"health": []}]
-    told = config.parse_endpoint_list({"seq": 1, "whole": True, "hosts": [*odd, drained, good]}, names)
+    told = parse_endpoint_list({"seq": 1, "whole": True, "hosts": [*odd, drained, good]}, names)
     assert [(h.endpoint.id, h.endpoint.health) for h in told.endpoints] == [
         (
-            config.endpoint_id("s-2"),
+            derive_endpoint_id("s-2"),
             EndpointHealth.DRAINING,
         ),  # that it drains is plain, whatever its address
-        (config.endpoint_id("s-1"), EndpointHealth.READY),
+        (derive_endpoint_id("s-1"), EndpointHealth.READY),
     ]
 
 
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -19,8 +19,7 @@
     EndpointUpdateKind,
     Event,
 )
-from balancer.sidecar import configuration as config
-from balancer.sidecar.configuration import SECOND
+from balancer.sidecar.endpoint_list import derive_endpoint_id, parse_endpoint_list
 from balancer.sidecar.http_message import MAX_RESPONSE_BODY_BYTES, HttpResponse
 from balancer.sidecar.upstream.connection import (
     CONNECTION_REST_NS,
@@ -28,6 +27,7 @@
     UpstreamConnection,
     outcome_of_response,
 )
+from balancer.time_units import SECOND_NS as SECOND
 from tests.sidecar import (
     SETTINGS,
     WAIT,
@@ -375,7 +375,7 @@
 def move(node: Sidecar, dial: str, health: str = "up") -> None:
     told = {"seq": 2, "whole": False, "hosts": [entry("s-0", dial, health)]}
     node.dispatcher.on_endpoint_update(
-        config.parse_endpoint_list(told, node.config.name_indices), EndpointUpdateKind.DELTA
+        parse_endpoint_list(told, node.config.name_indices), EndpointUpdateKind.DELTA
     )
 
 
@@ -523,7 +523,7 @@
                 attempts = []
                 for _ in range(5):
                     attempt = upstream.create_attempt(
-                        config.endpoint_id("s-0"), request, lambda outcome, _: outcomes.append(outcome)
+                        derive_endpoint_id("s-0"), request, lambda outcome, _: outcomes.append(outcome)
                     )
                     assert attempt is not None
                     attempt.start()
@@ -575,7 +575,7 @@
 
             def start(latest: int) -> None:
                 attempt = upstream.create_attempt(
-                    config.endpoint_id("s-0"),
+                    derive_endpoint_id("s-0"),
                     request,
                     lambda outcome, _: outcomes.put_nowait(outcome),
                     latest,
@@ -688,7 +688,7 @@
                     upstream.now_ns = lambda: now  # the connection is up in time, however slowly
                     ended = asyncio.get_running_loop().create_future()
                     attempt = upstream.create_attempt(
-                        config.endpoint_id("s-0"),
+                        derive_endpoint_id("s-0"),
                         lambda: whole,
                         lambda outcome, _: ended.set_result(outcome),
                         now + SECOND // 10,
