Split the calls to discovery from the watching, its profile and its retry policy

Cause: DiscoveryClient made the HTTP call, kept the connection, ran the watches and decided on three kinds of pauses in one class, with a test for pushed lists at every step; nothing awaited its tasks. Change: sidecar/discovery_call.py makes single calls and raises DiscoveryCallError and its kinds, rooted in DiscoveryError, with the address and the problem as fields. sidecar/discovery_profile.py has the times, with units and reasons, of pushed and of polled discovery as one frozen profile each. sidecar/discovery_retry.py has the one Backoff and the WatchRetryPolicy. DiscoveryClient owns its tasks; stop() cancels and awaits them and closes the idle connection.

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Any
 
 import pytest
@@ -395,9 +396,11 @@
             endpoint(script) as served,
             sidecar("127.0.0.1:9", discovery=served.dial, settings=ASKED) as node,
         ):
-            node.discovery._hold, node.discovery._grace = 1.0, 0.0
-            node.discovery._connect_timeout = WAIT
-            first_comes.append(lambda: setattr(node.discovery, "_hold", WAIT))  # the others may be slow
+            brief = replace(node.discovery.profile, hold_seconds=1.0, grace_seconds=0.0)
+            long = replace(brief, hold_seconds=WAIT)
+            node.discovery.profile = brief
+            node.discovery.caller.connect_timeout_seconds = WAIT
+            first_comes.append(lambda: setattr(node.discovery, "profile", long))  # the others may be slow
             node.discovery.set_watching(True)
             told = await node.event(listed(EndpointUpdateKind.DELTA))
             assert told.endpoints[0].health == EndpointHealth.DRAINING
@@ -419,7 +422,8 @@
             endpoint(script) as served,
             sidecar("127.0.0.1:9", discovery=served.dial, settings=ASKED) as node,
         ):
-            node.discovery._grace = node.discovery._connect_timeout = WAIT
+            node.discovery.profile = replace(node.discovery.profile, grace_seconds=WAIT)
+            node.discovery.caller.connect_timeout_seconds = WAIT
             node.discovery.set_watching(True)
             await node.event(listed(EndpointUpdateKind.DISCOVERY_FAILED))
             assert len(served.seen) == (2 if answer == SPOILT[1] else 1)
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -8,23 +8,27 @@
 import re
 import socket
 from collections.abc import AsyncIterator, Awaitable, Callable
+from random import Random
 from typing import Any
 
 import pytest
 
+from balancer.errors import DiscoveryError
 from balancer.policy import balancer as balance
 from balancer.policy_api import EndpointHealth, EndpointUpdate, EndpointUpdateKind, Event, WatchEndpoints
-from balancer.sidecar import discovery_client as discovery
-from balancer.sidecar.discovery_client import (
+from balancer.sidecar import discovery_profile as discovery
+from balancer.sidecar.discovery_call import (
+    DiscoveryCaller,
     DiscoveryCallError,
-    DiscoveryClient,
     DiscoveryTimeoutError,
     MalformedDiscoveryResponseError,
 )
-from balancer.sidecar.endpoint_list import EndpointListUpdate
+from balancer.sidecar.discovery_profile import POLLED_DISCOVERY, PUSHED_DISCOVERY
+from balancer.sidecar.discovery_retry import Backoff, WatchRetryPolicy
+from balancer.sidecar.endpoint_list import EndpointListUpdate, NameIndices
 from tests.helpers import SECOND, Bench
 from tests.helpers import settings as rules
-from tests.sidecar import SETTINGS, WAIT, Sidecar, dead_dial, entry, ok, run, sidecar, status
+from tests.sidecar import SETTINGS, WAIT, Sidecar, dead_dial, endpoint, entry, never, ok, run, sidecar, status
 
 TOLD_AFTER, MARGIN = 6.0, 0.5  # s: a change counts as told then; and what is to be left of it
 AFTER_SIGHUP = 4.0
@@ -49,13 +53,13 @@
     so was begun just before; the one that follows goes well."""
     module = balance.Balancer(rules(polls_discovery=asked, discovery_poll_window_ns=ask_within), 1)
     if asked:
-        call, connect = discovery.HOLD + discovery.GRACE, discovery.GRACE
-        first, again = discovery.FIRST_ASKED, discovery.RETRY_ASKED_MOST
+        profile = POLLED_DISCOVERY
         pause, at_once = (module.ask_spread + balance.CYCLE) / SECOND, 0.0
     else:
-        call, connect = discovery.HOLD_PUSHED + discovery.GRACE_PUSHED, discovery.GRACE_PUSHED
-        first, again = discovery.FIRST_TIMEOUT, discovery.RETRY
-        pause = at_once = discovery.RETRY
+        profile = PUSHED_DISCOVERY
+        pause = at_once = profile.max_retry_pause_seconds
+    call, connect = profile.hold_seconds + profile.grace_seconds, profile.grace_seconds
+    first, again = profile.snapshot_timeout_seconds, profile.max_retry_pause_seconds
     before = {
         "refused": pause,
         "connect hangs": connect + pause,
@@ -66,10 +70,10 @@
         "silent, before the answer or in it": call + at_once,
         "silent, and the next call fails at once": call + pause,
         "trickles without end": call + at_once,
-        "nothing new": discovery.PAUSE,
+        "nothing new": discovery.UNCHANGED_PAUSE_SECONDS,
         "the first call of a process, silent": (pause if asked else 0.0) + call + at_once,
         "the new address fails": first + again,
-        "the whole list, asked once, fails": discovery.FIRST_ASKED + pause,
+        "the whole list, asked once, fails": discovery.FETCH_TIMEOUT_SECONDS + pause,
     }
     return {ending: seconds + ANSWERED for ending, seconds in before.items()}
 
@@ -82,17 +86,18 @@
 
 
 def test_three_calls_to_a_new_address_fit_in_the_time_after_sighup() -> None:
-    pauses = [discovery.RETRY_ASKED * 2**n for n in range(2)]
-    assert max(pauses) <= discovery.RETRY_ASKED_MOST
-    assert 3 * discovery.FIRST_ASKED + sum(pauses) < AFTER_SIGHUP
-    assert 3 * discovery.FIRST_TIMEOUT + 2 * discovery.RETRY < AFTER_SIGHUP
+    polled, pushed = POLLED_DISCOVERY, PUSHED_DISCOVERY
+    pauses = [polled.first_retry_pause_seconds * 2**n for n in range(2)]
+    assert max(pauses) <= polled.max_retry_pause_seconds
+    assert 3 * polled.snapshot_timeout_seconds + sum(pauses) < AFTER_SIGHUP
+    assert 3 * pushed.snapshot_timeout_seconds + 2 * pushed.max_retry_pause_seconds < AFTER_SIGHUP
 
 
 @pytest.mark.parametrize("asked", [False, True], ids=["pushed", "asked"])
 def test_a_connection_that_comes_up_late_leaves_the_call_its_whole_hold(asked: bool) -> None:
     async def test() -> None:
         async with sidecar(settings=site(asked)) as node:
-            assert 0 < node.discovery._connect_timeout <= node.discovery._grace
+            assert 0 < node.discovery.caller.connect_timeout_seconds <= node.discovery.profile.grace_seconds
 
     run(test())
 
@@ -223,14 +228,14 @@
         self.made: list[tuple[str, float]] = []
         self.failed: list[type[DiscoveryCallError]] = []
         self.on_failure: Callable[[], Awaitable[None]] | None = None
-        original = DiscoveryClient._call
+        original = DiscoveryCaller._call
 
-        async def call(node: DiscoveryClient, query: str, timeout: float) -> EndpointListUpdate:
+        async def call(caller: DiscoveryCaller, query: str, timeout: float) -> EndpointListUpdate:
             number = len(self.made)
             self.made.append((query, timeout))
-            node._connect_timeout = SHORT if short_connect and not self.failed else WAIT
+            caller.connect_timeout_seconds = SHORT if short_connect and not self.failed else WAIT
             try:
-                return await original(node, query, SHORT if number == short else 2 * WAIT)
+                return await original(caller, query, SHORT if number == short else 2 * WAIT)
             except DiscoveryCallError as problem:
                 self.failed.append(type(problem))
                 if self.on_failure is not None:
@@ -238,7 +243,7 @@
                     await on_failure()
                 raise
 
-        patch.setattr(DiscoveryClient, "_call", call)
+        patch.setattr(DiscoveryCaller, "_call", call)
 
 
 def drained(event: Event) -> bool:
@@ -280,9 +285,8 @@
         stand_in.server.close()
 
     run(test())
-    hold, grace = (
-        (discovery.HOLD, discovery.GRACE) if asked else (discovery.HOLD_PUSHED, discovery.GRACE_PUSHED)
-    )
+    profile = POLLED_DISCOVERY if asked else PUSHED_DISCOVERY
+    hold, grace = profile.hold_seconds, profile.grace_seconds
     for query, timeout in calls.made:
         told = re.fullmatch(r"\?from=\d+&hold_ms=(\d+)", query)
         assert told is not None and hold / 2 <= int(told[1]) / 1000 <= hold
@@ -363,7 +367,8 @@
 
     run(test())
     assert set(calls.failed) == {DiscoveryCallError}
-    pauses = [min(discovery.RETRY_ASKED * 2**n, discovery.RETRY_ASKED_MOST) for n in range(len(slept[:6]))]
+    first, most = POLLED_DISCOVERY.first_retry_pause_seconds, POLLED_DISCOVERY.max_retry_pause_seconds
+    pauses = [min(first * 2**n, most) for n in range(len(slept[:6]))]
     assert all(pause / 2 <= had <= pause for pause, had in zip(pauses, slept, strict=False))
     assert len({had / pause for pause, had in zip(pauses, slept, strict=False)}) > 1
 
@@ -408,7 +413,115 @@
                 b"/discovery/hosts?from=1",
                 b"/discovery/hosts",
             ]
-        assert calls.made[1] == ("", discovery.FIRST_ASKED)
+        assert calls.made[1] == ("", discovery.FETCH_TIMEOUT_SECONDS)
         server.close()
 
     run(test())
+
+
+# ---- retries and tasks
+
+
+def test_a_backoff_doubles_its_pauses_up_to_its_maximum() -> None:
+    backoff = Backoff(first_seconds=0.25, max_seconds=1.5, jitter=0.0, random=Random(1))
+    assert [backoff.next_pause_seconds() for _ in range(5)] == [0.25, 0.5, 1.0, 1.5, 1.5]
+
+
+def test_a_backoff_shortens_each_pause_by_a_share_of_its_own() -> None:
+    backoff = Backoff(first_seconds=1.0, max_seconds=1.0, jitter=0.5, random=Random(1))
+    pauses = [backoff.next_pause_seconds() for _ in range(50)]
+    assert all(0.5 < pause <= 1.0 for pause in pauses)
+    assert len(set(pauses)) == 50
+
+
+def failures(*kinds: type[DiscoveryCallError]) -> list[DiscoveryCallError]:
+    return [kind(("127.0.0.1", 9), "a test") for kind in kinds]
+
+
+def test_a_polled_watch_repeats_what_may_hide_a_change_and_a_malformed_response_only_once() -> None:
+    policy = WatchRetryPolicy(POLLED_DISCOVERY, Random(1))
+    plain, late, malformed = failures(
+        DiscoveryCallError, DiscoveryTimeoutError, MalformedDiscoveryResponseError
+    )
+    answers = [policy.pause_seconds_after(error, False) for error in (late, late, malformed, malformed)]
+    assert answers == [0.0, 0.0, 0.0, None]
+    assert policy.pause_seconds_after(plain, False) is None
+    assert policy.pause_seconds_after(late, False) == 0.0
+    assert policy.pause_seconds_after(malformed, False) == 0.0
+    policy.record_success()
+    assert policy.pause_seconds_after(malformed, False) == 0.0
+
+
+def test_a_pushed_watch_and_one_that_needs_a_snapshot_repeat_every_call_after_a_pause() -> None:
+    for profile, needs_snapshot in ((PUSHED_DISCOVERY, False), (POLLED_DISCOVERY, True)):
+        policy = WatchRetryPolicy(profile, Random(1))
+        for error in failures(DiscoveryCallError, DiscoveryTimeoutError, MalformedDiscoveryResponseError):
+            pause_seconds = policy.pause_seconds_after(error, needs_snapshot)
+            assert pause_seconds is not None
+            assert 0.02 < pause_seconds <= profile.max_retry_pause_seconds
+
+
+def discovery_tasks() -> list[asyncio.Task[Any]]:
+    return [task for task in asyncio.all_tasks() if "DiscoveryClient" in repr(task.get_coro())]
+
+
+@pytest.mark.parametrize("asked", [False, True], ids=["pushed", "asked"])
+def test_stop_cancels_and_awaits_every_call_and_none_begins_after_it(
+    asked: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    calls = Calls(monkeypatch, None)
+
+    async def test() -> None:
+        async with (
+            endpoint(never) as served,
+            sidecar("127.0.0.1:9", discovery=served.dial, settings=site(asked)) as node,
+        ):
+            begin(node, asked)
+            node.discovery.fetch_snapshot()
+            while len(served.seen) < 2:
+                await asyncio.sleep(0.001)
+            assert len(discovery_tasks()) == 2
+            await node.discovery.stop()
+            assert discovery_tasks() == []
+            for seen in served.seen:
+                await seen.left.wait()
+            node.discovery.set_watching(True)
+            node.discovery.fetch_snapshot()
+            assert discovery_tasks() == []
+
+    run(test())
+    assert len(calls.made) == 2
+    assert calls.failed == []
+
+
+def test_stop_closes_the_idle_connection() -> None:
+    async def test() -> None:
+        async with (
+            endpoint(lambda seen: asyncio.sleep(0, ok(NOTHING_NEW))) as served,
+            sidecar("127.0.0.1:9", discovery=served.dial, settings=site(True)) as node,
+        ):
+            node.discovery.fetch_snapshot()
+            await node.event(lambda e: isinstance(e, EndpointUpdate) and e.kind == EndpointUpdateKind.DELTA)
+            connection = node.discovery.caller._idle_connection
+            assert connection is not None
+            assert connection.is_reusable()
+            await node.discovery.stop()
+            assert not connection.is_reusable()
+            assert node.discovery.caller._idle_connection is None
+
+    run(test())
+
+
+def test_a_failed_call_carries_the_address_and_the_problem() -> None:
+    async def test() -> None:
+        dial = dead_dial()
+        host, _, port = dial.rpartition(":")
+        loop = asyncio.get_running_loop()
+        caller = DiscoveryCaller((host, int(port)), NameIndices({}, {}), WAIT, loop)
+        with pytest.raises(DiscoveryCallError, match=f"call to discovery at {dial} failed: ") as caught:
+            await caller.fetch_snapshot(WAIT)
+        assert isinstance(caught.value, DiscoveryError)
+        assert caught.value.address == (host, int(port))
+        assert caught.value.problem.startswith("ConnectionRefusedError")
+
+    run(test())
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -10,6 +10,7 @@
 import socket
 from collections import Counter
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Any
 
 import httptools
@@ -735,7 +736,8 @@
     async def test() -> None:
         async with endpoint(script) as served, sidecar("127.0.0.1:9", discovery=served.dial) as node:
             # No answer here is late, however slow the machine.
-            node.discovery._grace = node.discovery._connect_timeout = WAIT
+            node.discovery.profile = replace(node.discovery.profile, grace_seconds=WAIT)
+            node.discovery.caller.connect_timeout_seconds = WAIT
             node.discovery.start()
             full = await node.event(
                 lambda e: isinstance(e, EndpointUpdate) and e.kind == EndpointUpdateKind.SNAPSHOT
@@ -788,7 +790,8 @@
             endpoint(new) as after,
             sidecar("127.0.0.1:9", discovery=before.dial) as node,
         ):
-            node.discovery._grace = node.discovery._connect_timeout = WAIT
+            node.discovery.profile = replace(node.discovery.profile, grace_seconds=WAIT)
+            node.discovery.caller.connect_timeout_seconds = WAIT
             node.discovery.start()
             await node.event(full_list)
             while len(before.seen) < 2:
