Read the settings' object of a configuration in a function of its own

Change: The check that settings are there moves to _read_settings_object; two calls fit in a line each.

--- a/balancer/sidecar/configuration.py
+++ b/balancer/sidecar/configuration.py
@@ -46,7 +46,7 @@
 DEFAULT_MEMORY_MEBIBYTES = 64
 BYTES_PER_MEBIBYTE = 1024 * 1024
 DEFAULT_CONNECT_TIMEOUT_NS = SECOND_NS // 4
-DEFAULT_CONNECTION_IDLE_TIMEOUT_NS = 15 * SECOND_NS
+DEFAULT_IDLE_TIMEOUT_NS = 15 * SECOND_NS
 
 _ENVIRONMENT_KEYS = ("name", "listen", "discovery")
 """Keys that PROXY_NAME and so on stand in for where the file leaves them out."""
@@ -100,12 +100,9 @@
     Raises ConfigurationError, or SettingsError for what is below its `settings`.
     """
     top = JsonObject(raw, ConfigurationError)
-    raw_settings = top.get("settings")
-    if not is_object(raw_settings):
-        raise ConfigurationError("settings", "are missing", raw_settings)
-    settings_fields = JsonObject(raw_settings, SettingsError)
+    settings_fields = _read_settings_object(top)
     settings = read_settings(settings_fields)
-    connection_limits = settings_fields.read_object("Limits")
+    limits = settings_fields.read_object("Limits")
     names = _read_name_indices(settings_fields)
     descriptors = _read_max_descriptors(top)
     max_downstream_connections = _max_downstream_connections(descriptors)
@@ -124,12 +121,8 @@
         settings=replace(settings, streams_per_connection=1),
         name_indices=names,
         load_reports_enabled=bool(settings.load_report_fields),
-        connect_timeout_ns=connection_limits.read_integer(
-            "ConnectTimeoutNs", DEFAULT_CONNECT_TIMEOUT_NS, low=1
-        ),
-        connection_idle_timeout_ns=connection_limits.read_integer(
-            "ConnIdleNs", DEFAULT_CONNECTION_IDLE_TIMEOUT_NS, low=1
-        ),
+        connect_timeout_ns=limits.read_integer("ConnectTimeoutNs", DEFAULT_CONNECT_TIMEOUT_NS, low=1),
+        connection_idle_timeout_ns=limits.read_integer("ConnIdleNs", DEFAULT_IDLE_TIMEOUT_NS, low=1),
         known_endpoints=_read_known_endpoints(top, names),
     )
 
@@ -149,6 +142,13 @@
     return fields
 
 
+def _read_settings_object(top: JsonObject) -> JsonObject:
+    settings = top.get("settings")
+    if not is_object(settings):
+        raise ConfigurationError("settings", "are missing", settings)
+    return JsonObject(settings, SettingsError)
+
+
 def _read_name_indices(settings: JsonObject) -> NameIndices:
     return NameIndices(
         zones=_index_by_name(settings.get("Azs")),
