--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Any
 
 import pytest
@@ -19,10 +20,10 @@
     Event,
     RequestReceived,
 )
-from balancer.sidecar import configuration as config
-from balancer.sidecar.configuration import SECOND
 from balancer.sidecar.downstream.listener import MAX_PIPELINED_REQUESTS
+from balancer.sidecar.endpoint_list import derive_endpoint_id, parse_endpoint_list
 from balancer.sidecar.upstream.connection import CONNECTION_REST_NS, EndpointPool, UpstreamConnection
+from balancer.time_units import SECOND_NS as SECOND
 from tests.sidecar import (
     SETTINGS,
     WAIT,
@@ -346,7 +347,7 @@
             assert (await client.ask(request("post", rid="9b1f")))[0] == 503
             told = {"seq": 2, "whole": True, "hosts": [entry("s-1", served.dial)]}
             node.dispatcher.on_endpoint_update(
-                config.parse_endpoint_list(told, node.config.name_indices), EndpointUpdateKind.SNAPSHOT
+                parse_endpoint_list(told, node.config.name_indices), EndpointUpdateKind.SNAPSHOT
             )
             assert (await client.ask(request("post", rid="9b1f")))[0] == 200
 
@@ -395,9 +396,11 @@
             endpoint(script) as served,
             sidecar("127.0.0.1:9", discovery=served.dial, settings=ASKED) as node,
         ):
-            node.discovery._hold, node.discovery._grace = 1.0, 0.0
-            node.discovery._connect_timeout = WAIT
-            first_comes.append(lambda: setattr(node.discovery, "_hold", WAIT))  # the others may be slow
+            brief = replace(node.discovery.profile, hold_seconds=1.0, grace_seconds=0.0)
+            long = replace(brief, hold_seconds=WAIT)
+            node.discovery.profile = brief
+            node.discovery.caller.connect_timeout_seconds = WAIT
+            first_comes.append(lambda: setattr(node.discovery, "profile", long))  # the others may be slow
             node.discovery.set_watching(True)
             told = await node.event(listed(EndpointUpdateKind.DELTA))
             assert told.endpoints[0].health == EndpointHealth.DRAINING
@@ -419,7 +422,8 @@
             endpoint(script) as served,
             sidecar("127.0.0.1:9", discovery=served.dial, settings=ASKED) as node,
         ):
-            node.discovery._grace = node.discovery._connect_timeout = WAIT
+            node.discovery.profile = replace(node.discovery.profile, grace_seconds=WAIT)
+            node.discovery.caller.connect_timeout_seconds = WAIT
             node.discovery.set_watching(True)
             await node.event(listed(EndpointUpdateKind.DISCOVERY_FAILED))
             assert len(served.seen) == (2 if answer == SPOILT[1] else 1)
@@ -453,7 +457,7 @@
             host, _, port = after.dial.rpartition(":")
             node.discovery.change_address((host, int(port)))
             told = await node.event(listed(EndpointUpdateKind.SNAPSHOT))
-            assert told.endpoints[0].id == config.endpoint_id("s-2")
+            assert told.endpoints[0].id == derive_endpoint_id("s-2")
             assert not [e for e in node.events if listed(EndpointUpdateKind.DISCOVERY_FAILED)(e)]
             assert [seen.line.split()[1] for seen in after.seen[:4]] == [b"/discovery/hosts"] * 4
             assert len(before.seen) == 1
