--- a/tests/test_example.py
+++ b/tests/test_example.py
@@ -6,14 +6,14 @@
 import shlex
 from pathlib import Path
 
-from balancer.sidecar.configuration import SidecarConfiguration, load
+from balancer.sidecar.configuration import SidecarConfiguration, load_configuration
 from balancer.sidecar.http_request import Checker, parse_head
 
 EXAMPLE = Path(__file__).parent.parent / "deploy" / "example"
 
 
 def load_example() -> SidecarConfiguration:
-    return load({"PROXY_CONFIG": str(EXAMPLE / "config.json")})
+    return load_configuration({"PROXY_CONFIG": str(EXAMPLE / "config.json")})
 
 
 def test_example_configuration_names_the_two_account_servers() -> None:
