Split the simulator's codec into codes, frames, event decoder and action encoder

Cause: record codes and struct layouts were bare numbers and one-letter names, readers and writers went through Any and lambdas, errors were sentences without fields, and the adapter was one long function. The bytes and the lines on standard error are unchanged.

--- a/balancer/simulator/__init__.py
+++ b/balancer/simulator/__init__.py
@@ -1,1 +1,1 @@
-"""The same decisions on the wire of the simulator."""
+"""Runs the decisions of many sidecars on the binary wire of the simulator."""
--- /dev/null
+++ b/balancer/simulator/__main__.py
@@ -0,0 +1,24 @@
+"""The simulator's adapter as a program: batches on standard input, replies on standard output."""
+
+from __future__ import annotations
+
+import sys
+
+from balancer.simulator.adapter import serve
+from balancer.simulator.errors import WireFormatError
+
+EXIT_MALFORMED_INPUT = 2
+
+
+def main() -> int:
+    """Serve until the input ends; returns the exit code."""
+    try:
+        serve(sys.stdin.buffer, sys.stdout.buffer)
+    except WireFormatError as error:
+        print(f"simhost: {error}", file=sys.stderr)
+        return EXIT_MALFORMED_INPUT
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/balancer/simulator/adapter.py
+++ b/balancer/simulator/adapter.py
@@ -1,65 +1,65 @@
-"""Hosts many instances on the simulator's wire, over standard input and output. It decides nothing."""
+"""Hosts the decisions of many sidecars on the simulator's wire. It decides nothing itself."""
 
 from __future__ import annotations
 
-import sys
 from typing import BinaryIO
 
 from balancer import settings_parser
 from balancer.policy.balancer import Balancer
-from balancer.policy_api import Started
-from balancer.simulator import wire_codec
+from balancer.policy_api import Action, Started
+from balancer.simulator.action_encoder import encode_action, encode_failure
+from balancer.simulator.event_decoder import EventDecoder, HostedEvent, InstanceStarted, InstanceStopped
+from balancer.simulator.frames import Batch, encode_reply, read_batch
 
 
-def serve(source: BinaryIO, sink: BinaryIO) -> None:
-    """Answer batches until the input ends. Raises wire_codec.WireFormatError on a frame that can't be."""
-    decoder = wire_codec.Decoder()
-    instances: dict[int, Balancer] = {}
-    encode = wire_codec.encode
-    while True:
-        head = source.read(wire_codec.BATCH.size)
-        if not head:
-            return
-        if len(head) < wire_codec.BATCH.size:
-            raise wire_codec.WireFormatError("truncated frame header")
-        size, now, count = wire_codec.BATCH.unpack(head)
-        if size < wire_codec.BATCH.size:
-            raise wire_codec.WireFormatError(f"impossible frame length {size}")
-        body = source.read(size - wire_codec.BATCH.size)
-        if len(body) < size - wire_codec.BATCH.size:
-            raise wire_codec.WireFormatError("truncated frame")
-        out: list[bytes] = []
-        for number, event in decoder.events(body, count):
-            if isinstance(event, wire_codec.Stop):
-                instances.pop(number, None)
-                continue
+class InstanceHost:
+    """The sidecars that run in this process, by number."""
+
+    def __init__(self) -> None:
+        self._decoder = EventDecoder()
+        self._balancers: dict[int, Balancer] = {}
+
+    def handle_batch(self, batch: Batch) -> list[bytes]:
+        """Handle the events of a batch in order; returns the records of the reply.
+
+        Raises:
+            WireFormatError: the wire does not allow what is in the batch.
+        """
+        reply: list[bytes] = []
+        for instance, event in self._decoder.decode(batch.records, batch.record_count):
             try:
-                if isinstance(event, wire_codec.Attach):
-                    balancer = instances[number] = Balancer(
-                        settings_parser.parse_settings(event.conf), event.seed
-                    )
-                    actions = balancer.handle(now, Started())
-                elif (held := instances.get(number)) is not None:
-                    actions = held.handle(now, event)
-                else:
-                    continue  # an event for an instance that was never started or has died
-                for action in actions:
-                    out.append(encode(number, action))
-            except Exception as problem:  # any fault of the decisions ends the day, with its cause
-                instances.pop(number, None)
-                out.append(wire_codec.die(number, f"{type(problem).__name__}: {problem}"))
-        sink.write(wire_codec.frame(out))
-        sink.flush()
+                for action in self._handle(instance, batch.now_ns, event):
+                    reply.append(encode_action(instance, action))
+            except Exception as failure:  # any failure of the decisions ends the day, with its cause
+                self._balancers.pop(instance, None)
+                reply.append(encode_failure(instance, f"{type(failure).__name__}: {failure}"))
+        return reply
+
+    def _handle(self, instance: int, now_ns: int, event: HostedEvent) -> list[Action]:
+        if isinstance(event, InstanceStarted):
+            return self._start_instance(instance, now_ns, event)
+        if isinstance(event, InstanceStopped):
+            self._balancers.pop(instance, None)
+            return []
+        balancer = self._balancers.get(instance)
+        if balancer is None:
+            return []  # the instance was never started, or has failed
+        return balancer.handle(now_ns, event)
 
+    def _start_instance(self, instance: int, now_ns: int, event: InstanceStarted) -> list[Action]:
+        settings = settings_parser.parse_settings(event.settings_json)
+        balancer = Balancer(settings, event.random_seed)
+        self._balancers[instance] = balancer
+        return balancer.handle(now_ns, Started())
 
-def main() -> int:
-    try:
-        serve(sys.stdin.buffer, sys.stdout.buffer)
-    except wire_codec.WireFormatError as problem:
-        print(f"simhost: {problem}", file=sys.stderr)
-        return 2
-    return 0
 
+def serve(source: BinaryIO, sink: BinaryIO) -> None:
+    """Answer batches until the input ends.
 
-if __name__ == "__main__":
-    sys.exit(main())
+    Raises:
+        WireFormatError: the wire does not allow what was read; the batch at fault gets no reply.
+    """
+    host = InstanceHost()
+    while (batch := read_batch(source)) is not None:
+        sink.write(encode_reply(host.handle_batch(batch)))
+        sink.flush()
--- /dev/null
+++ b/balancer/simulator/errors.py
@@ -0,0 +1,114 @@
+"""What can be wrong with the bytes that arrive on the simulator's wire."""
+
+from __future__ import annotations
+
+from typing import ClassVar
+
+from balancer.errors import ProtocolError
+
+
+class WireFormatError(ProtocolError):
+    """The simulator sent something that its wire does not allow."""
+
+
+class TruncatedFrameError(WireFormatError):
+    """The input ended inside a frame."""
+
+    def __init__(self, part: str, expected_bytes: int, received_bytes: int) -> None:
+        super().__init__(f"truncated {part}")
+        self.part = part
+        self.expected_bytes = expected_bytes
+        self.received_bytes = received_bytes
+
+
+class FrameLengthError(WireFormatError):
+    """A frame claims to be shorter than its own header."""
+
+    def __init__(self, frame_bytes: int) -> None:
+        super().__init__(f"impossible frame length {frame_bytes}")
+        self.frame_bytes = frame_bytes
+
+
+class MissingRecordError(WireFormatError):
+    """A frame ended before the number of records that its header announces."""
+
+    def __init__(self, announced_records: int, decoded_records: int) -> None:
+        super().__init__("truncated frame: a record is missing")
+        self.announced_records = announced_records
+        self.decoded_records = decoded_records
+
+
+class TruncatedRecordError(WireFormatError):
+    """A frame ended inside the fixed fields or the numbers of a record."""
+
+    def __init__(self, record_code: int) -> None:
+        super().__init__(f"truncated record of code {record_code}")
+        self.record_code = record_code
+
+
+class RecordOverrunError(WireFormatError):
+    """The byte string of a record is longer than the rest of its frame."""
+
+    def __init__(self, expected_bytes: int, remaining_bytes: int) -> None:
+        super().__init__("truncated frame: a record runs past its end")
+        self.expected_bytes = expected_bytes
+        self.remaining_bytes = remaining_bytes
+
+
+class TruncatedEndpointListError(WireFormatError):
+    """An endpoint list announces more entries than the rest of its frame can hold."""
+
+    def __init__(self, list_number: int, entry_count: int) -> None:
+        super().__init__("truncated pool")
+        self.list_number = list_number
+        self.entry_count = entry_count
+
+
+class TrailingBytesError(WireFormatError):
+    """A frame goes on after its last record."""
+
+    def __init__(self, remaining_bytes: int) -> None:
+        super().__init__(f"{remaining_bytes} bytes left after the last record")
+        self.remaining_bytes = remaining_bytes
+
+
+class UnknownCodeError(WireFormatError):
+    """A field holds a number that the wire does not define; each such field has its own subclass."""
+
+    message_format: ClassVar[str] = "unknown code {code}"
+
+    def __init__(self, code: int) -> None:
+        super().__init__(self.message_format.format(code=code))
+        self.code = code
+
+
+class UnknownRecordCodeError(UnknownCodeError):
+    """No event has this record code."""
+
+    message_format = "unknown record code {code}"
+
+
+class UnknownOutcomeCodeError(UnknownCodeError):
+    """An attempt or a health check ended with an undefined outcome."""
+
+    message_format = "unknown outcome code {code}"
+
+
+class UnknownUpdateKindError(UnknownCodeError):
+    """An endpoint update is of an undefined kind."""
+
+    message_format = "unknown list kind {code}"
+
+
+class UnknownHealthCodeError(UnknownCodeError):
+    """An entry of an endpoint list has an undefined health."""
+
+    message_format = "unknown health {code} in a pool"
+
+
+class UndefinedEndpointListError(WireFormatError):
+    """An endpoint update refers to a list that no earlier record defined."""
+
+    def __init__(self, list_number: int) -> None:
+        super().__init__(f"list {list_number} was never defined")
+        self.list_number = list_number
--- /dev/null
+++ b/balancer/simulator/frames.py
@@ -0,0 +1,55 @@
+"""Frames of the simulator's wire: batches of event records in, replies with action records out.
+
+All numbers are little-endian, without padding. A frame is a header and the records that the header counts.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from struct import Struct
+from typing import BinaryIO
+
+from balancer.simulator.errors import FrameLengthError, TruncatedFrameError
+
+BATCH_HEADER = Struct("<IQI")
+"""Bytes of the whole frame, clock in nanoseconds, number of records."""
+REPLY_HEADER = Struct("<II")
+"""Number of records, bytes of the whole frame."""
+
+
+@dataclass(frozen=True, slots=True)
+class Batch:
+    """The events of one instant."""
+
+    now_ns: int
+    record_count: int
+    records: bytes
+    """All records, one after the other."""
+
+
+def read_batch(source: BinaryIO) -> Batch | None:
+    """Read the next batch; None at the end of the input.
+
+    Raises:
+        TruncatedFrameError: the input ended inside the frame.
+        FrameLengthError: the frame claims to be shorter than its header.
+    """
+    header = source.read(BATCH_HEADER.size)
+    if not header:
+        return None
+    if len(header) < BATCH_HEADER.size:
+        raise TruncatedFrameError("frame header", BATCH_HEADER.size, len(header))
+    frame_bytes, now_ns, record_count = BATCH_HEADER.unpack(header)
+    expected_bytes = frame_bytes - BATCH_HEADER.size
+    if expected_bytes < 0:
+        raise FrameLengthError(frame_bytes)
+    records = source.read(expected_bytes)
+    if len(records) < expected_bytes:
+        raise TruncatedFrameError("frame", expected_bytes, len(records))
+    return Batch(now_ns, record_count, records)
+
+
+def encode_reply(records: list[bytes]) -> bytes:
+    """Join the action records of a batch to one reply."""
+    body = b"".join(records)
+    return REPLY_HEADER.pack(len(records), REPLY_HEADER.size + len(body)) + body
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -4,6 +4,7 @@
 
 import io
 import json
+import struct
 import subprocess
 import sys
 
@@ -26,7 +27,10 @@
     TimerFired,
     WriteLog,
 )
-from balancer.simulator import adapter, wire_codec
+from balancer.simulator import adapter, frames
+from balancer.simulator.action_encoder import encode_action
+from balancer.simulator.errors import WireFormatError
+from balancer.simulator.event_decoder import EventDecoder
 
 SAMPLE_BATCH = bytes.fromhex(
     "50000000 90bf68f501000000 03000000"
@@ -49,9 +53,9 @@
 
 
 def test_batch_of_the_page() -> None:
-    size, now, count = wire_codec.BATCH.unpack_from(SAMPLE_BATCH)
+    size, now, count = frames.BATCH_HEADER.unpack_from(SAMPLE_BATCH)
     assert (size, now, count) == (len(SAMPLE_BATCH), 0x1F568BF90, 3)
-    events = list(wire_codec.Decoder().events(SAMPLE_BATCH[16:], count))
+    events = list(EventDecoder().decode(SAMPLE_BATCH[16:], count))
     rid = int.from_bytes(bytes.fromhex("c4913a5dfa790900"), "little")
     key = int.from_bytes(bytes.fromhex("640ad2557c3bf091"), "little")
     assert events[0] == (3, RequestReceived(rid, 0, 0, key, 0x203B6DB90, 12_000_000, False))
@@ -69,12 +73,12 @@
         SetTimer(500_000_000, 77),
         WriteLog("two servers known"),
     ]
-    assert wire_codec.frame([wire_codec.encode(3, a) for a in actions]) == SAMPLE_REPLY
+    assert frames.encode_reply([encode_action(3, a) for a in actions]) == SAMPLE_REPLY
 
 
 def test_list_and_its_number_reused_in_one_batch() -> None:
     again = bytes.fromhex("10 0000 00000000  17 0400 04 0000 2a00000000000000")
-    events = list(wire_codec.Decoder().events(POOL_AND_SYNC + again, 4))
+    events = list(EventDecoder().decode(POOL_AND_SYNC + again, 4))
     instance, first = events[0]
     assert instance == 3 and isinstance(first, EndpointUpdate) and first.kind == EndpointUpdateKind.CACHED
     assert [e.weight for e in first.endpoints] == [1.0, 1.5]
@@ -89,7 +93,7 @@
     raw = bytes.fromhex(
         "18 0300 c4913a5dfa790900 00 0a124a07 8b13 0000 a0491a0100000000 01 03 00000c43 00006841 52b81e3f"
     )
-    [(_, event)] = wire_codec.Decoder().events(raw, 1)
+    [(_, event)] = EventDecoder().decode(raw, 1)
     assert isinstance(event, AttemptCompleted)
     assert (
         event.outcome == AttemptOutcome.SUCCESS and event.request_finished and event.duration_ns == 18_500_000
@@ -112,8 +116,8 @@
     ],
 )
 def test_malformed_records_are_refused(raw: str, count: int, said: str) -> None:
-    with pytest.raises(wire_codec.WireFormatError, match=said):
-        list(wire_codec.Decoder().events(bytes.fromhex(raw), count))
+    with pytest.raises(WireFormatError, match=said):
+        list(EventDecoder().decode(bytes.fromhex(raw), count))
 
 
 GOOD = {
@@ -159,11 +163,11 @@
 
 def batch(*records: bytes) -> bytes:
     body = b"".join(records)
-    return wire_codec.BATCH.pack(16 + len(body), 1_000_000_000, len(records)) + body
+    return frames.BATCH_HEADER.pack(16 + len(body), 1_000_000_000, len(records)) + body
 
 
 def attach(instance: int, conf: bytes) -> bytes:
-    return b"\x1a" + wire_codec._ATTACH.pack(instance, 7, len(conf)) + conf
+    return struct.pack("<BHQI", 0x1A, instance, 7, len(conf)) + conf
 
 
 def serve(raw: bytes) -> bytes:
@@ -182,7 +186,7 @@
     reply = serve(batch(attach(2, b"{}"), good, stop, good))
     assert b"Categories" in reply and reply[8] == 25
     assert (
-        wire_codec.REPLY.unpack_from(reply)[0] == 3
+        frames.REPLY_HEADER.unpack_from(reply)[0] == 3
     )  # die, and a timer for each start of the other instance
 
 
@@ -191,7 +195,7 @@
 )
 def test_a_malformed_frame_ends_the_host_with_one_plain_line(raw: bytes) -> None:
     run = subprocess.run(
-        [sys.executable, "-m", "balancer.simulator.adapter"], input=raw, capture_output=True, check=False
+        [sys.executable, "-m", "balancer.simulator"], input=raw, capture_output=True, check=False
     )
     assert run.returncode == 2 and run.stdout == b""
     assert (
