--- /dev/null
+++ b/benchmarks/errors.py
@@ -0,0 +1,24 @@
+"""Why a benchmark could not be measured."""
+
+from __future__ import annotations
+
+
+class BenchmarkError(Exception):
+    """Base class of the errors of the benchmarks; each says what went wrong in one plain line."""
+
+
+class SidecarNotReadyError(BenchmarkError):
+    """The sidecar did not answer its readiness check in time."""
+
+    def __init__(self, timeout_seconds: float) -> None:
+        super().__init__(f"the sidecar was not ready in {timeout_seconds:.0f} s")
+        self.timeout_seconds = timeout_seconds
+
+
+class SidecarExitedError(BenchmarkError):
+    """The sidecar ended while it was measured."""
+
+    def __init__(self, exit_code: int | None) -> None:
+        description = "" if exit_code is None else f" with exit code {exit_code}"
+        super().__init__(f"the sidecar ended{description}")
+        self.exit_code = exit_code
--- /dev/null
+++ b/benchmarks/sidecar_process.py
@@ -0,0 +1,170 @@
+"""Runs one real sidecar as a process of its own, told of a discovery agent on this machine."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import socket
+import sys
+import tempfile
+import time
+from pathlib import Path
+from types import TracebackType
+from typing import Self
+
+from benchmarks.discovery_stand_in import ZONES
+from benchmarks.errors import SidecarExitedError, SidecarNotReadyError
+from benchmarks.process_usage import read_cpu_seconds, read_resident_megabytes
+
+REPOSITORY_ROOT = Path(__file__).parent.parent
+READY_TIMEOUT_SECONDS = 30.0
+READY_POLL_SECONDS = 0.02
+STOP_TIMEOUT_SECONDS = 10.0
+
+# As in the real configuration, in the names and units of the simulator's wire.
+SETTINGS = {
+    "Azs": [f"z{zone}" for zone in range(ZONES)],
+    "Kinds": ["k"],
+    "Categories": [
+        {
+            "Name": "read",
+            "Effect": "retryable",
+            "AimNs": 500_000_000,
+            "HardLimitNs": 2_500_000_000,
+            "Importance": 1,
+            "LateWorth": 0.5,
+        }
+    ],
+    "Limits": {
+        "MaxAttempts": 5,
+        "Probes": True,
+        "ConnectTimeoutNs": 150_000_000,
+        "ConnIdleNs": 60_000_000_000,
+    },
+    "Discovery": "pushed",
+    "NInstances": 10_000,
+}
+
+
+class SidecarProcess:
+    """A sidecar that starts with an empty endpoint list, as an async context manager."""
+
+    def __init__(self, discovery_port: int) -> None:
+        self._discovery_port = discovery_port
+        self._port = _free_port()
+        self._cleanup = contextlib.AsyncExitStack()
+        self._process: asyncio.subprocess.Process | None = None
+
+    async def __aenter__(self) -> Self:
+        """Start the process; it need not be ready yet."""
+        async with contextlib.AsyncExitStack() as cleanup:
+            directory = cleanup.enter_context(tempfile.TemporaryDirectory(prefix="balancer-benchmark-"))
+            file = Path(directory) / "config.json"
+            file.write_text(json.dumps(self._configuration()))
+            self._process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "balancer",
+                cwd=REPOSITORY_ROOT,
+                env=os.environ | {"PROXY_CONFIG": str(file)},
+            )
+            cleanup.push_async_callback(_stop, self._process)
+            self._cleanup = cleanup.pop_all()
+        return self
+
+    async def __aexit__(
+        self,
+        exception_type: type[BaseException] | None,
+        exception: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        """End the process and remove its configuration."""
+        await self._cleanup.aclose()
+
+    async def wait_until_ready(self) -> None:
+        """Wait until it answers its readiness check.
+
+        Raises:
+            SidecarNotReadyError: it does not, for `READY_TIMEOUT_SECONDS`.
+            SidecarExitedError: it ended.
+        """
+        deadline = time.monotonic() + READY_TIMEOUT_SECONDS
+        while not await self._is_ready():
+            self._running_process_id()
+            if time.monotonic() > deadline:
+                raise SidecarNotReadyError(READY_TIMEOUT_SECONDS)
+            await asyncio.sleep(READY_POLL_SECONDS)
+
+    def cpu_seconds(self) -> float:
+        """CPU time so far; raises SidecarExitedError if it ended."""
+        process_id = self._running_process_id()
+        try:
+            return read_cpu_seconds(process_id)
+        except OSError:
+            raise SidecarExitedError(None) from None
+
+    def resident_megabytes(self) -> float:
+        """Memory in RAM now; raises SidecarExitedError if it ended."""
+        process_id = self._running_process_id()
+        try:
+            return read_resident_megabytes(process_id)
+        except OSError:
+            raise SidecarExitedError(None) from None
+
+    def _running_process_id(self) -> int:
+        if self._process is None or self._process.returncode is not None:
+            raise SidecarExitedError(self._process.returncode if self._process else None)
+        return self._process.pid
+
+    async def _is_ready(self) -> bool:
+        try:
+            reader, writer = await asyncio.open_connection("127.0.0.1", self._port)
+        except OSError:
+            return False
+        try:
+            writer.write(b"GET /up HTTP/1.1\r\nHost: sidecar\r\n\r\n")
+            async with asyncio.timeout(READY_TIMEOUT_SECONDS):
+                status_line = await reader.readline()
+        except (OSError, TimeoutError):
+            return False
+        finally:
+            writer.close()
+            with contextlib.suppress(OSError):
+                await writer.wait_closed()
+        return b" 200 " in status_line
+
+    def _configuration(self) -> dict[str, object]:
+        return {
+            "name": "n0",
+            "listen": f"127.0.0.1:{self._port}",
+            "discovery": f"127.0.0.1:{self._discovery_port}",
+            "seed": "1f",
+            "limits": {"sockets": 1024, "memory_mb": 192},
+            "known": {"seq": 0, "whole": True, "hosts": []},
+            "settings": SETTINGS,
+        }
+
+
+async def _stop(process: asyncio.subprocess.Process) -> None:
+    """End the process: first with SIGTERM, and with SIGKILL if it stays or if the wait is cancelled."""
+    with contextlib.suppress(ProcessLookupError):
+        process.terminate()
+    try:
+        async with asyncio.timeout(STOP_TIMEOUT_SECONDS):
+            await process.wait()
+    except TimeoutError:
+        pass  # it is killed below
+    finally:
+        with contextlib.suppress(ProcessLookupError):
+            process.kill()
+    await process.wait()
+
+
+def _free_port() -> int:
+    """A port that was free a moment ago; the sidecar cannot tell which one it was given for port 0."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        port: int = probe.getsockname()[1]
+        return port
