Split the decisions into modules of one job each, named in the field's terms

Cause: one class held every decision, with its fields touched from anywhere; local and remote zone were indices, evidence lists of floats. Change: admission, gossip, load probing, membership, outlier detection, overload, retry, slow start and subset have modules of their own, each with its state; Balancer dispatches events and holds a request's life. The bytes of gossip messages are gossip_codec.py's. Zones are two ZoneSubset objects, evidence and latency samples dataclasses. Constants stand beside their code; unused fields and constants are gone.

--- a/balancer/policy/request_state.py
+++ b/balancer/policy/request_state.py
@@ -1,11 +1,9 @@
 """A request from its arrival to its final answer."""
 
-from __future__ import annotations
-
 from dataclasses import dataclass, field
 
 from balancer.policy.endpoint_state import EndpointState
-from balancer.policy_api import Idempotency, RequestClass
+from balancer.policy_api import Idempotency, RequestClass, RequestReceived
 from balancer.time_units import HOUR_NS
 
 
@@ -13,53 +11,36 @@
 class LoadProbe:
     """The active probing of load for one request."""
 
-    endpoints: list[EndpointState] = field(default_factory=list)
-    """All that have been probed for it, in any round."""
+    endpoints: list[EndpointState] = field(default_factory=list)  # of all rounds
     rounds: int = 0
     unanswered: int = 0
-    fastest: EndpointState | None = None
-    """The one whose answer took least beyond the fastest answer of its zone."""
+    fastest: EndpointState | None = None  # by its answer beyond the fastest ever of its zone
     fastest_duration_ns: int = 2 * HOUR_NS
     fastest_is_remote: bool = False
 
 
-@dataclass(slots=True, eq=False)
 class RequestState:
     """A request that is owed its final answer."""
 
-    id: int
-    class_index: int
-    request_class: RequestClass
-    key_hash: int
-    arrived_at_ns: int
-    expires_at_ns: int
-    attempt_count: int = 0
-    endpoint: EndpointState | None = None
-    """Where its last attempt went."""
-    attempt_started_at_ns: int = 0
-    needs_connection: bool = False
-    """Whether its attempt had no connection to go on."""
-    recorded_delay: float = 0.0
-    """How much of the attempt's queueing delay is in the evidence already."""
-    is_hung: bool = False
-    """Whether the attempt is late though its endpoint serves what was sent after it; recorded once."""
-    executed_on: EndpointState | None = None
-    """Where it first may have been executed, by an attempt that was sent at the time below."""
-    executed_at_ns: int = 0
-    probe: LoadProbe | None = None
-    """The probing of load before its first attempt, where there is any."""
-
-    @property
-    def objective_deadline_ns(self) -> int:
-        """When its latency objective is over."""
-        return self.arrived_at_ns + self.request_class.latency_objective_ns
-
-    @property
-    def may_run_again(self) -> bool:
-        """Whether a further execution does no harm, wherever and whenever it is."""
-        return self.executed_on is None or self.request_class.idempotency == Idempotency.IDEMPOTENT
-
-    @property
-    def deduplicating_endpoint(self) -> EndpointState | None:
-        """Where it may have been executed, if only endpoints that drop its repeats may have it again."""
-        return self.executed_on if self.request_class.idempotency == Idempotency.IDEMPOTENCY_KEY else None
+    def __init__(self, event: RequestReceived, request_class: RequestClass, now: int) -> None:
+        self.id, self.key_hash = event.request_id, event.key_hash
+        self.class_index, self.request_class = event.class_index, request_class
+        self.expires_at_ns = event.expires_at_ns
+        self.objective_deadline_ns = now + request_class.latency_objective_ns
+        self.probe: LoadProbe | None = None
+        self.attempt_count, self.attempt_started_at_ns = 0, 0
+        self.endpoint: EndpointState | None = None  # where its last attempt went
+        self.needs_connection = False  # its attempt had no connection to go on
+        self.recorded_delay = 0.0  # what the evidence has of the attempt's queueing delay
+        self.is_hung = False  # its attempt is late though the endpoint serves what was sent after it
+        self.may_run_again = True  # a further execution does no harm, wherever and whenever it is
+        self.deduplicating_endpoint: EndpointState | None = None  # only its group may have it again
+        self.deduplicated_until_ns = 0  # and only until then
+
+    def record_execution(self) -> None:
+        """Take in that its attempt may have been executed. Repeats are dropped where the first one was."""
+        idempotency, window_ns = self.request_class.idempotency, self.request_class.deduplication_window_ns
+        self.may_run_again = idempotency == Idempotency.IDEMPOTENT
+        if idempotency == Idempotency.IDEMPOTENCY_KEY and self.deduplicating_endpoint is None:
+            self.deduplicating_endpoint = self.endpoint
+            self.deduplicated_until_ns = self.attempt_started_at_ns + window_ns
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -6,7 +6,8 @@
 
 import pytest
 
-from balancer.policy import balancer as balance
+from balancer.gossip_codec import QueueingEvidence
+from balancer.policy import outlier_detection, subset
 from balancer.policy.endpoint_state import SILENCE_NS
 from balancer.policy_api import (
     Action,
@@ -33,32 +34,32 @@
 
 def test_idle_members_come_first() -> None:
     b = Bench(settings(), servers=20)
-    size = len({b.sent().endpoint_id for _ in range(balance.SUBSET_FREE)})
-    assert size == balance.SUBSET_FREE
+    size = len({b.sent().endpoint_id for _ in range(subset.MIN_FREE_SUBSET_SIZE)})
+    assert size == subset.MIN_FREE_SUBSET_SIZE
 
 
 def test_the_subset_is_small_and_grows_with_requests_in_flight() -> None:
     b = Bench(settings(connection_price=0.05), servers=40)
     for _ in range(50):
         b.answer(b.sent())
-    assert len(b.balancer.subset[0]) == balance.SUBSET_LEAST
+    assert len(b.balancer.subsets.local.members) == subset.MIN_SUBSET_SIZE
     for _ in range(12):
         b.sent()
     b.tick()
     b.sent()
-    assert len(b.balancer.subset[0]) > balance.SUBSET_LEAST + 10
+    assert len(b.balancer.subsets.local.members) > subset.MIN_SUBSET_SIZE + 10
 
 
 def test_a_burst_within_a_cycle_grows_the_subset_at_once() -> None:
     b = Bench(settings(connection_price=0.05), servers=40)
     used = Counter(b.sent().endpoint_id for _ in range(40))  # as at a start: nothing has been answered yet
-    assert len(used) > 3 * balance.SUBSET_LEAST and max(used.values()) <= 4, used
+    assert len(used) > 3 * subset.MIN_SUBSET_SIZE and max(used.values()) <= 4, used
 
 
 def test_list_changes_move_little_of_the_subset() -> None:
     b = Bench(settings(connection_price=0.05), servers=40)
     b.sent()
-    before = {m.id for m in b.balancer.subset[0]}
+    before = {m.id for m in b.balancer.subsets.local.members}
     gone = next(iter(before))
     b.give(
         EndpointUpdate(
@@ -67,7 +68,7 @@
         )
     )
     b.sent()
-    after = {m.id for m in b.balancer.subset[0]}
+    after = {m.id for m in b.balancer.subsets.local.members}
     assert len(before & after) == len(before) - 1 and gone not in after
 
 
@@ -105,9 +106,9 @@
         if send.endpoint_id == bad:
             b.give(ClientDisconnected(send.request_id))
     b.now += 2 * SECOND  # longer than it takes to be ejected for not serving
-    member = b.balancer.members[bad]
+    member = b.balancer.membership.endpoints[bad]
     for _ in range(12):
-        b.balancer.learn(
+        b.balancer.record_outcome(
             member,
             AttemptCompleted(0, 0, bad, AttemptOutcome.SERVER_ERROR, 5 * MS, True, ()),
             None,
@@ -150,14 +151,14 @@
 
 def test_at_most_half_the_subset_is_ejected() -> None:
     """If nearly all look bad the trouble is shared: shed, but do not eject."""
-    b = Bench(settings(max_attempts=1), servers=balance.SUBSET_FREE)
+    b = Bench(settings(max_attempts=1), servers=subset.MIN_FREE_SUBSET_SIZE)
     for _ in range(300):
         b.now += 5 * MS
         action = b.ask()
         if isinstance(action, StartAttempt):
             b.answer(action, AttemptOutcome.CONNECT_FAILED, 3 * MS)
     assert isinstance(b.ask(), StartAttempt)
-    assert len(b.balancer.subset[0]) >= balance.SUBSET_FREE // 2
+    assert len(b.balancer.subsets.local.members) >= subset.MIN_FREE_SUBSET_SIZE // 2
 
 
 def test_a_busy_sidecar_that_wants_more_members_than_there_are_keeps_half_of_them_in() -> None:
@@ -165,34 +166,38 @@
     b = Bench(settings(max_attempts=1), servers=8)
     sends = [b.sent() for _ in range(60)]
     b.tick()
-    assert b.balancer.size() > 2 * 8
+    assert b.balancer.subsets.target_size() > 2 * 8
     for send in sends:
         b.answer(send, AttemptOutcome.CONNECTION_RESET)
-    assert sum(m.ejected_until_ns > b.now for m in b.balancer.members.values()) > 4
-    b.balancer.refill(b.now)
-    assert len(b.balancer.subset[0]) == 4
+    assert sum(m.ejected_until_ns > b.now for m in b.balancer.membership.endpoints.values()) > 4
+    b.balancer.subsets.select(b.now)
+    assert len(b.balancer.subsets.local.members) == 4
 
 
 def test_failures_eject_no_member_that_served_lately() -> None:
     b = Bench(settings(), servers=8)
     one = (1).to_bytes(6, "little")
-    out = b.balancer.members[one]
+    out = b.balancer.membership.endpoints[one]
     for _ in range(20):
         for outcome in (AttemptOutcome.SUCCESS, AttemptOutcome.CONNECTION_RESET):
             b.now += 10 * MS
-            b.balancer.learn(out, AttemptCompleted(0, 0, one, outcome, 10 * MS, False, ()), None, b.now)
+            b.balancer.record_outcome(
+                out, AttemptCompleted(0, 0, one, outcome, 10 * MS, False, ()), None, b.now
+            )
         assert not out.ejected_until_ns
-    for _ in range(balance.FAILS_TO_EJECT):  # in part it fails often, at hundreds of requests a second
-        b.balancer.learn(
+    for _ in range(
+        outlier_detection.FAILURES_TO_EJECT
+    ):  # in part it fails often, at hundreds of requests a second
+        b.balancer.record_outcome(
             out,
             AttemptCompleted(0, 0, one, AttemptOutcome.SERVER_ERROR, MS, False, ()),
             None,
             b.now,
         )
     assert not out.ejected_until_ns
-    for _ in range(balance.FAILS_TO_EJECT):
-        b.now += balance.PROVEN
-        b.balancer.learn(
+    for _ in range(outlier_detection.FAILURES_TO_EJECT):
+        b.now += outlier_detection.SUCCESS_PROTECTION_NS
+        b.balancer.record_outcome(
             out,
             AttemptCompleted(0, 0, one, AttemptOutcome.CONNECTION_RESET, MS, False, ()),
             None,
@@ -201,7 +206,7 @@
     assert out.ejected_until_ns > b.now
     b.now += HOUR_NS
     out.ejected_until_ns = out.consecutive_failures = 0  # silent since: a break is all that is known of it
-    b.balancer.learn(
+    b.balancer.record_outcome(
         out,
         AttemptCompleted(0, 0, one, AttemptOutcome.CONNECTION_RESET, MS, False, ()),
         None,
@@ -224,43 +229,43 @@
                 AttemptOutcome.CONNECT_FAILED if broke else AttemptOutcome.SUCCESS,
                 15 * MS,
             )
-        [member] = [m for m in b.balancer.members.values() if m.id == (1).to_bytes(6, "little")]
+        [member] = [m for m in b.balancer.membership.endpoints.values() if m.id == (1).to_bytes(6, "little")]
         member.ejection_count = member.ejected_until_ns = member.consecutive_failures = 0
         member.last_success_ns, b.now = b.now, b.now + SECOND
         lost = AttemptCompleted(0, 0, member.id, AttemptOutcome.CONNECT_FAILED, 150 * MS, False, ())
         for count in range(1, 9):
-            b.balancer.learn(member, lost, None, b.now)
+            b.balancer.record_outcome(member, lost, None, b.now)
             if member.ejected_until_ns > b.now:
                 return count
         return 0
 
     assert row(usual=False) == 1
-    assert row(usual=True) == balance.FAILS_TO_EJECT
+    assert row(usual=True) == outlier_detection.FAILURES_TO_EJECT
 
 
 def test_a_member_that_turns_all_away_goes_out_and_is_no_sign_of_load() -> None:
     """It drains before the list says so: its quick answers drew more, and raised the cut."""
     b = Bench(settings(), servers=8)
     one = (1).to_bytes(6, "little")
-    drains = b.balancer.members[one]
+    drains = b.balancer.membership.endpoints[one]
     turned_away = AttemptCompleted(0, 0, one, AttemptOutcome.REJECTED, MS, False, ())
     b.now += SECOND
-    for _ in range(balance.FULL_TO_EJECT):
+    for _ in range(outlier_detection.REJECTIONS_TO_EJECT):
         assert not drains.ejected_until_ns
-        b.balancer.learn(drains, turned_away, None, b.now)
+        b.balancer.record_outcome(drains, turned_away, None, b.now)
     assert drains.ejected_until_ns > b.now
     send = b.sent()
-    b.balancer.learn(drains, turned_away, b.balancer.pending[send.request_id], b.now)
-    assert sum(e[balance.SEEN] for e in b.balancer.evidence) == 0
+    b.balancer.record_outcome(drains, turned_away, b.balancer.requests[send.request_id], b.now)
+    assert sum(e.sample_count for e in b.balancer.overload.evidence) == 0
 
 
 def test_a_member_that_fails_quickly_does_not_draw_what_the_busy_ones_have_no_room_for() -> None:
     """It is the only idle one: at hundreds of requests a second all others always hold some."""
     b = Bench(settings(), servers=4)
-    bad = b.balancer.members[(1).to_bytes(6, "little")]
+    bad = b.balancer.membership.endpoints[(1).to_bytes(6, "little")]
     for _ in range(8):
         b.answer(b.sent())
-    bad.failure_rate, bad.last_answer_ns, b.balancer.mean = 0.6, b.now, [50 * MS]
+    bad.failure_rate, bad.last_answer_ns, b.balancer.overload.latency.means_ns = 0.6, b.now, [50 * MS]
     drawn = Counter(b.sent().endpoint_id for _ in range(12))
     assert drawn[bad.id] <= 1, drawn
 
@@ -268,9 +273,11 @@
 def test_what_can_not_be_tried_again_keeps_away_from_members_that_fail_in_part() -> None:
     unsafe = request_class(idempotency=Idempotency.NOT_IDEMPOTENT)
     b = Bench(settings(request_class(), unsafe), servers=4)
-    one = b.balancer.members[(1).to_bytes(6, "little")]
+    one = b.balancer.membership.endpoints[(1).to_bytes(6, "little")]
     one.failure_rate, one.last_answer_ns = 0.3, b.now
-    assert b.balancer.expected(one, 1, b.now) > 3 * b.balancer.expected(one, 0, b.now)
+    assert b.balancer.picker.expected_time_ns(one, 1, b.now) > 3 * b.balancer.picker.expected_time_ns(
+        one, 0, b.now
+    )
 
 
 def test_nothing_new_goes_to_a_draining_or_gone_endpoint() -> None:
@@ -286,25 +293,25 @@
 
 def test_a_silent_member_goes_out_and_a_probe_brings_it_back() -> None:
     b = Bench(settings(health_checks_enabled=True, gossip_enabled=True, instance_count=2), servers=4)
-    silent = b.balancer.members[(1).to_bytes(6, "little")]
-    silent.in_flight, silent.unanswered_since_ns = balance.SILENT_LEAST, b.now
+    silent = b.balancer.membership.endpoints[(1).to_bytes(6, "little")]
+    silent.in_flight, silent.unanswered_since_ns = outlier_detection.MIN_SILENT_IN_FLIGHT, b.now
     b.tick()
     assert silent.ejected_until_ns <= b.now
     b.tick(SILENCE_NS / SECOND)
     assert silent.ejected_until_ns > b.now
     probed: list[Action] = []
     while not probed:
-        b.balancer.refill(b.now)
-        assert silent not in b.balancer.subset[0]
+        b.balancer.subsets.select(b.now)
+        assert silent not in b.balancer.subsets.local.members
         probed = [a for a in b.tick(0.1) if isinstance(a, StartHealthCheck)]
     assert probed == [StartHealthCheck(silent.id)]
     b.give(HealthCheckCompleted(silent.id, AttemptOutcome.TIMEOUT, 500 * MS, ()))
-    assert silent.ejected_until_ns > b.now + balance.EJECT_FIRST
+    assert silent.ejected_until_ns > b.now + outlier_detection.MIN_EJECTION_NS
     while not [a for a in b.tick(0.1) if isinstance(a, StartHealthCheck)]:
         pass
     b.give(HealthCheckCompleted(silent.id, AttemptOutcome.SUCCESS, 5 * MS, ()))
-    b.balancer.refill(b.now)
-    assert silent in b.balancer.subset[0]
+    b.balancer.subsets.select(b.now)
+    assert silent in b.balancer.subsets.local.members
 
 
 def test_waits_at_a_member_that_is_out_shed_nothing() -> None:
@@ -313,12 +320,12 @@
         b.answer(b.sent())
     b.tick()
     send, other = b.sent(), b.sent()
-    b.balancer.members[send.endpoint_id].ejected_until_ns = b.now + 9 * SECOND
+    b.balancer.membership.endpoints[send.endpoint_id].ejected_until_ns = b.now + 9 * SECOND
     b.now += SECOND
-    b.balancer.cycle(b.now)
+    b.balancer.end_cycle(b.now)
     assert (
-        not b.balancer.pending[send.request_id].recorded_delay
-        and b.balancer.pending[other.request_id].recorded_delay
+        not b.balancer.requests[send.request_id].recorded_delay
+        and b.balancer.requests[other.request_id].recorded_delay
     )
 
 
@@ -326,10 +333,10 @@
     b = Bench(settings(), servers=2)
     sends = [b.sent() for _ in range(4)]
     b.list_of(kind=EndpointUpdateKind.SNAPSHOT)
-    assert len(b.balancer.members) == 2
+    assert len(b.balancer.membership.endpoints) == 2
     for send in sends:
         b.answer(send)
-    assert not b.balancer.members
+    assert not b.balancer.membership.endpoints
 
 
 def answered(b: Bench) -> bytes:
@@ -403,7 +410,7 @@
 
 def test_a_restart_forgets_what_was_known() -> None:
     b = Bench(settings(), servers=1)
-    member = next(iter(b.balancer.members.values()))
+    member = next(iter(b.balancer.membership.endpoints.values()))
     b.answer(b.sent(), AttemptOutcome.SERVER_ERROR)
     assert member.failure_rate > 0
     b.give(EndpointUpdate(EndpointUpdateKind.DELTA, (endpoint(1, started_at_ns=b.now),)))
@@ -415,7 +422,7 @@
     b = Bench(settings(cheap, dear, zone_count=2, cross_zone_price=0.4), servers=0)
     b.list_of(*(endpoint(n, zone=n % 2) for n in range(1, 17)))
     assert all(b.sent(1).endpoint_id[0] % 2 == 0 for _ in range(8))
-    b.balancer.crossing = 1.0
+    b.balancer.overload.spillover_ratio = 1.0
     assert all(b.sent(1).endpoint_id[0] % 2 == 1 for _ in range(8))
     assert all(b.sent(0).endpoint_id[0] % 2 == 0 for _ in range(8))  # not worth its crossing
 
@@ -427,7 +434,7 @@
     near = [b.sent().endpoint_id[0] <= 2 for _ in range(45)]
     assert all(near[:2])  # idle ones at home come first
     assert 8 <= sum(near) <= 12
-    assert max(m.in_flight for m in b.balancer.members.values()) <= 6
+    assert max(m.in_flight for m in b.balancer.membership.endpoints.values()) <= 6
 
 
 def test_a_crossing_that_costs_much_waits_for_a_larger_difference() -> None:
@@ -470,12 +477,12 @@
     """Requests pile up then, and each new connection would only cost the servers more."""
     b = Bench(settings(connection_price=0.05), servers=40)
     b.answer(b.sent())
-    b.balancer.pressure = 2.0
+    b.balancer.overload.queueing_delay = 2.0
     for _ in range(20):
         b.ask()
     b.tick()
-    b.balancer.refill(b.now)
-    assert len(b.balancer.subset[0]) == balance.SUBSET_LEAST
+    b.balancer.subsets.select(b.now)
+    assert len(b.balancer.subsets.local.members) == subset.MIN_SUBSET_SIZE
 
 
 def test_a_cold_majority_gets_no_more_than_its_warmth_of_a_fair_part() -> None:
@@ -579,7 +586,7 @@
     """The quickest to answer of the near ones got it, whatever they held, with the far ones idle."""
     b, _ = asking()
     b.list_of(*(endpoint(n, zone=n % 2) for n in range(1, 5)))  # two near, two far
-    b.balancer.crossing = 0.0
+    b.balancer.overload.spillover_ratio = 0.0
     sends: list[StartAttempt] = []
     for rid in range(2, 12):
         actions = b.give(RequestReceived(rid, 0, 0, 0, b.now + 3 * SECOND, 0, False))
@@ -602,13 +609,19 @@
 def test_traffic_crosses_by_the_difference_of_waits() -> None:
     """With one zone at ten requests a server and the other at one, half the fleet once choked."""
     b, _ = asking(cross_zone_price=0.1)
-    b.balancer.evidence = [[6.0, 10.0, 10.0, 10.0], [0.0, 10.0, 10.0, 10.0]]
-    b.balancer.steer(b.now + SECOND)
-    risen = b.balancer.crossing
+    b.balancer.overload.evidence = [
+        QueueingEvidence(6.0, 10.0, 10.0, 10.0),
+        QueueingEvidence(0.0, 10.0, 10.0, 10.0),
+    ]
+    b.balancer.adjust_load(b.now + SECOND)
+    risen = b.balancer.overload.spillover_ratio
     assert 0 < risen < 0.5
-    b.balancer.evidence = [[1.0, 10.0, 10.0, 10.0], [3.0, 10.0, 10.0, 10.0]]
-    b.balancer.steer(b.now + SECOND)
-    assert b.balancer.crossing < risen
+    b.balancer.overload.evidence = [
+        QueueingEvidence(1.0, 10.0, 10.0, 10.0),
+        QueueingEvidence(3.0, 10.0, 10.0, 10.0),
+    ]
+    b.balancer.adjust_load(b.now + SECOND)
+    assert b.balancer.overload.spillover_ratio < risen
 
 
 def test_all_sidecars_take_the_same_few_members_for_a_warm_key() -> None:
@@ -620,44 +633,44 @@
             send = b.sent(key=key)
             members.add(send.endpoint_id)
             b.answer(send)
-    assert all(len(members) <= balance.KEY_MEMBERS for members in met.values())
-    assert len(set.union(*met.values())) > balance.KEY_MEMBERS
+    assert all(len(members) <= subset.ENDPOINTS_PER_KEY for members in met.values())
+    assert len(set.union(*met.values())) > subset.ENDPOINTS_PER_KEY
 
 
 def test_of_hundreds_of_sidecars_each_keeps_to_its_share_of_what_servers_accept() -> None:
     """Keys and a grown subset took each to all servers: every table of connections was full."""
     b = Bench(settings(key_affinity=True, instance_count=100), servers=50)
-    share = int(balance.FAN_IN * 50 / 100)
+    share = int(subset.INITIAL_FAN_IN * 50 / 100)
     met = {b.sent(key=key).endpoint_id for key in range(1, 200)}
-    assert len(met) == share == len(b.balancer.linked)
+    assert len(met) == share == len(b.balancer.subsets.connected)
 
 
 def test_a_refused_connect_makes_the_share_smaller_for_a_while() -> None:
     b = Bench(settings(key_affinity=True, instance_count=100), servers=50)
     for _ in range(5):  # in one second: one full table refuses several
         b.answer(b.sent(), AttemptOutcome.CONNECT_FAILED, MS)
-    assert b.balancer.fan_in == pytest.approx(balance.FAN_IN * balance.FAN_IN_CUT)
+    assert b.balancer.subsets.fan_in == pytest.approx(subset.INITIAL_FAN_IN * subset.FAN_IN_DECREASE)
     for _ in range(20):
         b.now += SECOND
         b.answer(b.sent(), AttemptOutcome.CONNECT_FAILED, MS)
-    assert b.balancer.fan_in == balance.FAN_IN_LEAST
+    assert b.balancer.subsets.fan_in == subset.MIN_FAN_IN
     for _ in range(10):
         b.tick(2)
-    assert b.balancer.fan_in == pytest.approx(balance.FAN_IN_LEAST + 10 * balance.FAN_IN_GROWTH)
+    assert b.balancer.subsets.fan_in == pytest.approx(subset.MIN_FAN_IN + 10 * subset.FAN_IN_INCREASE)
 
 
 def test_what_is_held_to_members_that_left_the_subset_is_closed() -> None:
     """Left after a burst, it stood in the tables of their servers until it had been idle for a minute."""
     b = Bench(settings(), servers=30)
     sends = [b.sent() for _ in range(60)]
-    held = len(b.balancer.linked)
+    held = len(b.balancer.subsets.connected)
     for send in sends[1:]:
         b.answer(send)
     closed = []
     for _ in range(400):
         closed += [a.endpoint_id for a in b.tick(0.25) if isinstance(a, CloseIdleConnections)]
-    assert held > 20 and len(b.balancer.linked) <= balance.SUBSET_FREE + 2
-    assert len(set(closed)) == len(closed) == held - len(b.balancer.linked)
+    assert held > 20 and len(b.balancer.subsets.connected) <= subset.MIN_FREE_SUBSET_SIZE + 2
+    assert len(set(closed)) == len(closed) == held - len(b.balancer.subsets.connected)
     assert sends[0].endpoint_id not in closed  # its attempt is out
 
 
@@ -668,7 +681,7 @@
     assert b.give(StreamStarted(send.request_id)) == []
     b.now += 30 * SECOND
     b.tick()
-    assert b.balancer.cut == 0 and not b.balancer.pending
+    assert b.balancer.admission.threshold == 0 and not b.balancer.requests
     assert (
         b.give(
             AttemptCompleted(
@@ -683,16 +696,16 @@
         )
         == []
     )
-    assert b.balancer.flying == 0
+    assert b.balancer.subsets.in_flight == 0
 
 
 def test_failed_connects_bring_traffic_home() -> None:
     """A zone that is cut off shows no waits: by their difference alone it would draw ever more."""
     b = Bench(settings(zone_count=2), servers=0)
     b.list_of(*(endpoint(n, zone=n % 2) for n in range(1, 17)))
-    b.balancer.crossing = 1.0
+    b.balancer.overload.spillover_ratio = 1.0
     for _ in range(10):
         if isinstance(send := b.ask(), StartAttempt) and send.endpoint_id[0] % 2:
             b.answer(send, AttemptOutcome.CONNECT_FAILED, MS)
             b.give(ClientDisconnected(send.request_id))
-    assert b.balancer.crossing < 0.6
+    assert b.balancer.overload.spillover_ratio < 0.6
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -12,7 +12,8 @@
 
 import pytest
 
-from balancer.policy import balancer as balance
+from balancer.policy import membership, overload
+from balancer.policy.balancer import Balancer
 from balancer.policy_api import EndpointHealth, EndpointUpdate, EndpointUpdateKind, Event, WatchEndpoints
 from balancer.sidecar import configuration as config
 from balancer.sidecar import discovery_client as discovery
@@ -47,11 +48,11 @@
 def paths(asked: bool, ask_within: int) -> dict[str, float]:
     """Seconds from when discovery can be reached to when a change is heard. At the worst the call that ends
     so was begun just before; the one that follows goes well."""
-    module = balance.Balancer(rules(polls_discovery=asked, discovery_poll_window_ns=ask_within), 1)
+    module = Balancer(rules(polls_discovery=asked, discovery_poll_window_ns=ask_within), 1)
     if asked:
         call, connect = discovery.HOLD + discovery.GRACE, discovery.GRACE
         first, again = discovery.FIRST_ASKED, discovery.RETRY_ASKED_MOST
-        pause, at_once = (module.ask_spread + balance.CYCLE) / SECOND, 0.0
+        pause, at_once = (module.membership.poll_spread_ns + overload.CYCLE_NS) / SECOND, 0.0
     else:
         call, connect = discovery.HOLD_PUSHED + discovery.GRACE_PUSHED, discovery.GRACE_PUSHED
         first, again = discovery.FIRST_TIMEOUT, discovery.RETRY
@@ -111,9 +112,9 @@
                 b.give(EndpointUpdate(EndpointUpdateKind.DISCOVERY_FAILED, ()))
             since = b.now
             while not any(
-                isinstance(action, WatchEndpoints) for action in b.tick(balance.CYCLE / SECOND / 5)
+                isinstance(action, WatchEndpoints) for action in b.tick(overload.CYCLE_NS / SECOND / 5)
             ):
-                assert b.now - since <= balance.ASK_MOST, "put off for too long"
+                assert b.now - since <= membership.MAX_POLL_SPREAD_NS, "put off for too long"
             waits.add(b.now - since)
     assert len(first) > 10 and len(again) > 10
     assert min(again) >= 0.2 * SECOND  # or 200 sidecars would be a storm while it is down
@@ -256,7 +257,7 @@
 def test_after_every_ending_the_next_call_brings_the_change(
     ending: str, asked: bool, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr(balance, "ASK_MOST", SECOND // 100)
+    monkeypatch.setattr(membership, "MAX_POLL_SPREAD_NS", SECOND // 100)
     end, kind = ENDINGS[ending]
     calls = Calls(monkeypatch, 1 if kind is DiscoveryTimeoutError else None, ending == "connect hangs")
 
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -10,6 +10,7 @@
 ROOT = Path(__file__).parent.parent
 DEPLOY = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
 MODULE = ROOT / "balancer" / "policy" / "balancer.py"
+CODEC = ROOT / "balancer" / "gossip_codec.py"  # the policy files use it
 POLICY_FILES = sorted((ROOT / "balancer" / "policy").rglob("*.py"))
 POLICY_NAMES = {path.relative_to(ROOT).as_posix() for path in POLICY_FILES}
 
@@ -36,15 +37,25 @@
             modules |= {name.name for name in node.names}
         elif isinstance(node, ast.ImportFrom):
             assert node.level == 0
-            package = node.module == "balancer"
-            modules |= {f"balancer.{name.name}" if package else str(node.module) for name in node.names}
+            package = node.module in ("balancer", "balancer.policy")
+            modules |= {f"{node.module}.{name.name}" if package else str(node.module) for name in node.names}
     return modules
 
 
 def test_the_policy_files_do_no_input_output_and_have_no_clock() -> None:
-    allowed = {"__future__", "collections.abc", "dataclasses", "heapq", "math", "random", "struct", "typing"}
-    allowed |= {"balancer.policy_api", "balancer.time_units"}
+    allowed = {
+        "__future__",
+        "collections.abc",
+        "dataclasses",
+        "heapq",
+        "itertools",
+        "math",
+        "random",
+        "struct",
+        "typing",
+    }
+    allowed |= {"balancer.gossip_codec", "balancer.policy_api", "balancer.time_units"}
     allowed |= {name.removesuffix(".py").replace("/", ".") for name in POLICY_NAMES}
-    for path in POLICY_FILES:
+    for path in [*POLICY_FILES, CODEC]:
         assert imported_modules(path) <= allowed, path
         assert not re.search(r"\b(?:open|print|input|exec|eval|__import__)\(", path.read_text()), path
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -10,7 +10,7 @@
 from hypothesis import settings as hypothesis_settings
 from hypothesis import strategies as st
 
-from balancer.policy import balancer as balance
+from balancer.policy import retry
 from balancer.policy.balancer import Balancer
 from balancer.policy_api import (
     OUTCOMES_NEVER_EXECUTED,
@@ -290,8 +290,12 @@
 @given(SETTINGS, st.lists(STEPS, max_size=40))
 def test_the_same_events_give_the_same_actions(config: Settings, steps: list[Any]) -> None:
     one, two = play(config, steps), play(config, steps)
-    assert one.told == two.told and one.owed == two.owed and one.balancer.cut == two.balancer.cut
-    assert one.balancer.rand() == two.balancer.rand()
+    assert (
+        one.told == two.told
+        and one.owed == two.owed
+        and one.balancer.admission.threshold == two.balancer.admission.threshold
+    )
+    assert one.balancer.random.random() == two.balancer.random.random()
 
 
 @pytest.mark.parametrize("effect", list(Idempotency))
@@ -346,8 +350,8 @@
         send = b.sent()
         b.now += 5 * MS
         again += sum(isinstance(a, StartAttempt) for a in b.answer(send, AttemptOutcome.SERVER_ERROR, 5 * MS))
-    assert 0 < again <= 200 * balance.RETRY_SHARE + balance.RETRY_SAVED + 1
-    b.balancer.pressure, b.balancer.budget = 9.0, 5.0
+    assert 0 < again <= 200 * retry.BUDGET_SHARE + retry.MAX_BUDGET + 1
+    b.balancer.overload.queueing_delay, b.balancer.retry.budget = 9.0, 5.0
     assert not any(isinstance(a, StartAttempt) for a in b.answer(b.sent(), AttemptOutcome.TIMEOUT))
 
 
