Name the failure weights' unit and the detector in the load adjustment

Cause: a comment did not say what the weight is a multiple of, and a local variable named the detector 'load'. Change: both say it.

--- a/balancer/policy/balancer.py
+++ b/balancer/policy/balancer.py
@@ -100,10 +100,10 @@
 
     def adjust_load(self, now: int) -> None:
         """Move the spillover to other zones, then the admission threshold."""
-        load = self.overload
-        load.update_estimate(bool(self.subsets.remote.ranked), now)
-        shed_share = self.admission.adjust(load.queueing_delay, load.threshold, load.answer_ratio)
-        load.discount_attempts(shed_share)
+        detector = self.overload
+        detector.update_estimate(bool(self.subsets.remote.ranked), now)
+        shed_share = self.admission.adjust(detector.queueing_delay, detector.threshold, detector.answer_ratio)
+        detector.discount_attempts(shed_share)
 
     def _sample_running_attempt(self, request: RequestState, now: int) -> None:
         """Take in the delay so far: queues that build at once show before their first late answer."""
--- a/balancer/policy/subset.py
+++ b/balancer/policy/subset.py
@@ -19,7 +19,7 @@
 INITIAL_FAN_IN, MIN_FAN_IN = 16.0, 6.0  # any endpoint holds as many connections
 FAN_IN_INCREASE, FAN_IN_DECREASE = 0.02, 0.8  # a cycle, and at a refused connect once a second at most
 USUAL_FAILURE_RATE = 0.3  # failures that say nothing yet of an endpoint: a single one among answers
-FAILURE_WEIGHTS = {Idempotency.NOT_IDEMPOTENT: 4.0}  # else a failure counts as long as the objective, once
+FAILURE_WEIGHTS = {Idempotency.NOT_IDEMPOTENT: 4.0}  # in latency objectives; 1 for what may be retried
 ENDPOINTS_PER_KEY = 2  # with one alone a popular key would swamp it
 
 
