--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -266,8 +266,9 @@
             for n in range(1, 5):
                 assert (await client.ask(request()))[0] == 503
                 assert len(one.seen) + len(other.seen) == n
-            members = node.dispatcher._balancer.members.values()
-            assert [(m.fails, m.streak, m.inflight) for m in members] == [(0.0, 0, 0)] * 2
+            members = node.dispatcher._balancer.membership.endpoints.values()
+            known = [(m.failure_rate, m.consecutive_failures, m.in_flight) for m in members]
+            assert known == [(0.0, 0, 0)] * 2
 
     run(test())
 
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -14,7 +14,8 @@
 import pytest
 
 from balancer.errors import DiscoveryError
-from balancer.policy import balancer as balance
+from balancer.policy import membership, overload
+from balancer.policy.balancer import Balancer
 from balancer.policy_api import EndpointHealth, EndpointUpdate, EndpointUpdateKind, Event, WatchEndpoints
 from balancer.sidecar import discovery_profile as discovery
 from balancer.sidecar.discovery_call import (
@@ -51,10 +52,10 @@
 def paths(asked: bool, ask_within: int) -> dict[str, float]:
     """Seconds from when discovery can be reached to when a change is heard. At the worst the call that ends
     so was begun just before; the one that follows goes well."""
-    module = balance.Balancer(rules(polls_discovery=asked, discovery_poll_window_ns=ask_within), 1)
+    module = Balancer(rules(polls_discovery=asked, discovery_poll_window_ns=ask_within), 1)
     if asked:
         profile = POLLED_DISCOVERY
-        pause, at_once = (module.ask_spread + balance.CYCLE) / SECOND, 0.0
+        pause, at_once = (module.membership.poll_spread_ns + overload.CYCLE_NS) / SECOND, 0.0
     else:
         profile = PUSHED_DISCOVERY
         pause = at_once = profile.max_retry_pause_seconds
@@ -116,9 +117,9 @@
                 b.give(EndpointUpdate(EndpointUpdateKind.DISCOVERY_FAILED, ()))
             since = b.now
             while not any(
-                isinstance(action, WatchEndpoints) for action in b.tick(balance.CYCLE / SECOND / 5)
+                isinstance(action, WatchEndpoints) for action in b.tick(overload.CYCLE_NS / SECOND / 5)
             ):
-                assert b.now - since <= balance.ASK_MOST, "put off for too long"
+                assert b.now - since <= membership.MAX_POLL_SPREAD_NS, "put off for too long"
             waits.add(b.now - since)
     assert len(first) > 10 and len(again) > 10
     assert min(again) >= 0.2 * SECOND  # or 200 sidecars would be a storm while it is down
@@ -261,7 +262,7 @@
 def test_after_every_ending_the_next_call_brings_the_change(
     ending: str, asked: bool, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr(balance, "ASK_MOST", SECOND // 100)
+    monkeypatch.setattr(membership, "MAX_POLL_SPREAD_NS", SECOND // 100)
     end, kind = ENDINGS[ending]
     calls = Calls(monkeypatch, 1 if kind is DiscoveryTimeoutError else None, ending == "connect hangs")
 
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -8,6 +8,8 @@
 from collections import Counter
 from typing import Any
 
+import pytest
+
 from balancer.policy_api import TimerFired
 from tests.sidecar import SETTINGS, Client, Script, Seen, endpoint, entry, never, ok, request, run, sidecar
 
@@ -137,7 +139,9 @@
     run(test())
 
 
-def test_an_attempt_that_hangs_while_its_endpoint_serves_is_given_up_for_a_further_one_in_time() -> None:
+def test_an_attempt_that_hangs_while_its_endpoint_serves_is_given_up_for_a_further_one_in_time(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     """One request in twenty hung at any endpoint until its deadline, and was refused then."""
 
     async def test() -> None:
@@ -179,9 +183,8 @@
             assert {code for code, _, _ in await serve_until(first)} <= {503, 504}
             hung.clear()
             well.set()
-            node.dispatcher._balancer.rand = lambda: (
-                0.5
-            )  # a tenth is never given up, to tell what becomes of it
+            # A tenth is never given up, to tell what becomes of it.
+            monkeypatch.setattr(node.dispatcher._balancer.random, "random", lambda: 0.5)
             last = asyncio.ensure_future(clients[0].ask(request(deadline="9")))
             assert (await serve_until(last))[::2] == (200, b"again")
             assert len(hung) == 1
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -358,8 +358,9 @@
             assert (ended.outcome, ended.request_finished) == (AttemptOutcome.NOT_SENT, False)
             assert not node.dispatcher._open and not node.dispatcher.is_duplicate(b"9b1f")
             # It says nothing of the endpoint, whose connection is not in vain.
-            [member] = node.dispatcher._balancer.members.values()
-            assert (member.fails, member.streak, member.out_until, member.inflight) == (0.0, 0, 0, 0)
+            [member] = node.dispatcher._balancer.membership.endpoints.values()
+            assert (member.failure_rate, member.consecutive_failures) == (0.0, 0)
+            assert (member.ejected_until_ns, member.in_flight) == (0, 0)
             gate.opened.set()
             while upstream.background_attempts:
                 await asyncio.sleep(0)
