Split the request ledger and the ports from the dispatcher, and name both whole

Cause: one class drove the policy, carried out its actions and kept the requests and the duplicate ids; its actions were typed Any and its methods named in private words. Change: RequestLedger owns the requests in flight and the ids that may not run again; ports.py holds the protocols of policy, discovery and gossip; the dispatcher queues events, carries out actions and keeps deadlines, on OneShotTimer. Its policy may be handed in, which the tests use to see the events; execute carries out one action. Gossip addresses are looked up by one method.

--- a/balancer/sidecar/client_request.py
+++ b/balancer/sidecar/client_request.py
@@ -8,26 +8,38 @@
 
 
 class ResponseSink(Protocol):
-    """Where the final answer of a request goes."""
+    """Takes the final answer of one request. One of the first three methods is called, once."""
 
-    def send_response(self, answer: HttpResponse) -> None: ...
+    def send_response(self, response: HttpResponse, /) -> None:
+        """Pass on an endpoint's successful response."""
 
-    def reject(self, stay_away: int) -> None: ...
+    def reject(self, retry_after_ns: int, /) -> None:
+        """Answer that the request was rejected and may be sent again, after this time (0: no advice)."""
 
-    def fail(self, timed_out: bool) -> None: ...
+    def fail(self, timed_out: bool, /) -> None:
+        """Answer that the request failed, perhaps after it was executed; `timed_out`: by its time."""
 
-    def is_disconnected(self) -> bool: ...
+    def is_disconnected(self) -> bool:
+        """Whether the client has left, or has ended its side of the connection."""
 
 
 class ClientRequest(NamedTuple):
-    """A request as the client sent it, checked."""
+    """A validated request of a client."""
 
-    client_request_id: bytes  # its Req-Id
+    client_request_id: bytes
+    """The client's own id of it, from its `Req-Id` header."""
     class_index: int
+    """The position of its class in `Settings.classes`."""
     tenant_index: int
+    """The position of its tenant in `Settings.tenants`."""
     key_hash: int
+    """Hash of what the request is about; 0 if it has no key."""
     timeout_ns: int
+    """How long the client waits for the answer."""
     work_hint_ns: int
+    """Expected work; 0 if unknown."""
     is_retry: bool
-    head: bytes  # the request line and the headers that go on, but for the deadline and the empty line
+    """Whether the client marked it as a retry of its own."""
+    head: bytes
+    """The request line and the headers to pass on, without `Req-Deadline` and the empty line."""
     body: bytes
--- a/balancer/sidecar/dispatcher.py
+++ b/balancer/sidecar/dispatcher.py
@@ -1,6 +1,7 @@
-"""Drives the decisions: events in as they come, actions out; keeps the ledger of requests and attempts.
+"""Feeds events to the policy and carries out the actions that it returns.
 
-It decides nothing. Events are taken one at a time: all actions of one are carried out before the next.
+The dispatcher makes no decisions. It takes one event at a time: all actions of one are carried out before the
+next event is handled.
 """
 
 from __future__ import annotations
@@ -10,23 +11,23 @@
 from collections import deque
 from collections.abc import Callable
 from functools import partial
-from typing import Any, Protocol
+from typing import TypeVar, cast
 
 from balancer.policy.balancer import Balancer
 from balancer.policy_api import (
     OUTCOMES_NEVER_EXECUTED,
+    Action,
     AttemptCompleted,
     AttemptOutcome,
     CancelAttempt,
     ClientDisconnected,
     CloseIdleConnections,
-    EndpointId,
     EndpointUpdate,
     EndpointUpdateKind,
     Event,
     FailRequest,
     FetchEndpoints,
-    Idempotency,
+    HealthCheckCompleted,
     RejectRequest,
     RequestReceived,
     SendGossip,
@@ -34,120 +35,69 @@
     StartAttempt,
     Started,
     StartHealthCheck,
+    StreamStarted,
     TimerFired,
     WatchEndpoints,
     WriteLog,
 )
 from balancer.sidecar.client_request import ClientRequest, ResponseSink
 from balancer.sidecar.clock import Clock
-from balancer.sidecar.configuration import SECOND, EndpointListUpdate, SidecarConfiguration
+from balancer.sidecar.configuration import EndpointListUpdate, SidecarConfiguration
 from balancer.sidecar.http_message import HttpResponse
-from balancer.sidecar.upstream.connection import Attempt, UpstreamManager
+from balancer.sidecar.ports import EndpointDiscovery, GossipSender, Policy
+from balancer.sidecar.request_ledger import InFlightRequest, RequestLedger
+from balancer.sidecar.timers import OneShotTimer
+from balancer.sidecar.upstream.connection import UpstreamManager
+from balancer.time_units import MILLISECOND_NS, SECOND_NS
 
-log = logging.getLogger(__name__)
-
-MS = 1_000_000
-# The client's time ends this much earlier here: for loop lag and the way back. Of a short time only a part,
-# or little would be left for the answer.
-DEADLINE_MARGIN, MARGIN_SHARE = 10 * MS, 0.1
-
-
-class EndpointDiscovery(Protocol):
-    """What the decisions may ask of discovery."""
-
-    def set_watching(self, enabled: bool) -> None:
-        """Start or stop to ask for changes of the endpoint list."""
-
-    def fetch_snapshot(self) -> None:
-        """Ask for the whole endpoint list once."""
-
-
-class GossipSender(Protocol):
-    """Carries messages to other sidecars."""
+MAX_DEADLINE_MARGIN_NS = 10 * MILLISECOND_NS
+"""A request expires here this much before its client gives up: for loop lag and the way back."""
+MAX_DEADLINE_MARGIN_SHARE = 0.1
+"""The most of a client's timeout that the margin takes: of a short one, little would be left otherwise."""
 
-    def send(self, recipient_index: int, payload: bytes) -> None:
-        """Send a message to a sidecar by its number, or to all of them (-1)."""
+ActionT = TypeVar("ActionT", bound=Action)
 
-
-class InFlightRequest:
-    """A request in the ledger: owed its final answer, or with an attempt still out."""
-
-    __slots__ = (
-        "answered",
-        "attempt",
-        "attempt_count",
-        "attempt_deadline_ns",
-        "attempt_started_at_ns",
-        "attempt_timer",
-        "client_request",
-        "deadline_timer",
-        "endpoint_id",
-        "expires_at_ns",
-        "has_background_attempt",
-        "last_outcome",
-        "may_have_run",
-        "request_id",
-        "response_sink",
-    )
-
-    def __init__(self, rid: int, client: ResponseSink, incoming: ClientRequest, expires: int) -> None:
-        self.request_id, self.response_sink, self.client_request, self.expires_at_ns = (
-            rid,
-            client,
-            incoming,
-            expires,
-        )
-        self.answered = False
-        self.attempt_count = self.attempt_started_at_ns = self.attempt_deadline_ns = 0
-        self.attempt: Attempt | None = None
-        self.endpoint_id: EndpointId = b""
-        self.last_outcome = -1  # the outcome of the last attempt
-        self.may_have_run = False
-        self.has_background_attempt = False  # by that attempt, which is still out
-        self.deadline_timer: asyncio.TimerHandle | None = None
-        self.attempt_timer: asyncio.TimerHandle | None = None
-
-    def encode(self, now: Callable[[], int]) -> bytes:
-        left = (
-            max(0, min(self.attempt_deadline_ns, self.expires_at_ns) - now()) / SECOND
-        )  # the end may have been brought forward
-        return b"%sReq-Deadline: %.3f\r\n\r\n%s" % (self.client_request.head, left, self.client_request.body)
+log = logging.getLogger(__name__)
 
 
 class Dispatcher:
-    def __init__(self, config: SidecarConfiguration, loop: asyncio.AbstractEventLoop, clock: Clock) -> None:
+    """Connects the policy with the clients, the endpoints, discovery and the other sidecars.
+
+    Every request that is submitted gets exactly one final answer, unless its client leaves before.
+
+    Args:
+        config: the configuration of the sidecar.
+        loop: the event loop that everything runs in.
+        clock: the time that the policy sees.
+        policy: what makes the decisions; by default a `Balancer` for this configuration.
+    """
+
+    def __init__(
+        self,
+        config: SidecarConfiguration,
+        loop: asyncio.AbstractEventLoop,
+        clock: Clock,
+        policy: Policy | None = None,
+    ) -> None:
         self._settings = config.settings
-        self._longest = max(cls.client_timeout_ns for cls in config.settings.classes)
-        self._loop, self.now_ns = loop, clock.now_ns
-        self._balancer = Balancer(config.settings, config.seed)
-        self.upstream = UpstreamManager(config, loop, clock.now_ns)
-        self._open: dict[int, InFlightRequest] = {}
-        self._names: set[bytes] = set()  # the ids of those
-        # Ids that are over and whose second run would do harm, by when their clients have given up.
-        self._spent: dict[bytes, int] = {}
-        self._last_id = 0
-        self._end: int | None = None  # by when this sidecar has ended, once it was told to
-        self._events: deque[Event] = deque()
-        self._busy = False
-        self._actions: dict[type, Callable[[Any], None]] = {
-            StartAttempt: self._send,
-            RejectRequest: self._refuse,
-            FailRequest: self._fail,
-            CancelAttempt: self._cancel,
-            SetTimer: self._set_timer,
-            StartHealthCheck: self._probe,
-            WriteLog: self._log,
-            CloseIdleConnections: lambda a: self.upstream.close_idle_connections(a.endpoint_id),
-            WatchEndpoints: self._set_watching,
-            FetchEndpoints: self._fetch_snapshot,
-            SendGossip: self._send_gossip,
-        }
+        self._loop = loop
+        self._policy = policy if policy is not None else Balancer(config.settings, config.seed)
         self._discovery: EndpointDiscovery | None = None
         self._gossip: GossipSender | None = None
-        self.has_endpoints = False  # whether any endpoint has been named yet
+        self._events: deque[Event] = deque()
+        self._is_dispatching = False
+        self._shutdown_deadline_ns: int | None = None
+        self._shutdown_timer = OneShotTimer(loop)
+        self._action_handlers: dict[type[object], Callable[[Action], None]] = {}
+        self._register_action_handlers()
+        self.now_ns = clock.now_ns
+        self.upstream = UpstreamManager(config, loop, clock.now_ns)
+        self.ledger = RequestLedger(config.settings, loop)
+        self.has_endpoints = False
+        """Whether any endpoint has been known yet."""
 
     def attach_discovery(self, discovery: EndpointDiscovery) -> None:
-        """Let this client carry out what the decisions ask of discovery."""
+        """Let this client carry out what the policy asks of discovery; until then that is dropped."""
         self._discovery = discovery
 
     def attach_gossip(self, gossip: GossipSender) -> None:
@@ -157,246 +107,314 @@
     # ---- events
 
     def start(self, known: EndpointListUpdate) -> None:
+        """Start the policy with the endpoint list as it was last known."""
         self.dispatch(Started())
         self.on_endpoint_update(known, EndpointUpdateKind.CACHED)
 
-    def on_endpoint_update(self, told: EndpointListUpdate, kind: EndpointUpdateKind) -> None:
-        self.has_endpoints = self.has_endpoints or bool(told.endpoints)
-        self.upstream.update_endpoints(told.endpoints, whole=kind != EndpointUpdateKind.DELTA)
-        self.dispatch(EndpointUpdate(kind, tuple(host.endpoint for host in told.endpoints)))
+    def on_endpoint_update(self, update: EndpointListUpdate, kind: EndpointUpdateKind) -> None:
+        """Take up a new endpoint list or a change of it."""
+        self.has_endpoints = self.has_endpoints or bool(update.endpoints)
+        self.upstream.update_endpoints(update.endpoints, kind != EndpointUpdateKind.DELTA)
+        self.dispatch(EndpointUpdate(kind, tuple(discovered.endpoint for discovered in update.endpoints)))
 
     def dispatch(self, event: Event) -> None:
-        """Take an event. What an action brings about at once waits until the other actions are done."""
+        """Handle an event; one that an action brings about waits until the other actions are carried out."""
         self._events.append(event)
-        if self._busy:
+        if self._is_dispatching:
             return
-        self._busy = True
+        self._is_dispatching = True
         try:
             while self._events:
-                self._step(self._events.popleft())
+                self._handle_event(self._events.popleft())
         finally:
-            self._busy = False
+            self._is_dispatching = False
 
-    def _step(self, event: Event) -> None:
+    def _handle_event(self, event: Event) -> None:
         try:
-            actions = self._balancer.handle(self.now_ns(), event)
-        except Exception:
+            actions = self._policy.handle(self.now_ns(), event)
+        except Exception as error:
             # A fault in one decision must not take the others down. Its request fails at the deadline.
-            log.exception("fault in handling %s", type(event).__name__)
+            log.exception("policy failed: event %s, error %s", _describe_event(event), type(error).__name__)
             return
         for action in actions:
-            self._actions[type(action)](action)
+            self.execute(action)
 
     # ---- requests
 
-    def is_duplicate(self, name: bytes) -> bool:
-        """Whether a request with this id is owed its answer or has an attempt out, or has run perhaps and
-        must not run again: a client whose answer is lost with its connection may send it once more."""
-        while self._spent and next(iter(self._spent.values())) <= self.now_ns():
-            del self._spent[next(iter(self._spent))]
-        return name in self._names or name in self._spent
-
-    def submit(self, client: ResponseSink, incoming: ClientRequest) -> int:
-        """Take a request; the client is answered once, unless `gone` tells that it left."""
-        self._last_id += 1
-        rid, now = self._last_id, self.now_ns()
-        margin = min(DEADLINE_MARGIN, int(incoming.timeout_ns * MARGIN_SHARE))
-        expires = now + incoming.timeout_ns - margin
-        if self._end is not None:
-            expires = min(expires, self._end)
-        request = self._open[rid] = InFlightRequest(rid, client, incoming, expires)
-        self._names.add(incoming.client_request_id)
-        request.deadline_timer = self._loop.call_later((expires - now) / SECOND, self._at_deadline, request)
+    def is_duplicate(self, client_request_id: bytes) -> bool:
+        """Whether a request with this id is in flight, or may have been executed and must not be again."""
+        return self.ledger.is_duplicate(client_request_id, self.now_ns())
+
+    def submit(self, sink: ResponseSink, client_request: ClientRequest) -> int:
+        """Take a request and return its request id.
+
+        The sink gets exactly one final answer, perhaps before this returns, unless
+        `on_client_disconnected` tells that the client left.
+        """
+        now_ns = self.now_ns()
+        expires_at_ns = self._request_deadline_ns(client_request.timeout_ns, now_ns)
+        request = self.ledger.add(sink, client_request, expires_at_ns)
+        request.deadline_timer.start(
+            (expires_at_ns - now_ns) / SECOND_NS, partial(self._on_request_deadline, request)
+        )
         self.dispatch(
             RequestReceived(
-                rid,
-                incoming.class_index,
-                incoming.tenant_index,
-                incoming.key_hash,
-                expires,
-                incoming.work_hint_ns,
-                incoming.is_retry,
+                request_id=request.request_id,
+                class_index=client_request.class_index,
+                tenant_index=client_request.tenant_index,
+                key_hash=client_request.key_hash,
+                expires_at_ns=expires_at_ns,
+                work_hint_ns=client_request.work_hint_ns,
+                is_retry=client_request.is_retry,
             )
         )
-        return rid
+        return request.request_id
+
+    def _request_deadline_ns(self, client_timeout_ns: int, now_ns: int) -> int:
+        margin_ns = min(MAX_DEADLINE_MARGIN_NS, int(client_timeout_ns * MAX_DEADLINE_MARGIN_SHARE))
+        deadline_ns = now_ns + client_timeout_ns - margin_ns
+        if self._shutdown_deadline_ns is None:
+            return deadline_ns
+        return min(deadline_ns, self._shutdown_deadline_ns)
 
     def expire_all_within(self, seconds: float) -> None:
-        """Answer everything in this time: whoever ends the process does not wait for longer deadlines."""
-        self._end = end = self.now_ns() + int(seconds * SECOND)
-        for request in self._open.values():
-            request.expires_at_ns = min(request.expires_at_ns, end)
-        self._loop.call_later(seconds, self._at_end)
-
-    def _at_end(self) -> None:
-        for request in list(self._open.values()):
+        """Answer every request within this time, as the process ends then; also those still to come."""
+        self._shutdown_deadline_ns = self.now_ns() + int(seconds * SECOND_NS)
+        for request in self.ledger.in_flight.values():
+            request.expires_at_ns = min(request.expires_at_ns, self._shutdown_deadline_ns)
+        self._shutdown_timer.start(seconds, self._expire_unanswered_requests)
+
+    def _expire_unanswered_requests(self) -> None:
+        for request in list(self.ledger.in_flight.values()):
             if not request.answered:
-                if request.deadline_timer is not None:
-                    request.deadline_timer.cancel()
-                self._at_deadline(request)
-
-    def on_client_disconnected(self, rid: int) -> None:
-        """The client left. An attempt that is out goes on: ending it would only cost a connection. One that
-        still waits for its connection must not begin: nobody wants it any more."""
-        if (request := self._conclude(rid)) is not None:
-            self._settle(request)
-            self.dispatch(ClientDisconnected(rid))
-            if request.attempt is not None:
-                request.attempt.detach()
-
-    def _left(self, request: InFlightRequest) -> bool:
-        """Whether nobody waits any more. Asked before an attempt begins: no event may have told of it yet."""
+                request.deadline_timer.cancel()
+                self._on_request_deadline(request)
+
+    def on_client_disconnected(self, request_id: int) -> None:
+        """Give the request up, as its client left.
+
+        An attempt that was sent goes on, as ending it would cost its connection. One that still waits for
+        its connection must not be sent, as nobody wants the answer.
+        """
+        request = self.ledger.mark_answered(request_id)
+        if request is None:
+            return
+        self._forget_if_finished(request)
+        self.dispatch(ClientDisconnected(request_id))
+        if request.attempt is not None:
+            request.attempt.detach()
+
+    def _detect_client_disconnect(self, request: InFlightRequest) -> None:
+        """Ask whether the client has left; done before an attempt is sent, as no event may have told yet."""
         if not request.answered and request.response_sink.is_disconnected():
             self.on_client_disconnected(request.request_id)
-        return request.answered
 
-    def _payload(self, request: InFlightRequest) -> bytes:
-        # The connection may have taken its time. The attempt ends before anything of it is written.
-        if self._left(request) and request.attempt is not None:
-            request.attempt.abort(AttemptOutcome.NOT_SENT)
-        return request.encode(self.now_ns)
-
-    def _at_deadline(self, request: InFlightRequest) -> None:
-        request.deadline_timer = None
-        # The loop rounds its timers to milliseconds and may call before the time: it is over all the same, or
-        # a further attempt would go out beside the one that outlives its request.
+    def _on_request_deadline(self, request: InFlightRequest) -> None:
+        # The loop rounds its timers to milliseconds and may call early. The request expires all the same, or
+        # a further attempt could start beside the one that goes on in the background.
         request.expires_at_ns = min(request.expires_at_ns, self.now_ns())
-        if request.attempt is not None:
-            # Of a client in a hurry an answer is still likely; beyond the aim the endpoint is behind, and an
-            # end may spare it the work.
-            aim = self._settings.classes[request.client_request.class_index].latency_objective_ns
-            request.has_background_attempt = True
-            request.attempt.continue_in_background(
-                (request.attempt_started_at_ns + aim - self.now_ns()) / SECOND, partial(self._freed, request)
-            )
+        self._continue_attempt_in_background(request)
         if not request.answered:
-            # The decisions answer each request by now; whatever keeps them from it, none is lost.
-            log.error("request %d was left unanswered until its deadline", request.request_id)
-            self._fail(FailRequest(request.request_id))
+            # The policy should have answered when the attempt ended. Whatever kept it, no request is lost.
+            log.error(
+                "deadline exceeded without a final answer: request %d, last endpoint %s, attempts %d",
+                request.request_id,
+                request.endpoint_id.hex() or "none",
+                request.attempt_count,
+            )
+            self._fail_request(FailRequest(request.request_id))
             self.dispatch(ClientDisconnected(request.request_id))
 
-    def _freed(self, request: InFlightRequest) -> None:
+    def _continue_attempt_in_background(self, request: InFlightRequest) -> None:
+        """Let an attempt that was sent end by itself, but no later than at the latency objective.
+
+        Up to the objective an answer is still likely, and keeps the connection. After it the endpoint is
+        behind, and closing the connection may spare it the work.
+        """
+        if request.attempt is None:
+            return
+        request_class = self._settings.classes[request.client_request.class_index]
+        latest_end_ns = request.attempt_started_at_ns + request_class.latency_objective_ns
+        request.has_background_attempt = True
+        request.attempt.continue_in_background(
+            (latest_end_ns - self.now_ns()) / SECOND_NS, partial(self._on_background_attempt_ended, request)
+        )
+
+    def _on_background_attempt_ended(self, request: InFlightRequest) -> None:
         request.has_background_attempt = False
-        self._settle(request)
-
-    def _settle(self, request: InFlightRequest) -> None:
-        """Drop what is answered and has no attempt out."""
-        if request.answered and request.attempt is None and not request.has_background_attempt:
-            if self._open.pop(request.request_id, None) is not None:
-                self._names.discard(request.client_request.client_request_id)
-                if (
-                    request.may_have_run
-                    and self._settings.classes[request.client_request.class_index].idempotency
-                    != Idempotency.IDEMPOTENT
-                ):
-                    self._spent[request.client_request.client_request_id] = self.now_ns() + self._longest
-            if request.deadline_timer is not None:
-                request.deadline_timer.cancel()
-                request.deadline_timer = None
+        self._forget_if_finished(request)
 
-    def _conclude(self, rid: int) -> InFlightRequest | None:
-        """The request if it is still owed its final answer, which the caller then gives."""
-        request = self._open.get(rid)
-        if request is None or request.answered:
-            return None
-        request.answered = True
-        return request
+    def _forget_if_finished(self, request: InFlightRequest) -> None:
+        self.ledger.forget_if_finished(request, self.now_ns())
 
-    # ---- actions
+    # ---- attempts
 
-    def _send(self, action: StartAttempt) -> None:
-        request, now = self._open.get(action.request_id), self.now_ns()
-        if request is None or request.answered or request.attempt is not None or now >= request.expires_at_ns:
-            self._moot(action, request)
-            return
-        if request.attempt_count >= self._settings.max_attempts or self._left(request):
-            self._moot(action, request)
+    def _start_attempt(self, action: StartAttempt) -> None:
+        request = self.ledger.in_flight.get(action.request_id)
+        now_ns = self.now_ns()
+        if request is None or not self._may_start_attempt(request, now_ns):
+            self._report_attempt_not_started(action, request)
             return
-        number, request.attempt_count = request.attempt_count, request.attempt_count + 1
-        request.attempt_started_at_ns, request.endpoint_id = now, action.endpoint_id
-        request.attempt_deadline_ns = (
-            min(request.expires_at_ns, now + action.timeout_ns)
-            if action.timeout_ns
-            else request.expires_at_ns
+        attempt_index = request.attempt_count
+        request.attempt_count += 1
+        request.attempt_started_at_ns = now_ns
+        request.attempt_deadline_ns = _attempt_deadline_ns(action, request, now_ns)
+        request.endpoint_id = action.endpoint_id
+        on_completed = partial(self._on_attempt_completed, request, attempt_index)
+        # The connection may be established after this time and before the loop has called the timer.
+        start_before_ns = min(
+            action.start_before_ns or request.attempt_deadline_ns, request.attempt_deadline_ns
+        )
+        attempt = self.upstream.create_attempt(
+            action.endpoint_id, partial(self._build_payload, request), on_completed, start_before_ns
         )
-        # The connection may come up when this time is over, before the loop has called its end.
-        latest = min(action.start_before_ns or request.attempt_deadline_ns, request.attempt_deadline_ns)
-        done = partial(self._completed, request, number)
-        payload = partial(self._payload, request)
-        attempt = self.upstream.create_attempt(action.endpoint_id, payload, done, latest)
         if attempt is None:
-            done(AttemptOutcome.CONNECT_FAILED, None)
+            on_completed(AttemptOutcome.CONNECT_FAILED, None)
             return
         request.attempt = attempt
         if request.attempt_deadline_ns < request.expires_at_ns:
-            request.attempt_timer = self._loop.call_later(action.timeout_ns / SECOND, attempt.expire)
+            request.attempt_timer.start(action.timeout_ns / SECOND_NS, attempt.expire)
         attempt.start()
 
-    def _moot(self, action: StartAttempt, request: InFlightRequest | None) -> None:
-        over = request is None or request.answered
-        number = request.attempt_count if request else 0
+    def _may_start_attempt(self, request: InFlightRequest, now_ns: int) -> bool:
+        if request.answered or request.attempt is not None or now_ns >= request.expires_at_ns:
+            return False
+        if request.attempt_count >= self._settings.max_attempts:
+            return False
+        self._detect_client_disconnect(request)
+        return not request.answered
+
+    def _report_attempt_not_started(self, action: StartAttempt, request: InFlightRequest | None) -> None:
         self.dispatch(
             AttemptCompleted(
-                action.request_id, number, action.endpoint_id, AttemptOutcome.NOT_SENT, 0, over, ()
+                request_id=action.request_id,
+                attempt_index=request.attempt_count if request is not None else 0,
+                endpoint_id=action.endpoint_id,
+                outcome=AttemptOutcome.NOT_SENT,
+                duration_ns=0,
+                request_finished=request is None or request.answered,
+                load_report=(),
             )
         )
 
-    def _completed(
-        self, request: InFlightRequest, number: int, outcome: AttemptOutcome, answer: HttpResponse | None
+    def _build_payload(self, request: InFlightRequest) -> bytes:
+        """Return the message of the current attempt, which is about to be written to its connection."""
+        # The client may have left while the connection was established: the attempt ends before any byte.
+        self._detect_client_disconnect(request)
+        if request.answered and request.attempt is not None:
+            request.attempt.abort(AttemptOutcome.NOT_SENT)
+        return request.encode(self.now_ns())
+
+    def _on_attempt_completed(
+        self,
+        request: InFlightRequest,
+        attempt_index: int,
+        outcome: AttemptOutcome,
+        response: HttpResponse | None,
     ) -> None:
-        request.attempt, request.last_outcome = None, outcome
+        request.attempt = None
+        request.attempt_timer.cancel()
+        request.last_outcome = outcome
         request.may_have_run |= outcome not in OUTCOMES_NEVER_EXECUTED
-        if request.attempt_timer is not None:
-            request.attempt_timer.cancel()
-            request.attempt_timer = None
-        if (
-            outcome == AttemptOutcome.SUCCESS
-            and answer is not None
-            and self._conclude(request.request_id) is not None
-        ):
-            request.response_sink.send_response(answer)
-        over = request.answered
-        self._settle(request)
-        took, report = self.now_ns() - request.attempt_started_at_ns, self.upstream.parse_load_report(answer)
+        if outcome == AttemptOutcome.SUCCESS and response is not None:
+            self._send_response(request, response)
+        request_finished = request.answered
+        self._forget_if_finished(request)
         self.dispatch(
-            AttemptCompleted(request.request_id, number, request.endpoint_id, outcome, took, over, report)
+            AttemptCompleted(
+                request_id=request.request_id,
+                attempt_index=attempt_index,
+                endpoint_id=request.endpoint_id,
+                outcome=outcome,
+                duration_ns=self.now_ns() - request.attempt_started_at_ns,
+                request_finished=request_finished,
+                load_report=self.upstream.parse_load_report(response),
+            )
         )
 
-    def _refuse(self, action: RejectRequest) -> None:
-        if (request := self._conclude(action.request_id)) is not None:
+    def _send_response(self, request: InFlightRequest, response: HttpResponse) -> None:
+        if self.ledger.mark_answered(request.request_id) is not None:
+            request.response_sink.send_response(response)
+
+    # ---- actions
+
+    def execute(self, action: Action) -> None:
+        """Carry out one action of the policy."""
+        self._action_handlers[type(action)](action)
+
+    def _register_action_handlers(self) -> None:
+        self._register(StartAttempt, self._start_attempt)
+        self._register(CancelAttempt, self._cancel_attempt)
+        self._register(RejectRequest, self._reject_request)
+        self._register(FailRequest, self._fail_request)
+        self._register(SetTimer, self._set_timer)
+        self._register(StartHealthCheck, self._start_health_check)
+        self._register(CloseIdleConnections, self._close_idle_connections)
+        self._register(WatchEndpoints, self._watch_endpoints)
+        self._register(FetchEndpoints, self._fetch_endpoints)
+        self._register(SendGossip, self._send_gossip)
+        self._register(WriteLog, self._write_log)
+
+    def _register(self, action_type: type[ActionT], handler: Callable[[ActionT], None]) -> None:
+        # `execute` looks a handler up by the exact type of the action, so it gets no action but its own.
+        self._action_handlers[action_type] = cast(Callable[[Action], None], handler)
+
+    def _cancel_attempt(self, action: CancelAttempt) -> None:
+        request = self.ledger.in_flight.get(action.request_id)
+        if request is None or request.attempt is None:
+            return
+        if request.attempt_count - 1 == action.attempt_index:
+            request.attempt.abort(AttemptOutcome.CANCELLED)
+
+    def _reject_request(self, action: RejectRequest) -> None:
+        request = self.ledger.mark_answered(action.request_id)
+        if request is not None:
             request.response_sink.reject(action.retry_after_ns)
-            self._settle(request)
+            self._forget_if_finished(request)
 
-    def _fail(self, action: FailRequest) -> None:
-        if (request := self._conclude(action.request_id)) is not None:
+    def _fail_request(self, action: FailRequest) -> None:
+        request = self.ledger.mark_answered(action.request_id)
+        if request is not None:
             request.response_sink.fail(request.last_outcome == AttemptOutcome.TIMEOUT)
-            self._settle(request)
-
-    def _cancel(self, action: CancelAttempt) -> None:
-        request = self._open.get(action.request_id)
-        if (
-            request is not None
-            and request.attempt is not None
-            and request.attempt_count - 1 == action.attempt_index
-        ):
-            request.attempt.abort(AttemptOutcome.CANCELLED)
+            self._forget_if_finished(request)
 
     def _set_timer(self, action: SetTimer) -> None:
-        self._loop.call_later(action.delay_ns / SECOND, self.dispatch, TimerFired(action.token))
+        # The policy has any number of timers at once and never cancels one.
+        self._loop.call_later(action.delay_ns / SECOND_NS, self.dispatch, TimerFired(action.token))
 
-    def _probe(self, action: StartHealthCheck) -> None:
+    def _start_health_check(self, action: StartHealthCheck) -> None:
         self.upstream.start_health_check(action.endpoint_id, self.dispatch)
 
-    def _log(self, action: WriteLog) -> None:
-        log.info("%s", action.text)
+    def _close_idle_connections(self, action: CloseIdleConnections) -> None:
+        self.upstream.close_idle_connections(action.endpoint_id)
 
-    def _set_watching(self, action: WatchEndpoints) -> None:
+    def _watch_endpoints(self, action: WatchEndpoints) -> None:
         if self._discovery is not None:
             self._discovery.set_watching(action.enabled)
 
-    def _fetch_snapshot(self, action: FetchEndpoints) -> None:
+    def _fetch_endpoints(self, _action: FetchEndpoints) -> None:
         if self._discovery is not None:
             self._discovery.fetch_snapshot()
 
     def _send_gossip(self, action: SendGossip) -> None:
         if self._gossip is not None:
             self._gossip.send(action.recipient_index, action.payload)
+
+    def _write_log(self, action: WriteLog) -> None:
+        log.info("%s", action.text)
+
+
+def _attempt_deadline_ns(action: StartAttempt, request: InFlightRequest, now_ns: int) -> int:
+    if not action.timeout_ns:
+        return request.expires_at_ns
+    return min(request.expires_at_ns, now_ns + action.timeout_ns)
+
+
+def _describe_event(event: Event) -> str:
+    """Name an event, its request and its endpoint, for a log line."""
+    description = type(event).__name__
+    if isinstance(event, RequestReceived | AttemptCompleted | StreamStarted | ClientDisconnected):
+        description += f", request {event.request_id}"
+    if isinstance(event, AttemptCompleted | HealthCheckCompleted):
+        description += f", endpoint {event.endpoint_id.hex()}"
+    return description
--- a/balancer/sidecar/gossip_transport.py
+++ b/balancer/sidecar/gossip_transport.py
@@ -1,4 +1,4 @@
-"""Messages between sidecars: UDP datagrams, which may come late or not at all."""
+"""Messages between sidecars: UDP datagrams, which may be late, lost or repeated."""
 
 from __future__ import annotations
 
@@ -6,40 +6,47 @@
 from typing import cast
 
 from balancer.policy_api import GossipReceived
-from balancer.sidecar.configuration import SidecarConfiguration
+from balancer.sidecar.configuration import Address, SidecarConfiguration
 from balancer.sidecar.dispatcher import Dispatcher
 
-MESSAGE_MOST = 256
+MAX_GOSSIP_BYTES = 256
+"""The longest payload of a message; a longer one is dropped."""
 
 
 class GossipTransport(asyncio.DatagramProtocol):
-    def __init__(self, config: SidecarConfiguration, host: Dispatcher) -> None:
-        self._peers, self._all = config.gossip_addresses, config.gossip_broadcast_address
-        self._numbers = {address: number for number, address in enumerate(config.gossip_addresses)}
-        self._host = host
+    """Sends messages to the sidecars of the configuration, and takes messages from these only."""
+
+    def __init__(self, config: SidecarConfiguration, dispatcher: Dispatcher) -> None:
+        self._dispatcher = dispatcher
+        self._addresses = config.gossip_addresses
+        self._broadcast_address = config.gossip_broadcast_address
+        self._index_by_address = {address: index for index, address in enumerate(config.gossip_addresses)}
         self._transport: asyncio.DatagramTransport | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Attach to the dispatcher, as messages can be sent from now on."""
         # uvloop's transports have the methods but are no subclasses of asyncio's: nothing to check by type.
         self._transport = cast(asyncio.DatagramTransport, transport)
-        self._host.attach_gossip(self)
+        self._dispatcher.attach_gossip(self)
 
     def send(self, recipient_index: int, payload: bytes) -> None:
-        """Send a message to a sidecar by its number, or to all of them (-1)."""
-        address = (
-            self._all
-            if recipient_index < 0
-            else self._peers[recipient_index]
-            if recipient_index < len(self._peers)
-            else None
-        )
-        if self._transport is not None and address is not None and len(payload) <= MESSAGE_MOST:
+        """Send a message to the sidecar with this number, or to all of them if it is negative."""
+        address = self._address_of(recipient_index)
+        if self._transport is not None and address is not None and len(payload) <= MAX_GOSSIP_BYTES:
             self._transport.sendto(payload, address)
 
+    def _address_of(self, recipient_index: int) -> Address | None:
+        if recipient_index < 0:
+            return self._broadcast_address
+        if recipient_index < len(self._addresses):
+            return self._addresses[recipient_index]
+        return None
+
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
-        number = self._numbers.get((addr[0], addr[1]))
-        if number is not None and len(data) <= MESSAGE_MOST:  # else it is no peer's
-            self._host.dispatch(GossipReceived(number, data))
+        """Pass on a message of another sidecar; anything else is dropped."""
+        sender_index = self._index_by_address.get((addr[0], addr[1]))
+        if sender_index is not None and len(data) <= MAX_GOSSIP_BYTES:
+            self._dispatcher.dispatch(GossipReceived(sender_index, data))
 
     def error_received(self, exc: Exception) -> None:
-        """A peer that is down shows as an error of the socket; messages may be lost, so nothing is due."""
+        """Ignore errors of the socket: a sidecar that is down causes them, and messages may be lost."""
--- a/tests/sidecar.py
+++ b/tests/sidecar.py
@@ -12,6 +12,7 @@
 
 import uvloop
 
+from balancer.policy.balancer import Balancer
 from balancer.policy_api import Action, Event
 from balancer.sidecar import configuration as config
 from balancer.sidecar.clock import Clock
@@ -180,21 +181,20 @@
 
     async def start(self) -> None:
         loop = asyncio.get_running_loop()
-        self.dispatcher = Dispatcher(self.config, loop, Clock())
-        handle = self.dispatcher._balancer.handle
-
-        def watched(now: int, event: Event) -> list[Action]:
-            self.events.append(event)
-            self.changed.set()
-            return handle(now, event)
-
-        self.dispatcher._balancer.handle = watched  # type: ignore[method-assign]
+        self.balancer = Balancer(self.config.settings, self.config.seed)
+        self.dispatcher = Dispatcher(self.config, loop, Clock(), policy=self)
         self.listener = Listener(self.config, self.dispatcher, loop)
         self.discovery = DiscoveryClient(self.config, self.dispatcher, loop)
         self.dispatcher.start(self.config.known_endpoints)
         self.server = await loop.create_server(lambda: DownstreamConnection(self.listener), "127.0.0.1", 0)
         self.port = self.server.sockets[0].getsockname()[1]
 
+    def handle(self, now_ns: int, event: Event) -> list[Action]:
+        """The policy of this sidecar: notes each event, and leaves the decision to the balancer."""
+        self.events.append(event)
+        self.changed.set()
+        return self.balancer.handle(now_ns, event)
+
     async def event(self, wanted: Callable[[Any], bool]) -> Any:
         """The first event, past or to come, that is wanted."""
         while True:
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -132,7 +132,10 @@
             await served.arrived.wait()
             assert (await second.ask(request("post", rid="aa")))[0] == 409
             first.writer.close()  # its client has gone, but its attempt is out
-            while node.dispatcher._open and next(iter(node.dispatcher._open.values())).answered is False:
+            while (
+                node.dispatcher.ledger.in_flight
+                and next(iter(node.dispatcher.ledger.in_flight.values())).answered is False
+            ):
                 await asyncio.sleep(0.01)
             third = await node.client()
             assert (await third.ask(request("post", rid="aa")))[0] == 409
@@ -152,7 +155,7 @@
 
         async def script(seen: Seen) -> bytes:
             nonlocal most
-            most = max(most, len(node.dispatcher._open))
+            most = max(most, len(node.dispatcher.ledger.in_flight))
             return ok()
 
         async with endpoint(script) as served, sidecar(served.dial) as node:
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -292,7 +292,7 @@
                 client.connect(("127.0.0.1", node.port))
                 asked = len(served.seen)
                 client.sendall(b"".join([request() for _ in range(7)]) + request(extra=LAST))
-                await until(lambda: len(served.seen) >= asked + 8 and not node.dispatcher._open)
+                await until(lambda: len(served.seen) >= asked + 8 and not node.dispatcher.ledger.in_flight)
 
             with contextlib.ExitStack() as clients:
                 for _ in range(30):
@@ -411,7 +411,7 @@
                 node.listener.now = lambda now=began + seconds: now  # type: ignore[misc]
                 assert (await client.ask(UP))[0] == code
             assert (await client.ask(request("post")))[0] == 503
-            assert not node.dispatcher._open
+            assert not node.dispatcher.ledger.in_flight
 
     run(test())
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -105,7 +105,7 @@
             client.writer.close()
             await node.event(lambda e: isinstance(e, ClientDisconnected))
             assert (await node.event(completed)).outcome == AttemptOutcome.NOT_SENT
-            assert not node.dispatcher.is_duplicate(b"9b1f") and not node.dispatcher._open
+            assert not node.dispatcher.is_duplicate(b"9b1f") and not node.dispatcher.ledger.in_flight
             gate.opened.set()
             other = await node.client()
             assert (await other.ask(request("post", rid="77")))[0] == 200
@@ -138,7 +138,7 @@
             left.set()
             ended = await node.event(completed)
             assert (ended.outcome, ended.request_finished) == (AttemptOutcome.REJECTED, True)
-            assert not node.dispatcher._open and len(one.seen) + len(other.seen) == 1
+            assert not node.dispatcher.ledger.in_flight and len(one.seen) + len(other.seen) == 1
 
     run(test())
 
@@ -168,7 +168,7 @@
             for _ in range(asked):
                 gone = await node.event(lambda e: isinstance(e, ClientDisconnected))
                 node.events.remove(gone)
-            assert not node.dispatcher._open
+            assert not node.dispatcher.ledger.in_flight
             gate.opened.set()
             other = await node.client()
             assert (await other.ask(request(rid="77")))[0] == 200
@@ -265,7 +265,7 @@
             for n in range(1, 5):
                 assert (await client.ask(request()))[0] == 503
                 assert len(one.seen) + len(other.seen) == n
-            members = node.dispatcher._balancer.members.values()
+            members = node.balancer.members.values()
             assert [(m.fails, m.streak, m.inflight) for m in members] == [(0.0, 0, 0)] * 2
 
     run(test())
@@ -325,14 +325,14 @@
         async with endpoint(always_ok) as served, sidecar(served.dial) as node:
             first, again = await node.client(), await node.client()
             assert (await first.ask(request(cls, rid="9b1f")))[0] == 200
-            assert not node.dispatcher._open
+            assert not node.dispatcher.ledger.in_flight
             code, _, _ = await again.ask(request(cls, rid="9b1f"))
             assert code == (409 if cls == "post" else 200)  # what is safe to repeat may come again
             clock = node.dispatcher.now_ns
             node.dispatcher.now_ns = lambda: clock() + 9 * SECOND  # its client has given up by now
             last = await node.client()
             assert (await last.ask(request("post", rid="77")))[0] == 200
-            assert list(node.dispatcher._spent) == ([b"77"])
+            assert list(node.dispatcher.ledger.executed_ids_expire_at_ns) == ([b"77"])
 
     run(test())
 
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -102,7 +102,7 @@
             asked = await hide(node, peer, hidden, lambda: waiting)
             go_on.set()
             await until(lambda: gone(node) == asked)
-            await until(lambda: not node.dispatcher._open)
+            await until(lambda: not node.dispatcher.ledger.in_flight)
             assert not served.seen
             moot = [e for e in node.events if isinstance(e, AttemptCompleted)]
             assert [(e.outcome, e.request_finished) for e in moot] == [
@@ -134,7 +134,7 @@
         ):
             peer = Peer(node)
             asked = await hide(node, peer, hidden, lambda: len(one.seen) + len(other.seen))
-            handle = node.dispatcher._balancer.handle
+            handle = node.balancer.handle
 
             def leaves(now: int, event: Event) -> list[Action]:
                 # The client goes as the first attempt's end is told: whatever is decided now comes later.
@@ -142,9 +142,9 @@
                     peer.leave(how)
                 return handle(now, event)
 
-            node.dispatcher._balancer.handle = leaves  # type: ignore[method-assign]
+            node.balancer.handle = leaves  # type: ignore[method-assign]
             left.set()
-            await until(lambda: not node.dispatcher._open)
+            await until(lambda: not node.dispatcher.ledger.in_flight)
             assert gone(node)  # of a full pipeline not all: some are refused, as retries are few
             assert len(one.seen) + len(other.seen) == asked
             peer.socket.close()
@@ -173,14 +173,14 @@
             peer = Peer(node)
             long = [request() for _ in range(MAX_PIPELINED_REQUESTS - 1)]
             peer.send(b"".join(long) + request("post", body=b"x", extra=extra))
-            await until(lambda: posts and len(node.dispatcher._open) == 1)
+            await until(lambda: posts and len(node.dispatcher.ledger.in_flight) == 1)
             connection = only(node)
             assert connection._clogged and connection._paused == (not extra)
             peer.leave(how)
             if extra and how == "half-close":
                 await until(lambda: gone(node))  # the event tells
             left.set()
-            await until(lambda: not node.dispatcher._open)
+            await until(lambda: not node.dispatcher.ledger.in_flight)
             assert len(posts) == 1 and gone(node) == 1
             peer.socket.close()
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -341,7 +341,7 @@
             go_on.set()
             while node.dispatcher.upstream.background_attempts:
                 await asyncio.sleep(0)
-            assert not node.dispatcher.is_duplicate(b"9b1f") and not node.dispatcher._open
+            assert not node.dispatcher.is_duplicate(b"9b1f") and not node.dispatcher.ledger.in_flight
             assert (await client.ask(request()))[::2] == (200, b"next")
             assert served.connections == 1 and len(served.seen) == 2
 
@@ -358,9 +358,11 @@
             client = await node.client()
             assert (await client.ask(request(deadline="1")))[0] == 503
             if not outlive:
-                assert not node.dispatcher.upstream.background_attempts and not node.dispatcher._open
+                assert (
+                    not node.dispatcher.upstream.background_attempts and not node.dispatcher.ledger.in_flight
+                )
             await served.seen[0].left.wait()  # its connection ends in either case
-            assert not node.dispatcher.upstream.background_attempts and not node.dispatcher._open
+            assert not node.dispatcher.upstream.background_attempts and not node.dispatcher.ledger.in_flight
 
     run(test())
 
@@ -425,7 +427,7 @@
                 TimerFired(77),
             ):
                 node.dispatcher.dispatch(again)
-            node.dispatcher._send(
+            node.dispatcher.execute(
                 StartAttempt(event.request_id, event.endpoint_id, 0)
             )  # over: must not go out
             assert (await client.ask(request()))[0] == 200 and len(served.seen) == 2
@@ -489,7 +491,7 @@
     async def test() -> None:
         async with endpoint(script) as served, sidecar(served.dial, dead_dial()) as node:
             for name in ("s-0", "s-1"):
-                node.dispatcher._probe(StartHealthCheck(config.endpoint_id(name)))
+                node.dispatcher.execute(StartHealthCheck(config.endpoint_id(name)))
             good, bad = [await node.event(probed(name)) for name in ("s-0", "s-1")]
             assert (good.outcome, good.load_report) == (AttemptOutcome.SUCCESS, (140, 14.5, 0.5))
             assert (bad.outcome, bad.load_report) == (AttemptOutcome.CONNECT_FAILED, ())
@@ -852,10 +854,10 @@
                 lambda: GossipTransport(node.config, node.dispatcher), local_addr=("127.0.0.1", 0)
             )
             address = transport.get_extra_info("sockname")
-            node.dispatcher._send_gossip(SendGossip(1, b"to one"))
-            node.dispatcher._send_gossip(SendGossip(-1, b"to all"))
-            node.dispatcher._send_gossip(SendGossip(1, b"x" * 257))
-            node.dispatcher._send_gossip(SendGossip(1, b"last"))
+            node.dispatcher.execute(SendGossip(1, b"to one"))
+            node.dispatcher.execute(SendGossip(-1, b"to all"))
+            node.dispatcher.execute(SendGossip(1, b"x" * 257))
+            node.dispatcher.execute(SendGossip(1, b"last"))
             heard = [await loop.sock_recv(other, 999) for _ in range(3)]
             assert heard == [b"to one", b"to all", b"last"]
             stranger.sendto(b"no peer", address)
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -179,9 +179,7 @@
             assert {code for code, _, _ in await serve_until(first)} <= {503, 504}
             hung.clear()
             well.set()
-            node.dispatcher._balancer.rand = lambda: (
-                0.5
-            )  # a tenth is never given up, to tell what becomes of it
+            node.balancer.rand = lambda: 0.5  # a tenth is never given up, to tell what becomes of it
             last = asyncio.ensure_future(clients[0].ask(request(deadline="9")))
             assert (await serve_until(last))[::2] == (200, b"again")
             assert len(hung) == 1
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -272,7 +272,7 @@
             assert (
                 upstream._store.used_bytes == 0
                 and not upstream.background_attempts
-                and not node.dispatcher._open
+                and not node.dispatcher.ledger.in_flight
             )
 
     run(test())
@@ -356,9 +356,9 @@
             assert (await client.answer())[0] == 503  # refused: trying again is harmless
             ended = await node.event(completed)
             assert (ended.outcome, ended.request_finished) == (AttemptOutcome.NOT_SENT, False)
-            assert not node.dispatcher._open and not node.dispatcher.is_duplicate(b"9b1f")
+            assert not node.dispatcher.ledger.in_flight and not node.dispatcher.is_duplicate(b"9b1f")
             # It says nothing of the endpoint, whose connection is not in vain.
-            [member] = node.dispatcher._balancer.members.values()
+            [member] = node.balancer.members.values()
             assert (member.fails, member.streak, member.out_until, member.inflight) == (0.0, 0, 0, 0)
             gate.opened.set()
             while upstream.background_attempts:
@@ -699,9 +699,9 @@
                 else:
                     client = await node.client()
                     client.writer.write(whole)
-                    while not upstream._open or not node.dispatcher._open:
+                    while not upstream._open or not node.dispatcher.ledger.in_flight:
                         await asyncio.sleep(0)
-                    [sent] = node.dispatcher._open.values()
+                    [sent] = node.dispatcher.ledger.in_flight.values()
                     while sent.attempt is None or sent.attempt._connection is None:
                         await asyncio.sleep(0)
                     if over == "deadline":
@@ -712,7 +712,7 @@
                     assert (await node.event(completed)).outcome == AttemptOutcome.NOT_SENT
                 while upstream._open:
                     await asyncio.sleep(0)
-                assert not upstream.background_attempts and not node.dispatcher._open
+                assert not upstream.background_attempts and not node.dispatcher.ledger.in_flight
                 peer, _ = server.accept()
                 peer.settimeout(WAIT / 4)
                 with peer, contextlib.suppress(ConnectionResetError):
