--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -184,7 +184,7 @@
             hung.clear()
             well.set()
             # A tenth is never given up, to tell what becomes of it.
-            monkeypatch.setattr(node.dispatcher._balancer.random, "random", lambda: 0.5)
+            monkeypatch.setattr(node.balancer.random, "random", lambda: 0.5)
             last = asyncio.ensure_future(clients[0].ask(request(deadline="9")))
             assert (await serve_until(last))[::2] == (200, b"again")
             assert len(hung) == 1
