Split the upstream connection module into parser, pool, attempt, health check and manager

Cause: one module of 600 lines held the connection with its response parser, the attempts, the pools, the health checks, the load reports and the owner of them all. The state of an attempt was spread over five optional fields, and a bare ValueError was what stopped the parser.

Change: one module for each. `ResponseParser` holds the callbacks of httptools and the limits and raises `ResponseError`s; `EndpointPool` takes, keeps and closes its own idle connections and is told the time; `Attempt` has an `AttemptState`, described with its transitions in the docstring, and one `OneShotTimer`; `HealthCheck` has its own timeout. What the tests had to look at in private is public and documented: `UpstreamManager.pools`, `open_connection_count`, `max_connections`, `buffer_budget`, `UpstreamConnection.transport`, `buffer_budget`, `Attempt.state`.

--- a/balancer/sidecar/discovery_client.py
+++ b/balancer/sidecar/discovery_client.py
@@ -16,7 +16,8 @@
 )
 from balancer.sidecar.dispatcher import Dispatcher
 from balancer.sidecar.http_message import HttpResponse
-from balancer.sidecar.upstream.connection import BufferBudget, UpstreamConnection
+from balancer.sidecar.upstream.buffer_budget import BufferBudget
+from balancer.sidecar.upstream.connection import UpstreamConnection
 
 log = logging.getLogger(__name__)
 
@@ -176,7 +177,7 @@
         if connection is not None and not connection.is_reusable():
             connection.close()
             connection = None
-        connection = connection or UpstreamConnection(store=BufferBudget(LIST_MOST))
+        connection = connection or UpstreamConnection(budget=BufferBudget(LIST_MOST))
         good = False
         try:
             async with asyncio.timeout(timeout):
--- a/balancer/sidecar/dispatcher.py
+++ b/balancer/sidecar/dispatcher.py
@@ -42,7 +42,8 @@
 from balancer.sidecar.clock import Clock
 from balancer.sidecar.configuration import SECOND, EndpointListUpdate, SidecarConfiguration
 from balancer.sidecar.http_message import HttpResponse
-from balancer.sidecar.upstream.connection import Attempt, UpstreamManager
+from balancer.sidecar.upstream.attempt import Attempt
+from balancer.sidecar.upstream.manager import UpstreamManager
 
 log = logging.getLogger(__name__)
 
@@ -162,7 +163,7 @@
 
     def on_endpoint_update(self, told: EndpointListUpdate, kind: EndpointUpdateKind) -> None:
         self.has_endpoints = self.has_endpoints or bool(told.endpoints)
-        self.upstream.update_endpoints(told.endpoints, whole=kind != EndpointUpdateKind.DELTA)
+        self.upstream.update_endpoints(told.endpoints, is_snapshot=kind != EndpointUpdateKind.DELTA)
         self.dispatch(EndpointUpdate(kind, tuple(host.endpoint for host in told.endpoints)))
 
     def dispatch(self, event: Event) -> None:
--- /dev/null
+++ b/balancer/sidecar/upstream/attempt.py
@@ -0,0 +1,352 @@
+"""One attempt to have a request answered by one endpoint."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+from collections.abc import Callable
+from enum import Enum, auto
+from http import HTTPStatus
+from typing import Protocol, TypeAlias
+
+from balancer.errors import UpstreamConnectionError
+from balancer.policy_api import AttemptOutcome
+from balancer.sidecar.configuration import SECOND, Address
+from balancer.sidecar.http_message import HttpResponse
+from balancer.sidecar.timers import OneShotTimer
+from balancer.sidecar.upstream.connection import UpstreamConnection
+from balancer.sidecar.upstream.pool import EndpointPool
+
+CompletionCallback: TypeAlias = Callable[[AttemptOutcome, HttpResponse | None], None]
+
+TIMER_RESOLUTION_SECONDS = 0.001  # the event loop rounds its timers to milliseconds
+
+STATUS_OK = int(HTTPStatus.OK)
+REJECTION_STATUSES = frozenset((HTTPStatus.SERVICE_UNAVAILABLE, HTTPStatus.GATEWAY_TIMEOUT))
+CLIENT_ERROR_STATUSES = range(400, 500)
+# Client errors that speak of the moment, not of the request.
+TRANSIENT_CLIENT_ERROR_STATUSES = frozenset(
+    (HTTPStatus.REQUEST_TIMEOUT, HTTPStatus.TOO_EARLY, HTTPStatus.TOO_MANY_REQUESTS)
+)
+
+# Failures to connect that speak of this machine, not of the endpoint.
+LOCAL_RESOURCE_ERRNOS = frozenset(
+    (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL)
+)
+
+
+class EndpointUnreachableError(UpstreamConnectionError):
+    """The endpoint has accepted no connection at its address."""
+
+    def __init__(self, address: Address) -> None:
+        super().__init__(f"no connection to {address[0]}:{address[1]}")
+        self.address = address
+
+
+class LocalResourceError(UpstreamConnectionError):
+    """This machine has no room for a further connection, which says nothing of the endpoint."""
+
+    def __init__(self, address: Address) -> None:
+        super().__init__(f"no local resources for a connection to {address[0]}:{address[1]}")
+        self.address = address
+
+
+class ConnectionProvider(Protocol):
+    """What an attempt needs of the owner of all connections."""
+
+    loop: asyncio.AbstractEventLoop
+    background_attempts: set[Attempt]
+
+    def now_ns(self) -> int:
+        """Return the time of the sidecar's clock."""
+
+    def make_room(self) -> bool:
+        """Return whether a connection may be opened, having closed an idle one if need be."""
+
+    async def connect(self, pool: EndpointPool) -> UpstreamConnection:
+        """Open a connection to the endpoint of this pool. Raises OSError."""
+
+
+class AttemptState(Enum):
+    """Where an attempt stands; see `Attempt`."""
+
+    NEW = auto()
+    CONNECTING = auto()
+    DETACHED = auto()
+    IN_FLIGHT = auto()
+    IN_BACKGROUND = auto()
+    ENDED = auto()
+
+
+# A tuple, as it is searched by identity: the hash of an enum member is computed in Python.
+_AWAITED_STATES = (AttemptState.IN_FLIGHT, AttemptState.CONNECTING, AttemptState.NEW)
+
+
+class Attempt:
+    """A request on its way to an endpoint.
+
+    `on_completed` is called exactly once, with the outcome and the response if there is one. Of a request
+    that was not written whole, the outcome says that it was never executed.
+
+    The states, and what leads from one to the next:
+
+    - NEW: not started. `start` writes the request to an idle connection (IN_FLIGHT), else waits for a
+      connection (CONNECTING), else ends, as there is no room for one.
+    - CONNECTING: a task waits until a used connection has rested or a new one is made. Once there is one the
+      request is written (IN_FLIGHT), unless there is none, it is too late or the endpoint takes nothing new
+      any more, which ends the attempt. `detach`, `expire` and `continue_in_background` report that nothing
+      was sent (DETACHED).
+    - DETACHED: reported, while the connection is still being made. It goes to the pool, which ends the
+      attempt.
+    - IN_FLIGHT: the request is written, or a part of it. A response or the loss of the connection ends the
+      attempt, as does `expire`. If a part of the request is still unsent at `start_before_ns` it is too late
+      for the rest, which ends the attempt as well. `continue_in_background` reports a timeout
+      (IN_BACKGROUND).
+    - IN_BACKGROUND: reported, but its connection is kept for a while, as the response may still come and
+      leave the connection fit for the next request. The response, the loss of the connection or the end of
+      that time ends the attempt.
+    - ENDED: nothing of the attempt is left. `abort` leads here from every state, at once.
+
+    `on_completed` is called on the way from NEW, CONNECTING or IN_FLIGHT to DETACHED, IN_BACKGROUND or ENDED.
+    Attempts that are DETACHED or IN_BACKGROUND are held by the connection provider.
+    """
+
+    __slots__ = (
+        "_build_payload",
+        "_connect_task",
+        "_connection",
+        "_on_completed",
+        "_on_released",
+        "_pool",
+        "_provider",
+        "_start_before_ns",
+        "_state",
+        "_timer",
+    )
+
+    def __init__(
+        self,
+        provider: ConnectionProvider,
+        pool: EndpointPool,
+        build_payload: Callable[[], bytes],
+        on_completed: CompletionCallback,
+        start_before_ns: int,
+    ) -> None:
+        self._provider = provider
+        self._pool = pool
+        self._build_payload = build_payload
+        self._on_completed = on_completed
+        self._start_before_ns = start_before_ns  # 0: no limit
+        self._state = AttemptState.NEW
+        self._connect_task: asyncio.Task[None] | None = None  # while CONNECTING or DETACHED
+        self._connection: UpstreamConnection | None = None  # while IN_FLIGHT or IN_BACKGROUND
+        self._on_released: Callable[[], None] | None = None  # while IN_BACKGROUND
+        self._timer = OneShotTimer(provider.loop)  # the limit for unsent bytes; then that of the background
+
+    @property
+    def state(self) -> AttemptState:
+        """Where the attempt stands."""
+        return self._state
+
+    def start(self) -> None:
+        """Write the request to an idle connection, or begin to wait for a connection."""
+        provider = self._provider
+        connection = self._pool.acquire(provider.now_ns())
+        if connection is not None:
+            self._send(connection)
+            return
+        rest_seconds = self._pool.seconds_until_rested(provider.now_ns())
+        if rest_seconds > 0 or provider.make_room():
+            self._state = AttemptState.CONNECTING
+            self._connect_task = provider.loop.create_task(self._connect_and_send(rest_seconds))
+        else:
+            # The lack of room is this sidecar's: it says nothing of the endpoint.
+            self._end(AttemptOutcome.NOT_SENT)
+
+    def abort(self, outcome: AttemptOutcome) -> None:
+        """End the attempt: its connection is closed before anything else happens for the request."""
+        if self._connect_task is not None:
+            self._connect_task.cancel()
+        if self._connection is not None:
+            self._connection.close()
+        self._end(outcome)
+
+    def detach(self) -> None:
+        """End the attempt if it is still connecting. The pool gets the connection that is being made."""
+        if self._state is not AttemptState.CONNECTING:
+            return
+        self._state = AttemptState.DETACHED
+        self._provider.background_attempts.add(self)
+        self._on_completed(AttemptOutcome.NOT_SENT, None)
+
+    def expire(self) -> None:
+        """End the attempt as its own time is over, which may be while it is still connecting."""
+        if self._connect_task is not None:
+            self.detach()
+        elif self._has_unsent_bytes:
+            self.abort(AttemptOutcome.NOT_SENT)
+        else:
+            self.abort(AttemptOutcome.TIMEOUT)
+
+    def continue_in_background(self, seconds: float, on_released: Callable[[], None]) -> None:
+        """End the attempt as its request is over, but keep its connection if the response comes in this time.
+
+        Closed, the connection would cost the endpoint a handshake, about the work of a request, and the next
+        request the time of it. `on_released` is called once nothing of the attempt is in flight any more.
+        What was never sent is never executed; nor does that speak against the endpoint, as the connect has
+        time left.
+        """
+        if self._state is AttemptState.IN_FLIGHT and seconds > 0 and not self._has_unsent_bytes:
+            self._state = AttemptState.IN_BACKGROUND
+            self._on_released = on_released
+            self._timer.start(seconds, self._on_background_time_over)
+            self._provider.background_attempts.add(self)
+            self._on_completed(AttemptOutcome.TIMEOUT, None)
+        else:
+            self.expire()
+            on_released()
+
+    # ---- connecting
+
+    async def _connect_and_send(self, rest_seconds: float) -> None:
+        connection: UpstreamConnection | None = None
+        failure = AttemptOutcome.CONNECT_FAILED
+        try:
+            connection = await self._obtain_connection(rest_seconds)
+        except LocalResourceError:
+            failure = AttemptOutcome.NOT_SENT
+        except EndpointUnreachableError:
+            pass
+        self._connect_task = None
+        if self._state is not AttemptState.CONNECTING:
+            self._end_detached(connection)
+        elif connection is None:
+            self._end(failure)
+        else:
+            self._use_new_connection(connection)
+
+    async def _obtain_connection(self, rest_seconds: float) -> UpstreamConnection | None:
+        """Return a connection that has rested, which is cheaper than a handshake, or else a new one.
+
+        Returns None where the attempt was detached during the rest: then neither is of use. Raises
+        EndpointUnreachableError and LocalResourceError.
+        """
+        if rest_seconds > 0:
+            await asyncio.sleep(rest_seconds + TIMER_RESOLUTION_SECONDS)
+            if self._state is not AttemptState.CONNECTING:
+                return None
+            connection = self._pool.acquire(self._provider.now_ns())
+            if connection is not None:
+                return connection
+            if not self._provider.make_room():
+                raise LocalResourceError(self._pool.address)
+        return await self._open_connection()
+
+    async def _open_connection(self) -> UpstreamConnection:
+        """Return a new connection. Raises EndpointUnreachableError and LocalResourceError.
+
+        What becomes of a connect to an address that the endpoint has left meanwhile says nothing of the
+        endpoint: the new address is tried.
+        """
+        while True:
+            address = self._pool.address
+            try:
+                connection = await self._provider.connect(self._pool)
+            except OSError as error:  # a timeout is one, too
+                if address == self._pool.address:
+                    raise _connect_error(address, error) from error
+            else:
+                if address == self._pool.address:
+                    return connection
+                connection.close()
+            if self._state is not AttemptState.CONNECTING or not self._pool.is_ready:
+                raise EndpointUnreachableError(address)
+            if not self._provider.make_room():
+                raise LocalResourceError(self._pool.address)
+
+    def _end_detached(self, connection: UpstreamConnection | None) -> None:
+        self._state = AttemptState.ENDED
+        self._provider.background_attempts.discard(self)
+        if connection is not None:
+            self._pool.release(connection, self._provider.now_ns())
+
+    def _use_new_connection(self, connection: UpstreamConnection) -> None:
+        if not self._pool.is_ready:
+            # The endpoint began to drain or was removed meanwhile: nothing new may be sent to it.
+            connection.close()
+            self._end(AttemptOutcome.CONNECT_FAILED)
+        elif self._start_before_ns and self._provider.now_ns() >= self._start_before_ns:
+            self._pool.release(connection, self._provider.now_ns())
+            self._end(AttemptOutcome.NOT_SENT)
+        else:
+            self._send(connection)
+
+    # ---- in flight
+
+    @property
+    def _has_unsent_bytes(self) -> bool:
+        return self._connection is not None and self._connection.has_unsent_bytes
+
+    def _send(self, connection: UpstreamConnection) -> None:
+        self._state = AttemptState.IN_FLIGHT
+        self._connection = connection
+        # The payload's owner may abort the attempt here. Then the connection is closed and refuses it.
+        payload = self._build_payload()
+        if not connection.send(payload, self._on_response):
+            self._end(AttemptOutcome.CONNECT_FAILED)
+        elif self._start_before_ns and connection.has_unsent_bytes:
+            remaining_ns = max(0, self._start_before_ns - self._provider.now_ns())
+            self._timer.start(remaining_ns / SECOND, self._on_too_late_for_rest)
+
+    def _on_response(self, response: HttpResponse | None) -> None:
+        if self._connection is not None and response is not None:
+            self._pool.release(self._connection, self._provider.now_ns())
+        self._end(outcome_of_response(response), response)
+
+    def _on_too_late_for_rest(self) -> None:
+        """Let the last byte of the request go out no later than its first one may."""
+        if self._has_unsent_bytes:
+            self.abort(AttemptOutcome.NOT_SENT)
+
+    def _on_background_time_over(self) -> None:
+        self.abort(AttemptOutcome.TIMEOUT)
+
+    # ---- the end
+
+    def _end(self, outcome: AttemptOutcome, response: HttpResponse | None = None) -> None:
+        """Report the outcome if it is still awaited, and release what is held."""
+        is_awaited = self._state in _AWAITED_STATES
+        on_released = self._on_released
+        self._state = AttemptState.ENDED
+        self._connection = None
+        self._connect_task = None
+        self._on_released = None
+        self._timer.cancel()
+        self._provider.background_attempts.discard(self)
+        if is_awaited:
+            self._on_completed(outcome, response)
+        if on_released is not None:
+            on_released()
+
+
+def outcome_of_response(response: HttpResponse | None) -> AttemptOutcome:
+    """Return what a response says of its attempt.
+
+    What is not plainly rejected or served may have been executed.
+    """
+    if response is None:
+        return AttemptOutcome.CONNECTION_RESET
+    status = response.status
+    if status == STATUS_OK:
+        return AttemptOutcome.SUCCESS
+    if status in REJECTION_STATUSES and response.header(b"srv-declined") == b"1":
+        return AttemptOutcome.REJECTED
+    if status in CLIENT_ERROR_STATUSES and status not in TRANSIENT_CLIENT_ERROR_STATUSES:
+        return AttemptOutcome.CLIENT_ERROR
+    return AttemptOutcome.SERVER_ERROR
+
+
+def _connect_error(address: Address, error: OSError) -> UpstreamConnectionError:
+    if error.errno in LOCAL_RESOURCE_ERRNOS:
+        return LocalResourceError(address)
+    return EndpointUnreachableError(address)
--- /dev/null
+++ b/balancer/sidecar/upstream/load_report.py
@@ -0,0 +1,33 @@
+"""Parses the load reports that account servers send in a header or as the body of a health check.
+
+A report is `TEXT name=value, name=value, ...` in ASCII.
+"""
+
+from __future__ import annotations
+
+import re
+
+_PREFIX = "TEXT"
+_NUMBER = re.compile(r"[0-9]{1,15}(?:\.[0-9]{1,15})?(?:e-[0-9]{1,2})?", re.ASCII)
+
+
+def parse_load_report(text: bytes, fields: tuple[str, ...]) -> tuple[float, ...]:
+    """Return the values of a load report in the order of `fields`; () where any is missing or malformed."""
+    try:
+        report = text.decode("ascii")
+    except UnicodeDecodeError:
+        return ()
+    values = _parse_values(report)
+    try:
+        return tuple(values[field] for field in fields)
+    except KeyError:
+        return ()
+
+
+def _parse_values(report: str) -> dict[str, float]:
+    values: dict[str, float] = {}
+    for part in report.strip().removeprefix(_PREFIX).split(","):
+        name, _, value = part.strip().partition("=")
+        if _NUMBER.fullmatch(value):  # float() would take nan, inf, 1_0 and more
+            values[name] = float(value)
+    return values
--- /dev/null
+++ b/balancer/sidecar/upstream/manager.py
@@ -0,0 +1,190 @@
+"""All connections to endpoints: pools by endpoint, the limit on connections, attempts and health checks."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Collection, Iterable, Mapping
+from functools import partial
+
+from balancer.policy_api import AttemptOutcome, EndpointHealth, EndpointId, HealthCheckCompleted
+from balancer.sidecar.configuration import SECOND, DiscoveredEndpoint, SidecarConfiguration
+from balancer.sidecar.http_message import HttpResponse
+from balancer.sidecar.upstream.attempt import STATUS_OK, Attempt, CompletionCallback
+from balancer.sidecar.upstream.buffer_budget import BufferBudget
+from balancer.sidecar.upstream.connection import UpstreamConnection
+from balancer.sidecar.upstream.health_check import HealthCheck, build_health_check_request
+from balancer.sidecar.upstream.load_report import parse_load_report
+from balancer.sidecar.upstream.pool import EndpointPool
+
+USABLE_IDLE_TIME_SHARE = 0.9
+"""A connection idle for this share of the endpoint's idle timeout is not used again."""
+
+RESPONSE_BUFFER_MEMORY_DIVISOR = 4
+"""The bodies of responses in flight may take this fraction of the memory limit together."""
+
+
+class UpstreamManager:
+    """Holds every connection to an endpoint and starts what is sent over them.
+
+    A connection counts against `max_connections` from when it is begun until it is lost.
+    """
+
+    def __init__(
+        self,
+        config: SidecarConfiguration,
+        loop: asyncio.AbstractEventLoop,
+        now_ns: Callable[[], int],
+    ) -> None:
+        self.loop = loop
+        self.now_ns = now_ns
+        self.max_connections = config.max_upstream_connections
+        self.buffer_budget = BufferBudget(config.memory_limit_bytes // RESPONSE_BUFFER_MEMORY_DIVISOR)
+        self.background_attempts: set[Attempt] = set()
+        """Attempts that were reported but still connect or wait for a response."""
+        self._max_idle_ns = int(config.connection_idle_timeout_ns * USABLE_IDLE_TIME_SHARE)
+        self._connect_timeout_seconds = config.connect_timeout_ns / SECOND
+        self._load_report_fields = config.settings.load_report_fields
+        self._health_check_request = build_health_check_request(config.load_reports_enabled)
+        self._open_connection_count = 0
+        self._pools: dict[EndpointId, EndpointPool] = {}
+        self._health_checks: set[HealthCheck] = set()
+
+    @property
+    def pools(self) -> Mapping[EndpointId, EndpointPool]:
+        """The pools of all endpoints in the list."""
+        return self._pools
+
+    @property
+    def open_connection_count(self) -> int:
+        """How many connections are being made or not lost yet."""
+        return self._open_connection_count
+
+    # ---- endpoints
+
+    def update_endpoints(self, endpoints: Iterable[DiscoveredEndpoint], is_snapshot: bool) -> None:
+        """Take an endpoint update. Of a snapshot, endpoints that it does not list are removed.
+
+        Called before the policy takes the update, so that connections being made see that an endpoint drains.
+        """
+        listed_ids: set[EndpointId] = set()
+        for discovered in endpoints:
+            listed_ids.add(discovered.endpoint.id)
+            self._update_pool(discovered)
+        if is_snapshot:
+            self._mark_unlisted_as_removed(listed_ids)
+        self._pools = {
+            endpoint_id: pool
+            for endpoint_id, pool in self._pools.items()
+            if pool.health != EndpointHealth.REMOVED
+        }
+
+    def close_idle_connections(self, endpoint_id: EndpointId) -> None:
+        """Close the idle connections to an endpoint, if it is listed."""
+        pool = self._pools.get(endpoint_id)
+        if pool is not None:
+            pool.close_idle_connections()
+
+    def _update_pool(self, discovered: DiscoveredEndpoint) -> None:
+        endpoint = discovered.endpoint
+        pool = self._pools.get(endpoint.id)
+        if pool is None:
+            self._pools[endpoint.id] = EndpointPool(discovered.address, endpoint.health, self._max_idle_ns)
+        else:
+            pool.update(discovered.address, endpoint.health)
+
+    def _mark_unlisted_as_removed(self, listed_ids: Collection[EndpointId]) -> None:
+        for endpoint_id, pool in self._pools.items():
+            if endpoint_id not in listed_ids:
+                pool.mark_removed()
+
+    # ---- attempts and health checks
+
+    def create_attempt(
+        self,
+        endpoint_id: EndpointId,
+        build_payload: Callable[[], bytes],
+        on_completed: CompletionCallback,
+        start_before_ns: int = 0,
+    ) -> Attempt | None:
+        """Return a new attempt, not started yet; None where the endpoint takes nothing new.
+
+        `build_payload` is called just before the request is written. If the connection is not there before
+        `start_before_ns` (0: no limit), the request is not written.
+        """
+        pool = self._pools.get(endpoint_id)
+        if pool is None or not pool.is_ready:
+            return None
+        return Attempt(self, pool, build_payload, on_completed, start_before_ns)
+
+    def start_health_check(
+        self, endpoint_id: EndpointId, on_completed: Callable[[HealthCheckCompleted], None]
+    ) -> None:
+        """Ask an endpoint whether it is alive and, if it tells, for its load."""
+
+        def on_ended(ended: HealthCheck, event: HealthCheckCompleted) -> None:
+            self._health_checks.discard(ended)
+            on_completed(event)
+
+        health_check = HealthCheck(
+            endpoint_id, self.loop, self.now_ns, partial(self.parse_load_report, body=True), on_ended
+        )
+        attempt = self.create_attempt(
+            endpoint_id, self._build_health_check_request, health_check.on_attempt_completed
+        )
+        if attempt is None:
+            on_completed(HealthCheckCompleted(endpoint_id, AttemptOutcome.CONNECT_FAILED, 0, ()))
+            return
+        self._health_checks.add(health_check)
+        health_check.run(attempt)
+
+    def parse_load_report(self, response: HttpResponse | None, body: bool = False) -> tuple[float, ...]:
+        """Return the load report of a response, in the order of the settings; () if there is none.
+
+        With `body`, the body of a successful response is one if no header is.
+        """
+        if response is None or not self._load_report_fields:
+            return ()
+        text = response.header(b"srv-load")
+        if not text and body and response.status == STATUS_OK:
+            text = response.body
+        return parse_load_report(text or b"", self._load_report_fields)
+
+    def _build_health_check_request(self) -> bytes:
+        return self._health_check_request
+
+    # ---- connections
+
+    def make_room(self) -> bool:
+        """Return whether one more connection may be opened; the longest idle one makes room if need be."""
+        if self._open_connection_count < self.max_connections:
+            return True
+        pools = [pool for pool in self._pools.values() if pool.idle_connections]
+        if not pools:
+            return False
+        longest_idle = min(pools, key=lambda pool: pool.idle_connections[0].idle_since_ns)
+        longest_idle.close_longest_idle()
+        return True
+
+    async def connect(self, pool: EndpointPool) -> UpstreamConnection:
+        """Open a connection to the endpoint of this pool. Raises OSError; a timeout is one.
+
+        The connection counts until it is lost, which may be before this returns.
+        """
+        connection = UpstreamConnection(partial(self._on_connection_lost, pool), self.buffer_budget)
+        connection.address = pool.address
+        host, port = pool.address
+        self._open_connection_count += 1
+        try:
+            async with asyncio.timeout(self._connect_timeout_seconds):
+                await self.loop.create_connection(lambda: connection, host, port)
+        except BaseException:
+            if connection.is_established:
+                connection.close()
+            else:
+                self._open_connection_count -= 1  # its loss will not be reported
+            raise
+        return connection
+
+    def _on_connection_lost(self, pool: EndpointPool, connection: UpstreamConnection) -> None:
+        self._open_connection_count -= 1
+        pool.discard(connection)
--- /dev/null
+++ b/balancer/sidecar/upstream/pool.py
@@ -0,0 +1,109 @@
+"""The idle connections to one endpoint."""
+
+from __future__ import annotations
+
+from balancer.policy_api import EndpointHealth
+from balancer.sidecar.configuration import SECOND, Address
+from balancer.sidecar.upstream.connection import UpstreamConnection
+
+CONNECTION_REST_NS = SECOND // 125
+"""How long a connection rests between two requests.
+
+A second response to one request may come some milliseconds after the first. Taken for the response to a
+request that was written meanwhile, it would be passed on, or say that the request was never executed.
+"""
+
+SURPLUS_IDLE_NS = 4 * SECOND
+"""A surplus connection, left by a burst, is closed once idle for this long.
+
+Each takes a part of the endpoint's capacity; a new handshake costs as much work as holding one connection for
+two to six seconds.
+"""
+
+
+class EndpointPool:
+    """What is known of one endpoint, and the idle connections to it, the longest idle first.
+
+    A connection that has been idle for `max_idle_ns` is not used again: the endpoint may close it any moment.
+    All points in time are those of one clock, which the callers read.
+    """
+
+    def __init__(self, address: Address, health: EndpointHealth, max_idle_ns: int) -> None:
+        self.address = address
+        self.health = health
+        self.idle_connections: list[UpstreamConnection] = []
+        self._max_idle_ns = max_idle_ns
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the endpoint takes new requests."""
+        return self.health == EndpointHealth.READY
+
+    def update(self, address: Address, health: EndpointHealth) -> None:
+        """Take the endpoint's entry of an endpoint update."""
+        has_moved = address != self.address
+        self.address = address
+        self.health = health
+        if has_moved or not self.is_ready:
+            self.close_idle_connections()
+
+    def mark_removed(self) -> None:
+        """Take the endpoint's absence from a snapshot."""
+        self.health = EndpointHealth.REMOVED
+        self.close_idle_connections()
+
+    def acquire(self, now_ns: int) -> UpstreamConnection | None:
+        """Take the most recently used connection that has rested and is still good, or None.
+
+        The most recently used one goes first so that the surplus grows old and closes.
+        """
+        rested_since_ns = now_ns - CONNECTION_REST_NS
+        usable_after_ns = now_ns - self._max_idle_ns
+        for index in range(len(self.idle_connections) - 1, -1, -1):
+            connection = self.idle_connections[index]
+            if connection.idle_since_ns > rested_since_ns:
+                continue
+            del self.idle_connections[index]
+            if connection.idle_since_ns > usable_after_ns and connection.is_reusable():
+                return connection
+            connection.close()
+        return None
+
+    def release(self, connection: UpstreamConnection, now_ns: int) -> None:
+        """Keep a connection for the next request, or close it where it is not fit for one."""
+        is_current = self.is_ready and connection.address == self.address
+        if not is_current or not connection.is_reusable():
+            connection.close()
+            return
+        connection.idle_since_ns = now_ns
+        self.idle_connections.append(connection)
+        self._close_surplus(now_ns)
+
+    def seconds_until_rested(self, now_ns: int) -> float:
+        """Return in how many seconds the first idle connection will have rested; 0 if none is idle."""
+        rest_ns = min(
+            (connection.idle_since_ns + CONNECTION_REST_NS - now_ns for connection in self.idle_connections),
+            default=0,
+        )
+        return rest_ns / SECOND
+
+    def discard(self, connection: UpstreamConnection) -> None:
+        """Forget a connection that is lost, if it was idle here."""
+        if connection in self.idle_connections:
+            self.idle_connections.remove(connection)
+
+    def close_longest_idle(self) -> None:
+        """Close the connection that has been idle the longest. There must be one."""
+        self.idle_connections.pop(0).close()
+
+    def close_idle_connections(self) -> None:
+        """Close all idle connections."""
+        idle_connections = self.idle_connections
+        self.idle_connections = []
+        for connection in idle_connections:
+            connection.close()
+
+    def _close_surplus(self, now_ns: int) -> None:
+        """Close what has been idle for too long; the connection that was released just now stays."""
+        while self.idle_connections[0].idle_since_ns < now_ns - SURPLUS_IDLE_NS:
+            self.close_longest_idle()
--- /dev/null
+++ b/balancer/sidecar/upstream/response_parser.py
@@ -0,0 +1,200 @@
+"""Parses the responses of account servers and enforces the limits on them.
+
+A response is limited in the bytes of its head, of its body and of all that it takes on the wire and, together
+with the other responses in flight, by a `BufferBudget`.
+"""
+
+from __future__ import annotations
+
+from http import HTTPStatus
+
+import httptools
+
+from balancer.errors import ProtocolError
+from balancer.sidecar.http_message import MAX_HEAD_BYTES, MAX_RESPONSE_BODY_BYTES, Headers, HttpResponse
+from balancer.sidecar.upstream.buffer_budget import BufferBudget
+
+FIRST_FINAL_STATUS = 200  # responses with a lower status are interim ones: another follows (RFC 9110, 15.2)
+STATUSES_WITHOUT_BODY = frozenset((HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED))
+FRAMING_HEADERS = frozenset((b"content-length", b"transfer-encoding"))
+
+
+class ResponseError(ProtocolError):
+    """A response that cannot be used; its connection cannot be used any further either."""
+
+
+class MalformedResponseError(ResponseError):
+    """The bytes are no HTTP/1.1 response."""
+
+    def __init__(self, reason: str) -> None:
+        super().__init__(f"malformed response: {reason}")
+        self.reason = reason
+
+
+class AmbiguousLengthError(ResponseError):
+    """The head states the length of the body more than once."""
+
+    def __init__(self, statements: tuple[bytes, ...]) -> None:
+        super().__init__(f"response states its length {len(statements)} times")
+        self.statements = statements
+
+
+class ResponseTooLargeError(ResponseError):
+    """The head, the body or the whole response exceeds its limit."""
+
+    def __init__(self, size_bytes: int, max_bytes: int) -> None:
+        super().__init__(f"response part of {size_bytes} bytes exceeds its limit of {max_bytes} bytes")
+        self.size_bytes = size_bytes
+        self.max_bytes = max_bytes
+
+
+class BufferBudgetExceededError(ResponseError):
+    """All responses in flight together leave no room for more of this one."""
+
+    def __init__(self, size_bytes: int, budget: BufferBudget) -> None:
+        super().__init__(
+            f"no buffer for {size_bytes} bytes: {budget.used_bytes} of {budget.max_bytes} bytes are in use"
+        )
+        self.size_bytes = size_bytes
+        self.used_bytes = budget.used_bytes
+        self.max_bytes = budget.max_bytes
+
+
+class ResponseParser:
+    """Parses one response at a time; a connection owns one and calls `begin_response` for each request.
+
+    The methods `on_...` are the callbacks of httptools. An error raised in one of them ends the parsing.
+    """
+
+    def __init__(self, budget: BufferBudget) -> None:
+        self.budget = budget
+        self._reserved_bytes = 0
+        self.begin_response(MAX_RESPONSE_BODY_BYTES)
+
+    def begin_response(self, max_body_bytes: int) -> None:
+        """Forget the last response and expect the next one."""
+        self._http_parser = httptools.HttpResponseParser(self)
+        self._max_body_bytes = max_body_bytes
+        self._response: HttpResponse | None = None
+        self._status = 0
+        self._headers: Headers = []
+        self._body_chunks: list[bytes] = []
+        self._is_in_head = True
+        self._parsed_bytes = 0  # of the current head; then of the body and its trailers
+        self._is_ended_by_connection = False
+        self.received_bytes = 0
+        self.keeps_connection = False  # valid once the response is complete
+
+    def release_buffer(self) -> None:
+        """Give the bytes of the body back to the budget."""
+        self.budget.release(self._reserved_bytes)
+        self._reserved_bytes = 0
+
+    def feed(self, data: bytes) -> HttpResponse | None:
+        """Parse what has been received. Returns the response once it is complete.
+
+        What follows a complete response makes the connection unfit for a further request, not the response
+        invalid. Raises ResponseError.
+        """
+        # The HTTP parser keeps an unfinished header to itself and skips chunk extensions: no callback counts
+        # them, so the raw bytes are limited as well.
+        self.received_bytes += len(data)
+        try:
+            self._parse(data)
+            self._check_received_bytes()
+        except ResponseError:
+            if self._response is None:
+                raise
+            self.keeps_connection = False
+        return self._response
+
+    def response_at_end_of_connection(self) -> HttpResponse | None:
+        """Return the response that the end of the connection completes, or None if it completes none."""
+        if not self._is_ended_by_connection:
+            return None
+        return self._build_response()
+
+    def _parse(self, data: bytes) -> None:
+        try:
+            self._http_parser.feed_data(data)
+        except httptools.HttpParserCallbackError as error:
+            cause = error.__context__
+            if isinstance(cause, ResponseError):
+                raise cause from None
+            raise MalformedResponseError(repr(cause)) from error
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+            raise MalformedResponseError(str(error)) from error
+
+    def _check_received_bytes(self) -> None:
+        max_bytes = MAX_HEAD_BYTES
+        if not self._is_in_head:
+            max_bytes += 2 * self._max_body_bytes  # chunked encoding adds to the body
+        if self.received_bytes > max_bytes:
+            raise ResponseTooLargeError(self.received_bytes, max_bytes)
+
+    def _build_response(self) -> HttpResponse:
+        return HttpResponse(self._status, self._headers, b"".join(self._body_chunks))
+
+    def _count_parsed_bytes(self, size_bytes: int, max_bytes: int) -> None:
+        self._parsed_bytes += size_bytes
+        if self._parsed_bytes > max_bytes:
+            raise ResponseTooLargeError(self._parsed_bytes, max_bytes)
+
+    # ---- callbacks of httptools
+
+    def on_message_begin(self) -> None:
+        """Begin an interim response, the response or, which makes the connection unfit, one after it."""
+        if self._response is not None:
+            self.keeps_connection = False
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Take a header of the head or a trailer of a chunked body."""
+        self._count_parsed_bytes(len(name) + len(value), MAX_HEAD_BYTES)
+        self._headers.append((name.lower(), value))
+
+    def on_headers_complete(self) -> None:
+        """Decide how the body ends, and refuse at the head what states an unusable length."""
+        self._status = self._http_parser.get_status_code()
+        self._parsed_bytes = 0
+        if self._status < FIRST_FINAL_STATUS or self._response is not None:
+            return
+        self._is_in_head = False
+        lengths = tuple(value for name, value in self._headers if name in FRAMING_HEADERS)
+        if lengths:
+            self._check_stated_length(lengths)
+        elif self._status not in STATUSES_WITHOUT_BODY:
+            self._begin_body_without_length()
+
+    def _check_stated_length(self, lengths: tuple[bytes, ...]) -> None:
+        if len(lengths) > 1:
+            raise AmbiguousLengthError(lengths)
+        if lengths[0].isdigit() and int(lengths[0]) > self._max_body_bytes:
+            raise ResponseTooLargeError(int(lengths[0]), self._max_body_bytes)
+
+    def _begin_body_without_length(self) -> None:
+        """The end of the connection ends such a body (RFC 9112, section 6.3).
+
+        Where only the head counts that end is not waited for: it may never come.
+        """
+        if self._status == HTTPStatus.OK:
+            self._is_ended_by_connection = True
+        else:
+            self._response = HttpResponse(self._status, self._headers, b"")
+
+    def on_body(self, body: bytes) -> None:
+        """Buffer a part of the body."""
+        size_bytes = len(body)
+        self._count_parsed_bytes(size_bytes, self._max_body_bytes)
+        if not self.budget.reserve(size_bytes):
+            raise BufferBudgetExceededError(size_bytes, self.budget)
+        self._reserved_bytes += size_bytes
+        self._body_chunks.append(body)
+
+    def on_message_complete(self) -> None:
+        """Complete the response, unless this was an interim one or follows it."""
+        if self._status < FIRST_FINAL_STATUS:
+            self._headers = []
+        elif self._response is None:
+            self._response = self._build_response()
+            # Asked after this callback, httptools has forgotten the length and always says no.
+            self.keeps_connection = self._http_parser.should_keep_alive()
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -285,7 +285,7 @@
 
         async with endpoint(script) as served, sidecar(served.dial, limits={"sockets": 19}) as node:
             assert node.config.max_downstream_connections == 7
-            node.dispatcher.upstream._store.max_bytes = 1 << 30
+            node.dispatcher.upstream.buffer_budget.max_bytes = 1 << 30
 
             async def ask(client: socket.socket) -> None:
                 client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -22,7 +22,8 @@
 from balancer.sidecar import configuration as config
 from balancer.sidecar.configuration import SECOND
 from balancer.sidecar.downstream.listener import MAX_PIPELINED_REQUESTS
-from balancer.sidecar.upstream.connection import CONNECTION_REST_NS, EndpointPool, UpstreamConnection
+from balancer.sidecar.upstream.connection import UpstreamConnection
+from balancer.sidecar.upstream.pool import CONNECTION_REST_NS, EndpointPool
 from tests.sidecar import (
     SETTINGS,
     WAIT,
@@ -201,10 +202,10 @@
             upstream.now_ns = lambda: stopped  # not a moment later
             client = await node.client()
             assert (await client.ask(request("post")))[::2] == (200, b"1")
-            [pool] = upstream._pools.values()
+            [pool] = upstream.pools.values()
             assert (
                 len(pool.idle_connections) == 1
-                and upstream.seconds_until_rested(pool) == CONNECTION_REST_NS / SECOND
+                and pool.seconds_until_rested(stopped) == CONNECTION_REST_NS / SECOND
             )
             client.writer.write(request("post"))
             await node.event(lambda e: isinstance(e, RequestReceived) and e.request_id == 2)
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -11,7 +11,8 @@
 from balancer.policy_api import Action, AttemptCompleted, AttemptOutcome, ClientDisconnected, Event
 from balancer.sidecar.downstream import listener as frontend
 from balancer.sidecar.downstream.listener import MAX_PIPELINED_REQUESTS, DownstreamConnection
-from balancer.sidecar.upstream.connection import EndpointPool, UpstreamConnection
+from balancer.sidecar.upstream.connection import UpstreamConnection
+from balancer.sidecar.upstream.pool import EndpointPool
 from tests.sidecar import Seen, Sidecar, always_ok, endpoint, ok, request, run, sidecar
 
 LAST = b"Connection: close\r\n"
@@ -169,7 +170,7 @@
             return b"HTTP/1.1 503 X\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n"
 
         async with endpoint(script) as one, endpoint(script) as other, sidecar(one.dial, other.dial) as node:
-            node.dispatcher.upstream._store.max_bytes = 1 << 30
+            node.dispatcher.upstream.buffer_budget.max_bytes = 1 << 30
             peer = Peer(node)
             long = [request() for _ in range(MAX_PIPELINED_REQUESTS - 1)]
             peer.send(b"".join(long) + request("post", body=b"x", extra=extra))
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -36,12 +36,10 @@
 from balancer.sidecar.downstream.listener import MAX_PIPELINED_REQUESTS
 from balancer.sidecar.gossip_transport import GossipTransport
 from balancer.sidecar.http_message import MAX_HEAD_BYTES, MAX_RESPONSE_BODY_BYTES
-from balancer.sidecar.upstream.connection import (
-    SURPLUS_IDLE,
-    UpstreamConnection,
-    UpstreamManager,
-    parse_report,
-)
+from balancer.sidecar.upstream.connection import UpstreamConnection
+from balancer.sidecar.upstream.load_report import parse_load_report
+from balancer.sidecar.upstream.manager import UpstreamManager
+from balancer.sidecar.upstream.pool import SURPLUS_IDLE_NS
 from tests.sidecar import (
     SETTINGS,
     WAIT,
@@ -498,10 +496,10 @@
 
 
 def test_load_reports_in_the_order_of_the_settings() -> None:
-    assert parse_report(b"TEXT busy=0.5, rate=3, novel=1", ("rate", "busy")) == (3, 0.5)
+    assert parse_load_report(b"TEXT busy=0.5, rate=3, novel=1", ("rate", "busy")) == (3, 0.5)
     odd = [b"TEXT rate=%s, busy=1" % x for x in (b"x", b"", b"nan", b"inf", b"1_0", b"-1", b"1e400")]
     for bad in (b"", b"TEXT rate=1", b"\xff", *odd):
-        assert parse_report(bad, ("rate", "busy")) == ()
+        assert parse_load_report(bad, ("rate", "busy")) == ()
 
 
 def test_a_burst_at_the_start_is_spread_over_the_endpoints() -> None:
@@ -572,21 +570,21 @@
             now = [SECOND]
             told = config.parse(configuration(served.dial))
             upstream = UpstreamManager(told, asyncio.get_running_loop(), lambda: now[0])
-            upstream.update_endpoints(told.known_endpoints.endpoints, whole=True)
-            [pool] = upstream._pools.values()
+            upstream.update_endpoints(told.known_endpoints.endpoints, is_snapshot=True)
+            [pool] = upstream.pools.values()
             burst = [await upstream.connect(pool) for _ in range(3)]
             for connection in burst:
-                upstream.release(pool, connection)
-            now[0] += SURPLUS_IDLE // 2
-            assert upstream.acquire(pool) is burst[2]
-            upstream.release(pool, burst[2])
+                pool.release(connection, now[0])
+            now[0] += SURPLUS_IDLE_NS // 2
+            assert pool.acquire(now[0]) is burst[2]
+            pool.release(burst[2], now[0])
             assert pool.idle_connections == burst
-            now[0] += SURPLUS_IDLE
-            assert upstream.acquire(pool) is burst[2]
-            upstream.release(pool, burst[2])
+            now[0] += SURPLUS_IDLE_NS
+            assert pool.acquire(now[0]) is burst[2]
+            pool.release(burst[2], now[0])
             assert pool.idle_connections == [burst[2]] and not burst[0].is_reusable()
             now[0] += told.connection_idle_timeout_ns  # the endpoint may close it any moment: not for use
-            assert upstream.acquire(pool) is None
+            assert pool.acquire(now[0]) is None
 
     run(test())
 
@@ -603,15 +601,15 @@
                 ) -> None:
                     transport, connection = await loop.create_connection(factory, *address)
                     transport.abort()
-                    while connection._transport is not None:
+                    while connection.transport is not None:
                         await asyncio.sleep(0)
 
             told = config.parse(configuration(served.dial))
             upstream = UpstreamManager(told, Losing(), lambda: SECOND)  # type: ignore[arg-type]
-            upstream.update_endpoints(told.known_endpoints.endpoints, whole=True)
-            [pool] = upstream._pools.values()
+            upstream.update_endpoints(told.known_endpoints.endpoints, is_snapshot=True)
+            [pool] = upstream.pools.values()
             connection = await upstream.connect(pool)
-            assert upstream._open == 0 and not connection.is_reusable()
+            assert upstream.open_connection_count == 0 and not connection.is_reusable()
             assert connection.send(request(), lambda answer: None) is False
 
     run(test())
@@ -681,7 +679,7 @@
         async with endpoint(answering(ok(body))) as served, sidecar(served.dial) as node:
             client = await node.client()
             assert await client.ask(request()) == (200, {b"content-length": b"400000"}, body)
-            store = node.dispatcher.upstream._store
+            store = node.dispatcher.upstream.buffer_budget
             assert store.used_bytes == 0
             store.max_bytes = 300_000
             assert (await client.ask(request("post")))[0] == 502
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -7,7 +7,7 @@
 import os
 import socket
 import struct
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from typing import Any
 
 import pytest
@@ -22,12 +22,9 @@
 from balancer.sidecar import configuration as config
 from balancer.sidecar.configuration import SECOND
 from balancer.sidecar.http_message import MAX_RESPONSE_BODY_BYTES, HttpResponse
-from balancer.sidecar.upstream.connection import (
-    CONNECTION_REST_NS,
-    EndpointPool,
-    UpstreamConnection,
-    outcome_of_response,
-)
+from balancer.sidecar.upstream.attempt import AttemptState, outcome_of_response
+from balancer.sidecar.upstream.connection import UpstreamConnection
+from balancer.sidecar.upstream.pool import CONNECTION_REST_NS, EndpointPool
 from tests.sidecar import (
     SETTINGS,
     WAIT,
@@ -62,7 +59,8 @@
     def __init__(self, connection: UpstreamConnection, peer: socket.socket) -> None:
         self.connection, self.peer = connection, peer
         self.answered: asyncio.Future[HttpResponse | None] = asyncio.get_running_loop().create_future()
-        assert connection.send(b"GET / HTTP/1.1\r\n\r\n", self.answered.set_result)
+        self.on_response: Callable[[HttpResponse | None], None] = self.answered.set_result
+        assert connection.send(b"GET / HTTP/1.1\r\n\r\n", lambda answer: self.on_response(answer))
         assert peer.recv(100) == b"GET / HTTP/1.1\r\n\r\n"
 
 
@@ -92,9 +90,7 @@
     async def test() -> None:
         async with exchanged() as out:
             seen: list[bytes] = []
-            out.connection._done = lambda answer: seen.append(
-                out.peer.recv(1)
-            )  # as the next attempt goes out
+            out.on_response = lambda answer: seen.append(out.peer.recv(1))  # as the next attempt goes out
             out.peer.settimeout(WAIT / 4)
             out.peer.sendall(raw)
             while not seen:
@@ -118,7 +114,7 @@
                 await asyncio.sleep(0)
             out.peer.shutdown(socket.SHUT_WR)
             assert await out.answered == HttpResponse(200, [(b"x-shard", b"7")], b"done")
-            assert not out.connection.is_reusable() and out.connection._store.used_bytes == 0
+            assert not out.connection.is_reusable() and out.connection.buffer_budget.used_bytes == 0
             assert out.peer.recv(1) == b""
 
     run(test())
@@ -136,7 +132,7 @@
                 out.peer.shutdown(socket.SHUT_WR)
             reset(out.peer)
             assert await out.answered is None
-            assert not out.connection.is_reusable() and out.connection._store.used_bytes == 0
+            assert not out.connection.is_reusable() and out.connection.buffer_budget.used_bytes == 0
 
     run(test())
 
@@ -254,7 +250,7 @@
             client, upstream = await node.client(), node.dispatcher.upstream
             client.writer.write(request(cls))
             if ending == "never":
-                while not upstream._store.used_bytes:
+                while not upstream.buffer_budget.used_bytes:
                     await asyncio.sleep(0)
                 node.dispatcher.expire_all_within(0)
             answered, headers, body = await client.answer()
@@ -266,11 +262,11 @@
                 [left] = [served for served in (one, other) if served.connections]
                 # It outlives its request up to the class's aim, no longer.
                 await left.left.wait()
-            while upstream._open:
+            while upstream.open_connection_count:
                 await asyncio.sleep(0)
             assert len(one.connections) + len(other.connections) == 1
             assert (
-                upstream._store.used_bytes == 0
+                upstream.buffer_budget.used_bytes == 0
                 and not upstream.background_attempts
                 and not node.dispatcher._open
             )
@@ -285,7 +281,7 @@
     async def test() -> None:
         long = NO_LENGTH + b"x" * 2 * MAX_RESPONSE_BODY_BYTES
         async with raw_endpoint(long, "never") as (served, dial), sidecar(dial) as node:
-            store = node.dispatcher.upstream._store
+            store = node.dispatcher.upstream.buffer_budget
             store.max_bytes = together
             client = await node.client()
             assert (await client.ask(request("post")))[0] == 502
@@ -302,7 +298,7 @@
             client = await node.client()
             for n in range(1, 4):
                 assert (await client.ask(request("post")))[::2] == (200, b"done")
-                [pool] = node.dispatcher.upstream._pools.values()
+                [pool] = node.dispatcher.upstream.pools.values()
                 assert not pool.idle_connections and len(served.connections) == n
 
     run(test())
@@ -363,7 +359,7 @@
             gate.opened.set()
             while upstream.background_attempts:
                 await asyncio.sleep(0)
-            [pool] = upstream._pools.values()
+            [pool] = upstream.pools.values()
             assert len(pool.idle_connections) == 1 and not served.seen and gate.made == 1
 
     run(test())
@@ -396,7 +392,7 @@
             move(node, new.dial)
             going.set()
             assert (await client.answer())[::2] == (200, b"old")  # what is out goes on
-            [pool] = node.dispatcher.upstream._pools.values()
+            [pool] = node.dispatcher.upstream.pools.values()
             assert not pool.idle_connections
             assert (await client.ask(request("post")))[::2] == (200, b"done")
             assert (len(old.seen), len(new.seen), len(pool.idle_connections)) == (1, 1, 1)
@@ -420,7 +416,7 @@
             ended = await node.event(completed)
             assert (ended.outcome, ended.attempt_index) == (AttemptOutcome.SUCCESS, 0)
             assert (len(old.seen), len(new.seen), gate.made) == (0, 1, 2)
-            [pool] = node.dispatcher.upstream._pools.values()
+            [pool] = node.dispatcher.upstream.pools.values()
             assert [connection.address for connection in pool.idle_connections] == [pool.address]
 
     run(test())
@@ -442,14 +438,14 @@
             if then == "gone":
                 node.dispatcher.expire_all_within(0)
             elif then == "no room":
-                upstream._most = 1
+                upstream.max_connections = 1
             gate.opened.set()
             assert (await client.answer())[0] == 503
             ended = await node.event(completed)
             assert ended.outcome == (
                 AttemptOutcome.CONNECT_FAILED if then == "draining" else AttemptOutcome.NOT_SENT
             )
-            while upstream._open:
+            while upstream.open_connection_count:
                 await asyncio.sleep(0)
             assert not old.seen and not new.seen and gate.made == 1 and not upstream.background_attempts
 
@@ -530,15 +526,15 @@
                     attempts.append(attempt)
                 while descriptors() < before + 5:
                     await asyncio.sleep(0)
-                assert upstream._open == 5
+                assert upstream.open_connection_count == 5
                 if ending == "cancel":
                     for attempt in attempts:
                         attempt.abort(AttemptOutcome.CANCELLED)
-                while len(outcomes) < 5 or upstream._open:
+                while len(outcomes) < 5 or upstream.open_connection_count:
                     await asyncio.sleep(0)
                 while descriptors() > before:
                     await asyncio.sleep(0)
-                assert upstream._open == 0 and not upstream.background_attempts
+                assert upstream.open_connection_count == 0 and not upstream.background_attempts
                 wanted = AttemptOutcome.CONNECT_FAILED if ending == "timeout" else AttemptOutcome.CANCELLED
                 assert outcomes == [wanted] * 5
 
@@ -554,10 +550,10 @@
             await gate.reached.wait()
             client.writer.close()
             await node.event(lambda e: isinstance(e, ClientDisconnected))
-            [pool] = upstream._pools.values()
+            [pool] = upstream.pools.values()
             move(node, served.dial, "draining")
             gate.opened.set()
-            while upstream._open:
+            while upstream.open_connection_count:
                 await asyncio.sleep(0)
             assert not pool.idle_connections and not served.seen and not upstream.background_attempts
 
@@ -590,7 +586,7 @@
             rests.now += 2 * CONNECTION_REST_NS - (not late)
             rests.waiting[0].set_result(None)
             assert await outcomes.get() == (AttemptOutcome.NOT_SENT if late else AttemptOutcome.SUCCESS)
-            [pool] = upstream._pools.values()
+            [pool] = upstream.pools.values()
             assert (len(served.seen), served.connections, len(pool.idle_connections)) == (
                 1 if late else 2,
                 1,
@@ -676,8 +672,8 @@
 
                 async def narrow(pool: EndpointPool) -> UpstreamConnection:
                     connection = await connect(pool)
-                    assert connection._transport is not None
-                    end = connection._transport.get_extra_info("socket")
+                    assert connection.transport is not None
+                    end = connection.transport.get_extra_info("socket")
                     end.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
                     return connection
 
@@ -699,10 +695,10 @@
                 else:
                     client = await node.client()
                     client.writer.write(whole)
-                    while not upstream._open or not node.dispatcher._open:
+                    while not upstream.open_connection_count or not node.dispatcher._open:
                         await asyncio.sleep(0)
                     [sent] = node.dispatcher._open.values()
-                    while sent.attempt is None or sent.attempt._connection is None:
+                    while sent.attempt is None or sent.attempt.state is not AttemptState.IN_FLIGHT:
                         await asyncio.sleep(0)
                     if over == "deadline":
                         node.dispatcher.expire_all_within(0)
@@ -710,7 +706,7 @@
                         sent.attempt.expire()
                     assert (await client.answer())[0] == 503
                     assert (await node.event(completed)).outcome == AttemptOutcome.NOT_SENT
-                while upstream._open:
+                while upstream.open_connection_count:
                     await asyncio.sleep(0)
                 assert not upstream.background_attempts and not node.dispatcher._open
                 peer, _ = server.accept()
