Give connect failures their attempt's outcome, and test the response parser by itself

Cause: an attempt told two connect errors apart by hand, and the typed errors of the parser were only tested through a whole sidecar, which does not show them.

Change: `ConnectError` says with which outcome it ends an attempt. `tests/test_response_parser.py` checks each error with its fields, the shared budget, what follows a response, and the end of the connection.

--- a/balancer/sidecar/upstream/attempt.py
+++ b/balancer/sidecar/upstream/attempt.py
@@ -35,20 +35,29 @@
 )
 
 
-class EndpointUnreachableError(UpstreamConnectionError):
-    """The endpoint has accepted no connection at its address."""
+class ConnectError(UpstreamConnectionError):
+    """An attempt has got no connection, which ends it with `attempt_outcome`."""
+
+    attempt_outcome: AttemptOutcome
+    reason: str
 
     def __init__(self, address: Address) -> None:
-        super().__init__(f"no connection to {address[0]}:{address[1]}")
+        super().__init__(f"no connection to {address[0]}:{address[1]}: {self.reason}")
         self.address = address
 
 
-class LocalResourceError(UpstreamConnectionError):
-    """This machine has no room for a further connection, which says nothing of the endpoint."""
+class EndpointUnreachableError(ConnectError):
+    """The endpoint has accepted no connection at its address."""
 
-    def __init__(self, address: Address) -> None:
-        super().__init__(f"no local resources for a connection to {address[0]}:{address[1]}")
-        self.address = address
+    attempt_outcome = AttemptOutcome.CONNECT_FAILED
+    reason = "the endpoint is unreachable"
+
+
+class LocalResourceError(ConnectError):
+    """This sidecar has no room for a further connection, which says nothing of the endpoint."""
+
+    attempt_outcome = AttemptOutcome.NOT_SENT
+    reason = "local resources are exhausted"
 
 
 class ConnectionProvider(Protocol):
@@ -85,8 +94,9 @@
 class Attempt:
     """A request on its way to an endpoint.
 
-    `on_completed` is called exactly once, with the outcome and the response if there is one. Of a request
-    that was not written whole, the outcome says that it was never executed.
+    `build_payload` is called just before the request is written. `on_completed` is called exactly once, with
+    the outcome and the response if there is one. The outcome is the one that `abort` is given; any other way
+    to end reports a request of which nothing was written as never executed.
 
     The states, and what leads from one to the next:
 
@@ -101,7 +111,7 @@
     - IN_FLIGHT: the request is written, or a part of it. A response or the loss of the connection ends the
       attempt, as does `expire`. If a part of the request is still unsent at `start_before_ns` it is too late
       for the rest, which ends the attempt as well. `continue_in_background` reports a timeout
-      (IN_BACKGROUND).
+      (IN_BACKGROUND); where a part is unsent or no time is left it ends the attempt.
     - IN_BACKGROUND: reported, but its connection is kept for a while, as the response may still come and
       leave the connection fit for the next request. The response, the loss of the connection or the end of
       that time ends the attempt.
@@ -199,7 +209,7 @@
         if self._state is AttemptState.IN_FLIGHT and seconds > 0 and not self._has_unsent_bytes:
             self._state = AttemptState.IN_BACKGROUND
             self._on_released = on_released
-            self._timer.start(seconds, self._on_background_time_over)
+            self._timer.start(seconds, self._on_background_timeout)
             self._provider.background_attempts.add(self)
             self._on_completed(AttemptOutcome.TIMEOUT, None)
         else:
@@ -210,18 +220,16 @@
 
     async def _connect_and_send(self, rest_seconds: float) -> None:
         connection: UpstreamConnection | None = None
-        failure = AttemptOutcome.CONNECT_FAILED
+        failure_outcome = AttemptOutcome.NOT_SENT
         try:
             connection = await self._obtain_connection(rest_seconds)
-        except LocalResourceError:
-            failure = AttemptOutcome.NOT_SENT
-        except EndpointUnreachableError:
-            pass
+        except ConnectError as error:
+            failure_outcome = error.attempt_outcome
         self._connect_task = None
         if self._state is not AttemptState.CONNECTING:
             self._end_detached(connection)
         elif connection is None:
-            self._end(failure)
+            self._end(failure_outcome)
         else:
             self._use_new_connection(connection)
 
@@ -229,7 +237,7 @@
         """Return a connection that has rested, which is cheaper than a handshake, or else a new one.
 
         Returns None where the attempt was detached during the rest: then neither is of use. Raises
-        EndpointUnreachableError and LocalResourceError.
+        ConnectError.
         """
         if rest_seconds > 0:
             await asyncio.sleep(rest_seconds + TIMER_RESOLUTION_SECONDS)
@@ -243,7 +251,7 @@
         return await self._open_connection()
 
     async def _open_connection(self) -> UpstreamConnection:
-        """Return a new connection. Raises EndpointUnreachableError and LocalResourceError.
+        """Return a new connection. Raises ConnectError.
 
         What becomes of a connect to an address that the endpoint has left meanwhile says nothing of the
         endpoint: the new address is tried.
@@ -296,19 +304,19 @@
             self._end(AttemptOutcome.CONNECT_FAILED)
         elif self._start_before_ns and connection.has_unsent_bytes:
             remaining_ns = max(0, self._start_before_ns - self._provider.now_ns())
-            self._timer.start(remaining_ns / SECOND, self._on_too_late_for_rest)
+            self._timer.start(remaining_ns / SECOND, self._on_start_window_over)
 
     def _on_response(self, response: HttpResponse | None) -> None:
         if self._connection is not None and response is not None:
             self._pool.release(self._connection, self._provider.now_ns())
         self._end(outcome_of_response(response), response)
 
-    def _on_too_late_for_rest(self) -> None:
-        """Let the last byte of the request go out no later than its first one may."""
+    def _on_start_window_over(self) -> None:
+        """End the attempt if a part of the request is still unsent when even its start would be too late."""
         if self._has_unsent_bytes:
             self.abort(AttemptOutcome.NOT_SENT)
 
-    def _on_background_time_over(self) -> None:
+    def _on_background_timeout(self) -> None:
         self.abort(AttemptOutcome.TIMEOUT)
 
     # ---- the end
@@ -346,7 +354,7 @@
     return AttemptOutcome.SERVER_ERROR
 
 
-def _connect_error(address: Address, error: OSError) -> UpstreamConnectionError:
+def _connect_error(address: Address, error: OSError) -> ConnectError:
     if error.errno in LOCAL_RESOURCE_ERRNOS:
         return LocalResourceError(address)
     return EndpointUnreachableError(address)
--- /dev/null
+++ b/tests/test_response_parser.py
@@ -0,0 +1,122 @@
+"""The parser of responses: what it refuses, with which error, and what it leaves of a connection."""
+
+from __future__ import annotations
+
+import pytest
+
+from balancer.sidecar.http_message import MAX_HEAD_BYTES, HttpResponse
+from balancer.sidecar.upstream.buffer_budget import BufferBudget
+from balancer.sidecar.upstream.response_parser import (
+    AmbiguousLengthError,
+    BufferBudgetExceededError,
+    MalformedResponseError,
+    ResponseParser,
+    ResponseTooLargeError,
+)
+
+MAX_BODY_BYTES = 1000
+COMPLETE = b"HTTP/1.1 200 OK\r\nX-Shard: 7\r\nContent-Length: 4\r\n\r\ndone"
+CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+WITHOUT_LENGTH = b"HTTP/1.1 200 OK\r\n\r\n"
+
+
+def expecting_a_response(budget_bytes: int = 10 * MAX_BODY_BYTES) -> ResponseParser:
+    parser = ResponseParser(BufferBudget(budget_bytes))
+    parser.begin_response(MAX_BODY_BYTES)
+    return parser
+
+
+@pytest.mark.parametrize("part_bytes", [1, 7, len(COMPLETE)])
+def test_a_response_is_the_same_in_any_parts(part_bytes: int) -> None:
+    parser = expecting_a_response()
+    parts = [COMPLETE[at : at + part_bytes] for at in range(0, len(COMPLETE), part_bytes)]
+    responses = [parser.feed(part) for part in parts]
+    assert responses[:-1] == [None] * (len(parts) - 1)
+    assert responses[-1] == HttpResponse(200, [(b"x-shard", b"7"), (b"content-length", b"4")], b"done")
+    assert parser.keeps_connection
+    assert parser.received_bytes == len(COMPLETE)
+
+
+@pytest.mark.parametrize(
+    ("raw", "size_bytes", "max_bytes"),
+    [
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 1001\r\n\r\n", 1001, MAX_BODY_BYTES),
+        (WITHOUT_LENGTH + b"x" * 1001, 1001, MAX_BODY_BYTES),
+        (CHUNKED + b"3e9\r\n" + b"x" * 1001, 1001, MAX_BODY_BYTES),
+        (b"HTTP/1.1 200 OK\r\nA: " + b"x" * MAX_HEAD_BYTES + b"\r\nB", MAX_HEAD_BYTES + 1, MAX_HEAD_BYTES),
+        (b"HTTP/1.1 200 OK\r\nA: " + b"x" * MAX_HEAD_BYTES, MAX_HEAD_BYTES + 20, MAX_HEAD_BYTES),
+        (
+            CHUNKED + b"1;" + b"x" * (MAX_HEAD_BYTES + 2 * MAX_BODY_BYTES),
+            len(CHUNKED) + 2 + MAX_HEAD_BYTES + 2 * MAX_BODY_BYTES,
+            MAX_HEAD_BYTES + 2 * MAX_BODY_BYTES,
+        ),
+    ],
+    ids=["stated length", "no length", "chunk", "header", "unfinished header", "chunk extension"],
+)
+def test_a_response_that_is_too_large_is_refused(raw: bytes, size_bytes: int, max_bytes: int) -> None:
+    with pytest.raises(ResponseTooLargeError) as caught:
+        expecting_a_response().feed(raw)
+    assert (caught.value.size_bytes, caught.value.max_bytes) == (size_bytes, max_bytes)
+
+
+def test_a_length_that_is_stated_twice_is_refused() -> None:
+    raw = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n\r\n"
+    with pytest.raises(AmbiguousLengthError) as caught:
+        expecting_a_response().feed(raw)
+    assert caught.value.statements == (b"gzip", b"chunked")
+
+
+@pytest.mark.parametrize(
+    "raw",
+    [
+        b"\x00 noise",
+        b"HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 3\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n",
+        b"HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n",
+    ],
+    ids=["noise", "length", "two lengths", "length and chunked", "upgrade"],
+)
+def test_what_is_no_response_is_refused(raw: bytes) -> None:
+    with pytest.raises(MalformedResponseError):
+        expecting_a_response().feed(raw)
+
+
+def test_bodies_are_refused_beyond_the_budget_that_they_share() -> None:
+    budget = BufferBudget(1500)
+    first, second = ResponseParser(budget), ResponseParser(budget)
+    for parser in (first, second):
+        parser.begin_response(MAX_BODY_BYTES)
+    assert first.feed(WITHOUT_LENGTH + b"x" * 1000) is None
+    with pytest.raises(BufferBudgetExceededError) as caught:
+        second.feed(WITHOUT_LENGTH + b"x" * 501)
+    assert (caught.value.size_bytes, caught.value.used_bytes, caught.value.max_bytes) == (501, 1000, 1500)
+    second.release_buffer()
+    assert budget.used_bytes == 1000
+    first.release_buffer()
+    assert budget.used_bytes == 0
+
+
+@pytest.mark.parametrize("more", [b" noise", COMPLETE, b"HTTP/1.1 103 Early Hints\r\n\r\n"])
+def test_bytes_after_a_response_leave_it_valid_and_its_connection_unfit(more: bytes) -> None:
+    parser = expecting_a_response()
+    response = parser.feed(COMPLETE + more)
+    assert response is not None
+    assert (response.status, response.body) == (200, b"done")
+    assert not parser.keeps_connection
+
+
+def test_the_end_of_the_connection_completes_a_response_without_length_only() -> None:
+    parser = expecting_a_response()
+    assert parser.response_at_end_of_connection() is None
+    assert parser.feed(WITHOUT_LENGTH + b"do") is None
+    assert parser.feed(b"ne") is None
+    assert parser.response_at_end_of_connection() == HttpResponse(200, [], b"done")
+    parser.begin_response(MAX_BODY_BYTES)
+    assert parser.feed(COMPLETE[:-1]) is None
+    assert parser.response_at_end_of_connection() is None
+
+
+def test_interim_responses_are_skipped_with_their_headers() -> None:
+    response = expecting_a_response().feed(b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + COMPLETE)
+    assert response == HttpResponse(200, [(b"x-shard", b"7"), (b"content-length", b"4")], b"done")
