--- a/balancer/sidecar/upstream/attempt.py
+++ b/balancer/sidecar/upstream/attempt.py
@@ -151,7 +151,8 @@
         self._connect_task: asyncio.Task[None] | None = None  # while CONNECTING or DETACHED
         self._connection: UpstreamConnection | None = None  # while IN_FLIGHT or IN_BACKGROUND
         self._on_released: Callable[[], None] | None = None  # while IN_BACKGROUND
-        self._timer = OneShotTimer(provider.loop)  # the limit for unsent bytes; then that of the background
+        # The limit for unsent bytes, then that of the background; made on demand, as few attempts need it.
+        self._timer: OneShotTimer | None = None
 
     @property
     def state(self) -> AttemptState:
@@ -209,7 +210,7 @@
         if self._state is AttemptState.IN_FLIGHT and seconds > 0 and not self._has_unsent_bytes:
             self._state = AttemptState.IN_BACKGROUND
             self._on_released = on_released
-            self._timer.start(seconds, self._on_background_timeout)
+            self._start_timer(seconds, self._on_background_timeout)
             self._provider.background_attempts.add(self)
             self._on_completed(AttemptOutcome.TIMEOUT, None)
         else:
@@ -304,7 +305,12 @@
             self._end(AttemptOutcome.CONNECT_FAILED)
         elif self._start_before_ns and connection.has_unsent_bytes:
             remaining_ns = max(0, self._start_before_ns - self._provider.now_ns())
-            self._timer.start(remaining_ns / SECOND, self._on_start_window_over)
+            self._start_timer(remaining_ns / SECOND, self._on_start_window_over)
+
+    def _start_timer(self, seconds: float, callback: Callable[[], None]) -> None:
+        if self._timer is None:
+            self._timer = OneShotTimer(self._provider.loop)
+        self._timer.start(seconds, callback)
 
     def _on_response(self, response: HttpResponse | None) -> None:
         if self._connection is not None and response is not None:
@@ -329,7 +335,8 @@
         self._connection = None
         self._connect_task = None
         self._on_released = None
-        self._timer.cancel()
+        if self._timer is not None:
+            self._timer.cancel()
         self._provider.background_attempts.discard(self)
         if is_awaited:
             self._on_completed(outcome, response)
--- a/balancer/sidecar/upstream/load_report.py
+++ b/balancer/sidecar/upstream/load_report.py
@@ -13,21 +13,13 @@
 
 def parse_load_report(text: bytes, fields: tuple[str, ...]) -> tuple[float, ...]:
     """Return the values of a load report in the order of `fields`; () where any is missing or malformed."""
+    values: dict[str, float] = {}
     try:
-        report = text.decode("ascii")
-    except UnicodeDecodeError:
-        return ()
-    values = _parse_values(report)
-    try:
+        report = text.decode("ascii").strip().removeprefix(_PREFIX)
+        for part in report.split(","):
+            name, _, value = part.strip().partition("=")
+            if _NUMBER.fullmatch(value):  # float() would take nan, inf, 1_0 and more
+                values[name] = float(value)
         return tuple(values[field] for field in fields)
-    except KeyError:
+    except (UnicodeDecodeError, KeyError):
         return ()
-
-
-def _parse_values(report: str) -> dict[str, float]:
-    values: dict[str, float] = {}
-    for part in report.strip().removeprefix(_PREFIX).split(","):
-        name, _, value = part.strip().partition("=")
-        if _NUMBER.fullmatch(value):  # float() would take nan, inf, 1_0 and more
-            values[name] = float(value)
-    return values
--- a/balancer/sidecar/upstream/pool.py
+++ b/balancer/sidecar/upstream/pool.py
@@ -30,26 +30,21 @@
 
     def __init__(self, address: Address, health: EndpointHealth, max_idle_ns: int) -> None:
         self.address = address
-        self.health = health
         self.idle_connections: list[UpstreamConnection] = []
         self._max_idle_ns = max_idle_ns
-
-    @property
-    def is_ready(self) -> bool:
-        """Whether the endpoint takes new requests."""
-        return self.health == EndpointHealth.READY
+        self._set_health(health)
 
     def update(self, address: Address, health: EndpointHealth) -> None:
         """Take the endpoint's entry of an endpoint update."""
         has_moved = address != self.address
         self.address = address
-        self.health = health
+        self._set_health(health)
         if has_moved or not self.is_ready:
             self.close_idle_connections()
 
     def mark_removed(self) -> None:
         """Take the endpoint's absence from a snapshot."""
-        self.health = EndpointHealth.REMOVED
+        self._set_health(EndpointHealth.REMOVED)
         self.close_idle_connections()
 
     def acquire(self, now_ns: int) -> UpstreamConnection | None:
@@ -77,7 +72,8 @@
             return
         connection.idle_since_ns = now_ns
         self.idle_connections.append(connection)
-        self._close_surplus(now_ns)
+        while self.idle_connections[0].idle_since_ns < now_ns - SURPLUS_IDLE_NS:
+            self.close_longest_idle()  # but never the one that was released just now
 
     def seconds_until_rested(self, now_ns: int) -> float:
         """Return in how many seconds the first idle connection will have rested; 0 if none is idle."""
@@ -103,7 +99,7 @@
         for connection in idle_connections:
             connection.close()
 
-    def _close_surplus(self, now_ns: int) -> None:
-        """Close what has been idle for too long; the connection that was released just now stays."""
-        while self.idle_connections[0].idle_since_ns < now_ns - SURPLUS_IDLE_NS:
-            self.close_longest_idle()
+    def _set_health(self, health: EndpointHealth) -> None:
+        self.health = health
+        # Whether the endpoint takes new requests: an attribute, as every attempt reads it twice.
+        self.is_ready = health == EndpointHealth.READY
--- a/balancer/sidecar/upstream/response_parser.py
+++ b/balancer/sidecar/upstream/response_parser.py
@@ -16,6 +16,7 @@
 
 FIRST_FINAL_STATUS = 200  # responses with a lower status are interim ones: another follows (RFC 9110, 15.2)
 STATUSES_WITHOUT_BODY = frozenset((HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED))
+MAX_WIRE_BYTES_PER_BODY_BYTE = 2  # chunked encoding adds to the bytes of a body
 FRAMING_HEADERS = frozenset((b"content-length", b"transfer-encoding"))
 
 
@@ -79,7 +80,7 @@
         self._status = 0
         self._headers: Headers = []
         self._body_chunks: list[bytes] = []
-        self._is_in_head = True
+        self._max_received_bytes = MAX_HEAD_BYTES  # until the head is complete
         self._parsed_bytes = 0  # of the current head; then of the body and its trailers
         self._is_ended_by_connection = False
         self.received_bytes = 0
@@ -99,12 +100,16 @@
         # The HTTP parser keeps an unfinished header to itself and skips chunk extensions: no callback counts
         # them, so the raw bytes are limited as well.
         self.received_bytes += len(data)
+        error: ResponseError | None = None
         try:
-            self._parse(data)
-            self._check_received_bytes()
-        except ResponseError:
+            self._http_parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as parser_error:
+            error = _response_error(parser_error)
+        if self.received_bytes > self._max_received_bytes:
+            error = error or ResponseTooLargeError(self.received_bytes, self._max_received_bytes)
+        if error is not None:
             if self._response is None:
-                raise
+                raise error
             self.keeps_connection = False
         return self._response
 
@@ -114,32 +119,9 @@
             return None
         return self._build_response()
 
-    def _parse(self, data: bytes) -> None:
-        try:
-            self._http_parser.feed_data(data)
-        except httptools.HttpParserCallbackError as error:
-            cause = error.__context__
-            if isinstance(cause, ResponseError):
-                raise cause from None
-            raise MalformedResponseError(repr(cause)) from error
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
-            raise MalformedResponseError(str(error)) from error
-
-    def _check_received_bytes(self) -> None:
-        max_bytes = MAX_HEAD_BYTES
-        if not self._is_in_head:
-            max_bytes += 2 * self._max_body_bytes  # chunked encoding adds to the body
-        if self.received_bytes > max_bytes:
-            raise ResponseTooLargeError(self.received_bytes, max_bytes)
-
     def _build_response(self) -> HttpResponse:
         return HttpResponse(self._status, self._headers, b"".join(self._body_chunks))
 
-    def _count_parsed_bytes(self, size_bytes: int, max_bytes: int) -> None:
-        self._parsed_bytes += size_bytes
-        if self._parsed_bytes > max_bytes:
-            raise ResponseTooLargeError(self._parsed_bytes, max_bytes)
-
     # ---- callbacks of httptools
 
     def on_message_begin(self) -> None:
@@ -149,7 +131,9 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Take a header of the head or a trailer of a chunked body."""
-        self._count_parsed_bytes(len(name) + len(value), MAX_HEAD_BYTES)
+        self._parsed_bytes += len(name) + len(value)
+        if self._parsed_bytes > MAX_HEAD_BYTES:
+            raise ResponseTooLargeError(self._parsed_bytes, MAX_HEAD_BYTES)
         self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
@@ -158,16 +142,16 @@
         self._parsed_bytes = 0
         if self._status < FIRST_FINAL_STATUS or self._response is not None:
             return
-        self._is_in_head = False
-        lengths = tuple(value for name, value in self._headers if name in FRAMING_HEADERS)
+        self._max_received_bytes = MAX_HEAD_BYTES + MAX_WIRE_BYTES_PER_BODY_BYTE * self._max_body_bytes
+        lengths = [value for name, value in self._headers if name in FRAMING_HEADERS]
         if lengths:
             self._check_stated_length(lengths)
         elif self._status not in STATUSES_WITHOUT_BODY:
             self._begin_body_without_length()
 
-    def _check_stated_length(self, lengths: tuple[bytes, ...]) -> None:
+    def _check_stated_length(self, lengths: list[bytes]) -> None:
         if len(lengths) > 1:
-            raise AmbiguousLengthError(lengths)
+            raise AmbiguousLengthError(tuple(lengths))
         if lengths[0].isdigit() and int(lengths[0]) > self._max_body_bytes:
             raise ResponseTooLargeError(int(lengths[0]), self._max_body_bytes)
 
@@ -184,7 +168,9 @@
     def on_body(self, body: bytes) -> None:
         """Buffer a part of the body."""
         size_bytes = len(body)
-        self._count_parsed_bytes(size_bytes, self._max_body_bytes)
+        self._parsed_bytes += size_bytes
+        if self._parsed_bytes > self._max_body_bytes:
+            raise ResponseTooLargeError(self._parsed_bytes, self._max_body_bytes)
         if not self.budget.reserve(size_bytes):
             raise BufferBudgetExceededError(size_bytes, self.budget)
         self._reserved_bytes += size_bytes
@@ -198,3 +184,11 @@
             self._response = self._build_response()
             # Asked after this callback, httptools has forgotten the length and always says no.
             self.keeps_connection = self._http_parser.should_keep_alive()
+
+
+def _response_error(error: Exception) -> ResponseError:
+    """Return the error that a callback raised, or one that says why httptools refused the response."""
+    callback_error = error.__context__
+    if isinstance(callback_error, ResponseError):
+        return callback_error
+    return MalformedResponseError(str(callback_error or error))
