--- a/balancer/sidecar/discovery_call.py
+++ b/balancer/sidecar/discovery_call.py
@@ -16,7 +16,8 @@
     parse_endpoint_list,
 )
 from balancer.sidecar.http_message import HttpResponse
-from balancer.sidecar.upstream.connection import BufferBudget, UpstreamConnection
+from balancer.sidecar.upstream.buffer_budget import BufferBudget
+from balancer.sidecar.upstream.connection import UpstreamConnection
 
 MAX_LIST_BYTES = 4 * 1024 * 1024
 LIST_PATH = "/discovery/hosts"
@@ -123,7 +124,7 @@
             if connection.is_reusable():
                 return connection
             connection.close()
-        return UpstreamConnection(store=BufferBudget(MAX_LIST_BYTES))
+        return UpstreamConnection(budget=BufferBudget(MAX_LIST_BYTES))
 
     async def _request(
         self, connection: UpstreamConnection, query: str, timeout_seconds: float
--- a/balancer/sidecar/dispatcher.py
+++ b/balancer/sidecar/dispatcher.py
@@ -47,7 +47,7 @@
 from balancer.sidecar.ports import EndpointDiscovery, GossipSender, Policy
 from balancer.sidecar.request_ledger import InFlightRequest, RequestLedger
 from balancer.sidecar.timers import OneShotTimer
-from balancer.sidecar.upstream.connection import UpstreamManager
+from balancer.sidecar.upstream.manager import UpstreamManager
 from balancer.time_units import MILLISECOND_NS, SECOND_NS
 
 MAX_DEADLINE_MARGIN_NS = 10 * MILLISECOND_NS
@@ -114,7 +114,7 @@
     def on_endpoint_update(self, update: EndpointListUpdate, kind: EndpointUpdateKind) -> None:
         """Take up a new endpoint list or a change of it."""
         self.has_endpoints = self.has_endpoints or bool(update.endpoints)
-        self.upstream.update_endpoints(update.endpoints, kind != EndpointUpdateKind.DELTA)
+        self.upstream.update_endpoints(update.endpoints, is_snapshot=kind != EndpointUpdateKind.DELTA)
         self.dispatch(EndpointUpdate(kind, tuple(discovered.endpoint for discovered in update.endpoints)))
 
     def dispatch(self, event: Event) -> None:
--- a/balancer/sidecar/request_ledger.py
+++ b/balancer/sidecar/request_ledger.py
@@ -8,7 +8,7 @@
 from balancer.policy_api import AttemptOutcome, EndpointId, Idempotency, Settings
 from balancer.sidecar.client_request import ClientRequest, ResponseSink
 from balancer.sidecar.timers import OneShotTimer
-from balancer.sidecar.upstream.connection import Attempt
+from balancer.sidecar.upstream.attempt import Attempt
 from balancer.time_units import SECOND_NS
 
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -22,7 +22,8 @@
 )
 from balancer.sidecar.downstream.listener import MAX_PIPELINED_REQUESTS
 from balancer.sidecar.endpoint_list import derive_endpoint_id, parse_endpoint_list
-from balancer.sidecar.upstream.connection import CONNECTION_REST_NS, EndpointPool, UpstreamConnection
+from balancer.sidecar.upstream.connection import UpstreamConnection
+from balancer.sidecar.upstream.pool import CONNECTION_REST_NS, EndpointPool
 from balancer.time_units import SECOND_NS as SECOND
 from tests.sidecar import (
     SETTINGS,
@@ -202,10 +203,10 @@
             upstream.now_ns = lambda: stopped  # not a moment later
             client = await node.client()
             assert (await client.ask(request("post")))[::2] == (200, b"1")
-            [pool] = upstream._pools.values()
+            [pool] = upstream.pools.values()
             assert (
                 len(pool.idle_connections) == 1
-                and upstream.seconds_until_rested(pool) == CONNECTION_REST_NS / SECOND
+                and pool.seconds_until_rested(stopped) == CONNECTION_REST_NS / SECOND
             )
             client.writer.write(request("post"))
             await node.event(lambda e: isinstance(e, RequestReceived) and e.request_id == 2)
