--- /dev/null
+++ b/tests/sidecar/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the real sidecar, over loopback sockets."""
--- /dev/null
+++ b/tests/simulator/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the adapter for the simulator."""
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -10,7 +10,7 @@
 from balancer.sidecar.downstream.listener import MAX_PIPELINED_REQUESTS
 from balancer.sidecar.http_message import MAX_HEAD_BYTES
 from balancer.sidecar.http_request import HttpRequestError, deadline, hint, parse_head
-from tests.sidecar import Seen, always_ok, endpoint, ok, request, run, sidecar
+from tests.sidecar.harness import Seen, always_ok, endpoint, ok, request, run, sidecar
 
 POST = b"POST / HTTP/1.1\r\n%s\r\n\r\n"
 NONSENSE = [
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -27,7 +27,7 @@
     DownstreamConnection,
 )
 from balancer.sidecar.http_request import HttpRequestError
-from tests.sidecar import (
+from tests.sidecar.harness import (
     Endpoint,
     Seen,
     Sidecar,
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -25,7 +25,7 @@
 from balancer.sidecar.upstream.connection import UpstreamConnection
 from balancer.sidecar.upstream.pool import CONNECTION_REST_NS, EndpointPool
 from balancer.time_units import SECOND_NS as SECOND
-from tests.sidecar import (
+from tests.sidecar.harness import (
     SETTINGS,
     WAIT,
     Seen,
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -29,7 +29,19 @@
 from balancer.sidecar.endpoint_list import EndpointListUpdate, NameIndices
 from tests.helpers import SECOND, Bench
 from tests.helpers import settings as rules
-from tests.sidecar import SETTINGS, WAIT, Sidecar, dead_dial, endpoint, entry, never, ok, run, sidecar, status
+from tests.sidecar.harness import (
+    SETTINGS,
+    WAIT,
+    Sidecar,
+    dead_dial,
+    endpoint,
+    entry,
+    never,
+    ok,
+    run,
+    sidecar,
+    status,
+)
 
 TOLD_AFTER, MARGIN = 6.0, 0.5  # s: a change counts as told then; and what is to be left of it
 AFTER_SIGHUP = 4.0
--- a/tests/test_endpoint_list.py
+++ b/tests/test_endpoint_list.py
@@ -18,7 +18,7 @@
     derive_endpoint_id,
     parse_endpoint_list,
 )
-from tests.sidecar import SETTINGS, configuration
+from tests.sidecar.harness import SETTINGS, configuration
 
 # As a sidecar's configuration held it before the code was renamed.
 STORED_LIST = """{
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -13,7 +13,7 @@
 from balancer.sidecar.downstream.listener import MAX_PIPELINED_REQUESTS, DownstreamConnection
 from balancer.sidecar.upstream.connection import UpstreamConnection
 from balancer.sidecar.upstream.pool import EndpointPool
-from tests.sidecar import Seen, Sidecar, always_ok, endpoint, ok, request, run, sidecar
+from tests.sidecar.harness import Seen, Sidecar, always_ok, endpoint, ok, request, run, sidecar
 
 LAST = b"Connection: close\r\n"
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -42,7 +42,7 @@
 from balancer.sidecar.upstream.manager import UpstreamManager
 from balancer.sidecar.upstream.pool import SURPLUS_IDLE_NS
 from balancer.time_units import SECOND_NS as SECOND
-from tests.sidecar import (
+from tests.sidecar.harness import (
     SETTINGS,
     WAIT,
     Script,
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -11,7 +11,19 @@
 import pytest
 
 from balancer.policy_api import TimerFired
-from tests.sidecar import SETTINGS, Client, Script, Seen, endpoint, entry, never, ok, request, run, sidecar
+from tests.sidecar.harness import (
+    SETTINGS,
+    Client,
+    Script,
+    Seen,
+    endpoint,
+    entry,
+    never,
+    ok,
+    request,
+    run,
+    sidecar,
+)
 
 
 class Held:
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -14,7 +14,7 @@
 
 import pytest
 
-from tests.sidecar import SETTINGS, Client, Seen, configuration, dead_dial, endpoint, ok, request, run
+from tests.sidecar.harness import SETTINGS, Client, Seen, configuration, dead_dial, endpoint, ok, request, run
 
 COMMAND = (sys.executable, "-m", "balancer")
 ROOT = Path(__file__).parent.parent
