Restructure the tests of the decisions into files after the module under test

Cause: the tests of the decisions stood in three large files, named as sentences in withdrawn words, with one-letter variables, composite assertions and a driver whose methods were named after metaphors. Change: tests/policy holds one test file a module, the invariants, the fleet in simulated time and the characterisation; tests/builders.py builds settings, endpoints and events with typed keyword arguments, and tests/policy/harness.py drives one balancer. Loops over cases became parameters, composite assertions two. The simulation's dead field for rejected requests is gone. Hypothesis derives the examples of the two derandomized tests from their source, so they draw other examples than before; counts stay 300 and 30. Measured: seeded step sequences and four restarts of the fleet give the same streams of events and actions before and after; the recorded digests match.

--- /dev/null
+++ b/tests/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the decisions, `balancer.policy`."""
--- /dev/null
+++ b/tests/policy/harness.py
@@ -0,0 +1,170 @@
+"""A `Balancer` under test with its clock."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import TypeVar
+
+from balancer.policy.balancer import Balancer
+from balancer.policy.endpoint_state import EndpointState
+from balancer.policy.request_state import RequestState
+from balancer.policy_api import (
+    Action,
+    AttemptOutcome,
+    Endpoint,
+    EndpointId,
+    EndpointUpdate,
+    EndpointUpdateKind,
+    Event,
+    HealthCheckCompleted,
+    Settings,
+    StartAttempt,
+    Started,
+    TimerFired,
+)
+from balancer.time_units import MILLISECOND_NS, SECOND_NS
+from tests.builders import (
+    START_NS,
+    attempt_completed,
+    endpoint,
+    endpoint_id,
+    endpoint_number,
+    request_received,
+)
+
+ActionType = TypeVar("ActionType", bound=Action)
+
+
+def actions_of(action_type: type[ActionType], actions: Iterable[Action]) -> list[ActionType]:
+    """Return the actions of one type, in order."""
+    return [action for action in actions if isinstance(action, action_type)]
+
+
+class BalancerHarness:
+    """Drives one `Balancer`: owns its clock, numbers its requests and completes its attempts."""
+
+    def __init__(self, settings: Settings, endpoint_count: int = 6, seed: int = 1) -> None:
+        """Start a balancer with a cached list of the endpoints 1 to `endpoint_count`."""
+        self.now = START_NS
+        self.balancer = Balancer(settings, seed)
+        self.last_request_id = 0
+        self.handle(Started())
+        self.update_endpoints(*(endpoint(number + 1) for number in range(endpoint_count)))
+
+    def handle(self, event: Event) -> list[Action]:
+        """Deliver an event at the current time."""
+        return self.balancer.handle(self.now, event)
+
+    def tick(self, seconds: float = 0.5) -> list[Action]:
+        """Advance the clock, then fire the balancer's periodic timer."""
+        self.now += int(seconds * SECOND_NS)
+        return self.handle(TimerFired(0))
+
+    def update_endpoints(
+        self, *entries: Endpoint, kind: EndpointUpdateKind = EndpointUpdateKind.CACHED
+    ) -> list[Action]:
+        """Deliver an endpoint list."""
+        return self.handle(EndpointUpdate(kind, entries))
+
+    def request(
+        self,
+        class_index: int = 0,
+        *,
+        time_left_ns: int = 2 * SECOND_NS,
+        key_hash: int = 0,
+        tenant_index: int = 0,
+    ) -> Action:
+        """Deliver a request and return the one action that answers it: an attempt or a final answer."""
+        self.last_request_id += 1
+        event = request_received(
+            self.last_request_id,
+            self.now + time_left_ns,
+            class_index=class_index,
+            tenant_index=tenant_index,
+            key_hash=key_hash,
+        )
+        [action] = self.handle(event)
+        return action
+
+    def start_attempt(
+        self, class_index: int = 0, *, time_left_ns: int = 2 * SECOND_NS, key_hash: int = 0
+    ) -> StartAttempt:
+        """Deliver a request that has to be sent to an endpoint."""
+        action = self.request(class_index, time_left_ns=time_left_ns, key_hash=key_hash)
+        assert isinstance(action, StartAttempt), action
+        return action
+
+    def complete(
+        self,
+        attempt: StartAttempt,
+        outcome: AttemptOutcome = AttemptOutcome.SUCCESS,
+        duration_ns: int = 50 * MILLISECOND_NS,
+    ) -> list[Action]:
+        """End an attempt; its request is finished if it succeeded."""
+        event = attempt_completed(
+            attempt.request_id,
+            attempt.endpoint_id,
+            outcome,
+            duration_ns,
+            request_finished=outcome == AttemptOutcome.SUCCESS,
+        )
+        return self.handle(event)
+
+    def serve_request(self, class_index: int = 0, *, key_hash: int = 0) -> int:
+        """Deliver a request and let its attempt succeed; return the endpoint's number, or 0."""
+        action = self.request(class_index, key_hash=key_hash)
+        if not isinstance(action, StartAttempt):
+            return 0
+        self.complete(action)
+        return endpoint_number(action.endpoint_id)
+
+    def serve_requests(self, count: int, class_index: int = 0, *, first_key: int = 0) -> None:
+        """Serve several requests, with consecutive keys if there is a first one."""
+        for offset in range(count):
+            self.serve_request(class_index, key_hash=first_key and first_key + offset)
+
+    def complete_health_check(
+        self,
+        identifier: EndpointId,
+        outcome: AttemptOutcome = AttemptOutcome.SUCCESS,
+        duration_ns: int = 2 * MILLISECOND_NS,
+    ) -> list[Action]:
+        """End a health check."""
+        return self.handle(HealthCheckCompleted(identifier, outcome, duration_ns, ()))
+
+    def record_outcome(
+        self,
+        target: EndpointState,
+        outcome: AttemptOutcome,
+        duration_ns: int = MILLISECOND_NS,
+        *,
+        request_finished: bool = False,
+        request: RequestState | None = None,
+    ) -> None:
+        """Let the balancer learn from an attempt, by default one whose request it no longer holds."""
+        event = attempt_completed(0, target.id, outcome, duration_ns, request_finished=request_finished)
+        self.balancer.record_outcome(target, event, request, self.now)
+
+    def endpoint(self, number: int) -> EndpointState:
+        """Return what the balancer holds of an endpoint."""
+        return self.balancer.membership.endpoints[endpoint_id(number)]
+
+    @property
+    def endpoints(self) -> list[EndpointState]:
+        """All endpoints that the balancer knows."""
+        return list(self.balancer.membership.endpoints.values())
+
+    @property
+    def ejected_endpoints(self) -> list[EndpointState]:
+        """The endpoints that are ejected now."""
+        return [candidate for candidate in self.endpoints if candidate.ejected_until_ns > self.now]
+
+    @property
+    def subset(self) -> list[EndpointState]:
+        """The subset in use of the local zone."""
+        return self.balancer.subsets.local.members
+
+    @property
+    def threshold(self) -> float:
+        """The admission threshold."""
+        return self.balancer.admission.threshold
--- a/tests/test_policy_characterization.py
+++ b/tests/policy/test_characterization.py
@@ -2,9 +2,9 @@
 
 A seeded driver plays clients, servers, discovery and other sidecars against the decision module. Every action
 is reduced to its position in ACTION_TYPES and to plain numbers and bytes, so that renaming or moving code can
-not change the digest of the stream. The digests in policy_digests.json were recorded with CPython 3.11 by
+not change the digest of the stream. The digests in digests.json were recorded with CPython 3.11 by
 
-    python -m tests.test_policy_characterization > tests/policy_digests.json
+    python -m tests.policy.test_characterization > tests/policy/digests.json
 
 and change only together with a decision.
 """
@@ -20,13 +20,13 @@
 from functools import partial
 from itertools import count
 from pathlib import Path
+from typing import NamedTuple
 
 import pytest
 
 from balancer.policy.balancer import Balancer
 from balancer.policy_api import (
     Action,
-    AttemptCompleted,
     AttemptOutcome,
     CancelAttempt,
     ClientDisconnected,
@@ -34,6 +34,7 @@
     DeduplicationScope,
     Endpoint,
     EndpointHealth,
+    EndpointId,
     EndpointUpdate,
     EndpointUpdateKind,
     Event,
@@ -56,9 +57,10 @@
     WatchEndpoints,
     WriteLog,
 )
-from tests.helpers import MS, SECOND, START
+from balancer.time_units import MILLISECOND_NS, SECOND_NS
+from tests.builders import START_NS, attempt_completed, endpoint_id, request_received
 
-DIGEST_FILE = Path(__file__).with_name("policy_digests.json")
+DIGEST_FILE = Path(__file__).with_name("digests.json")
 EVENT_COUNT = 12_000
 SERVER_COUNT = 14
 PHASES = (
@@ -88,30 +90,30 @@
     WriteLog,
 )
 
-READ = RequestClass("read", 300 * MS, 1500 * MS, 1.0, 0.5)
-BROWSE = RequestClass("browse", 150 * MS, 600 * MS, 0.3)
+READ = RequestClass("read", 300 * MILLISECOND_NS, 1500 * MILLISECOND_NS, 1.0, 0.5)
+BROWSE = RequestClass("browse", 150 * MILLISECOND_NS, 600 * MILLISECOND_NS, 0.3)
 CHANGE = RequestClass(
     "change",
-    500 * MS,
-    2500 * MS,
+    500 * MILLISECOND_NS,
+    2500 * MILLISECOND_NS,
     3.0,
     0.0,
     Idempotency.IDEMPOTENCY_KEY,
     DeduplicationScope.ZONE,
-    900 * MS,
+    900 * MILLISECOND_NS,
 )
 MOVE = RequestClass(
     "move",
-    400 * MS,
-    2000 * MS,
+    400 * MILLISECOND_NS,
+    2000 * MILLISECOND_NS,
     3.0,
     0.2,
     Idempotency.IDEMPOTENCY_KEY,
     DeduplicationScope.CELL,
-    5 * SECOND,
+    5 * SECOND_NS,
 )
-BILL = RequestClass("bill", 600 * MS, 3000 * MS, 6.0, 0.1, Idempotency.NOT_IDEMPOTENT)
-SEARCH = RequestClass("search", 2 * SECOND, 3 * SECOND, 1.0, 0.5)
+BILL = RequestClass("bill", 600 * MILLISECOND_NS, 3000 * MILLISECOND_NS, 6.0, 0.1, Idempotency.NOT_IDEMPOTENT)
+SEARCH = RequestClass("search", 2 * SECOND_NS, 3 * SECOND_NS, 1.0, 0.5)
 CLASSES = (READ, BROWSE, CHANGE, MOVE, BILL)
 
 
@@ -123,14 +125,15 @@
     seed: int
     balancers: int = 1
     requests_per_second: float = 120.0
-    hurried: float = 0.02  # share of clients that give less time than an answer takes
+    short_timeout_share: float = 0.02
+    """The share of clients that give less time than an answer takes."""
     phases: tuple[str, ...] = PHASES
-    phase_ns: int = 3 * SECOND
+    phase_ns: int = 3 * SECOND_NS
 
 
 SCENARIOS = {
     "one_zone": Scenario(
-        Settings(CLASSES, slow_start_capacity=0.3, slow_start_duration_ns=6 * SECOND, max_attempts=5),
+        Settings(CLASSES, slow_start_capacity=0.3, slow_start_duration_ns=6 * SECOND_NS, max_attempts=5),
         1,
     ),
     "three_zones_priced": Scenario(
@@ -140,13 +143,13 @@
             instance_count=40,
             zone_count=3,
             slow_start_capacity=0.4,
-            slow_start_duration_ns=8 * SECOND,
+            slow_start_duration_ns=8 * SECOND_NS,
             max_attempts=4,
             attempts_can_be_cancelled=True,
             cross_zone_price=0.05,
             handshake_price=0.06,
             connection_price=0.06,
-            max_retry_after_ns=3 * SECOND,
+            max_retry_after_ns=3 * SECOND_NS,
         ),
         2,
         requests_per_second=60.0,
@@ -155,14 +158,14 @@
         Settings(
             CLASSES,
             polls_discovery=True,
-            discovery_poll_window_ns=2 * SECOND,
+            discovery_poll_window_ns=2 * SECOND_NS,
             max_attempts=3,
             health_checks_enabled=True,
             attempts_can_be_cancelled=True,
             zone_count=2,
             cross_zone_price=0.02,
             slow_start_capacity=0.2,
-            slow_start_duration_ns=5 * SECOND,
+            slow_start_duration_ns=5 * SECOND_NS,
         ),
         3,
     ),
@@ -173,10 +176,10 @@
             load_report_fields=("rif", "lat_ms"),
             zone_count=2,
             slow_start_capacity=0.3,
-            slow_start_duration_ns=6 * SECOND,
+            slow_start_duration_ns=6 * SECOND_NS,
             max_attempts=4,
-            scheduling_tick_ns=4 * MS,
-            max_retry_after_ns=SECOND,
+            scheduling_tick_ns=4 * MILLISECOND_NS,
+            max_retry_after_ns=SECOND_NS,
         ),
         4,
     ),
@@ -205,7 +208,7 @@
             max_attempts=5,
             attempts_can_be_cancelled=True,
             slow_start_capacity=0.5,
-            slow_start_duration_ns=4 * SECOND,
+            slow_start_duration_ns=4 * SECOND_NS,
         ),
         6,
     ),
@@ -218,21 +221,21 @@
             health_checks_enabled=True,
         ),
         7,
-        hurried=0.3,
+        short_timeout_share=0.3,
     ),
     "hanging_calls": Scenario(
         Settings((SEARCH, READ, CHANGE), max_attempts=5, attempts_can_be_cancelled=True),
         9,
         requests_per_second=250.0,
         phases=("hanging_class",),
-        phase_ns=SECOND,
+        phase_ns=SECOND_NS,
     ),
     "lasting_overload": Scenario(
         Settings(
             CLASSES,
             max_attempts=5,
             attempts_can_be_cancelled=True,
-            max_retry_after_ns=4 * SECOND,
+            max_retry_after_ns=4 * SECOND_NS,
             zone_count=2,
         ),
         8,
@@ -243,20 +246,29 @@
 
 @dataclass
 class Attempt:
-    """An attempt that is out, and the time that ends it."""
+    """An attempt in flight."""
 
-    number: int
-    endpoint: bytes
-    sent: int
+    index: int
+    endpoint_id: EndpointId
+    started_at_ns: int
 
 
 @dataclass
 class OpenRequest:
-    cls: int
-    expires: int
-    attempts: int = 0
+    """A request that needs its final answer or has an attempt in flight."""
+
+    class_index: int
+    expires_at_ns: int
+    attempt_count: int = 0
     attempt: Attempt | None = None
-    answered: bool = False
+    is_answered: bool = False
+
+
+class ServerReply(NamedTuple):
+    """What becomes of an attempt, and after which time if nobody ends it before."""
+
+    outcome: AttemptOutcome
+    duration_ns: int
 
 
 @dataclass
@@ -271,17 +283,19 @@
     """Plays a scenario and digests the actions."""
 
     def __init__(self, scenario: Scenario) -> None:
-        self.scenario, self.settings = scenario, scenario.settings
+        self.scenario = scenario
+        self.settings = scenario.settings
         self.random = random.Random(scenario.seed)
-        self.now = START
-        self.order, self.ids = count(), count(1)
-        self.due: list[tuple[int, int, Callable[[], None]]] = []
+        self.now = START_NS
+        self.callback_numbers = count()
+        self.request_ids = count(1)
+        self.callbacks: list[tuple[int, int, Callable[[], None]]] = []
         self.digest = hashlib.sha256()
-        self.events = 0
+        self.event_count = 0
         self.action_counts = [0] * len(ACTION_TYPES)
         self.servers = {
             number: Endpoint(
-                number.to_bytes(6, "little"),
+                endpoint_id(number),
                 number % self.settings.zone_count,
                 0,
                 number // 3,
@@ -292,30 +306,31 @@
             for number in range(1, SERVER_COUNT + 1)
         }
         self.phase = "calm"
-        self.affected: set[bytes] = set()
+        self.affected_endpoints: set[EndpointId] = set()
         self.instances = [
             Instance(Balancer(self.settings, scenario.seed * 100 + n)) for n in range(scenario.balancers)
         ]
 
     def run(self) -> str:
         for instance in self.instances:
-            self.give(instance, Started())
-            self.give(
+            self.handle(instance, Started())
+            self.handle(
                 instance,
                 EndpointUpdate(EndpointUpdateKind.CACHED, tuple(self.servers.values())),
             )
-            self.after(0, partial(self.arrive, instance))
-        self.after(self.scenario.phase_ns, self.change_phase)
-        while self.events < EVENT_COUNT:
-            self.now, _, action = heapq.heappop(self.due)
-            action()
+            self.schedule(0, partial(self.receive_request, instance))
+        self.schedule(self.scenario.phase_ns, self.change_phase)
+        while self.event_count < EVENT_COUNT:
+            self.now, _, callback = heapq.heappop(self.callbacks)
+            callback()
         return self.digest.hexdigest()
 
-    def after(self, delay: int, action: Callable[[], None]) -> None:
-        heapq.heappush(self.due, (self.now + max(0, delay), next(self.order), action))
+    def schedule(self, delay_ns: int, callback: Callable[[], None]) -> None:
+        due_at_ns = self.now + max(0, delay_ns)
+        heapq.heappush(self.callbacks, (due_at_ns, next(self.callback_numbers), callback))
 
-    def give(self, instance: Instance, event: Event) -> None:
-        self.events += 1
+    def handle(self, instance: Instance, event: Event) -> None:
+        self.event_count += 1
         actions = instance.balancer.handle(self.now, event)
         for action in actions:
             self.record(action)
@@ -326,19 +341,19 @@
         code = ACTION_TYPES.index(type(action))
         self.action_counts[code] += 1
         values = [value.hex() if isinstance(value, bytes) else str(int(value)) for value in action]
-        self.digest.update(f"{self.events} {self.now} {code} {' '.join(values)}\n".encode())
+        self.digest.update(f"{self.event_count} {self.now} {code} {' '.join(values)}\n".encode())
 
-    # What the servers and the list do.
+    # The part of the servers and of discovery.
 
     def change_phase(self) -> None:
         self.phase = self.random.choice(self.scenario.phases)
         chosen = self.random.sample(sorted(self.servers), self.random.choice((2, 4, 8)))
-        self.affected = {self.servers[number].id for number in chosen}
+        self.affected_endpoints = {self.servers[number].id for number in chosen}
         entries = []
         for number, server in self.servers.items():
-            if self.phase == "restart" and server.id in self.affected:
+            if self.phase == "restart" and server.id in self.affected_endpoints:
                 server = server._replace(started_at_ns=self.now, health=EndpointHealth.READY)
-            elif self.phase == "drain" and server.id in self.affected:
+            elif self.phase == "drain" and server.id in self.affected_endpoints:
                 server = server._replace(
                     health=self.random.choice((EndpointHealth.DRAINING, EndpointHealth.REMOVED))
                 )
@@ -350,149 +365,170 @@
             entries.append(server)
         if not self.settings.polls_discovery:
             for instance in self.instances:
-                self.tell(instance, entries)
-        self.after(self.scenario.phase_ns, self.change_phase)
+                self.update_endpoints(instance, entries)
+        self.schedule(self.scenario.phase_ns, self.change_phase)
 
-    def tell(self, instance: Instance, entries: list[Endpoint]) -> None:
+    def update_endpoints(self, instance: Instance, entries: list[Endpoint]) -> None:
         if self.random.random() < 0.3:
             present = tuple(s for s in self.servers.values() if s.health != EndpointHealth.REMOVED)
-            self.give(instance, EndpointUpdate(EndpointUpdateKind.SNAPSHOT, present))
+            self.handle(instance, EndpointUpdate(EndpointUpdateKind.SNAPSHOT, present))
         elif entries:
-            self.give(instance, EndpointUpdate(EndpointUpdateKind.DELTA, tuple(entries)))
+            self.handle(instance, EndpointUpdate(EndpointUpdateKind.DELTA, tuple(entries)))
 
     def answer_watch(self, instance: Instance) -> None:
         if self.random.random() < 0.4:
-            self.give(instance, EndpointUpdate(EndpointUpdateKind.DISCOVERY_FAILED, ()))
+            self.handle(instance, EndpointUpdate(EndpointUpdateKind.DISCOVERY_FAILED, ()))
             return
-        self.tell(instance, list(self.servers.values()))
+        self.update_endpoints(instance, list(self.servers.values()))
         # The watch breaks some time later, and the decisions have to ask anew.
         broken = EndpointUpdate(EndpointUpdateKind.DISCOVERY_FAILED, ())
-        self.after(self.random.randrange(4 * SECOND), partial(self.give, instance, broken))
+        self.schedule(self.random.randrange(4 * SECOND_NS), partial(self.handle, instance, broken))
 
-    def outcome_of(self, endpoint: bytes, cls: int) -> tuple[AttemptOutcome, int]:
-        """What becomes of an attempt, and after which time if nobody ends it before."""
-        usual = int(self.random.expovariate(1) * 30 * MS) + 5 * MS
+    def reply_of_server(self, identifier: EndpointId, class_index: int) -> ServerReply:
+        usual_ns = int(self.random.expovariate(1) * 30 * MILLISECOND_NS) + 5 * MILLISECOND_NS
         if self.phase == "overload":
-            usual *= 8
+            usual_ns *= 8
             if self.random.random() < 0.3:
-                return AttemptOutcome.REJECTED, usual // 4
-        if endpoint not in self.affected:
-            return (
-                AttemptOutcome.SUCCESS if self.random.random() < 0.99 else AttemptOutcome.SERVER_ERROR
-            ), usual
-        if self.phase == "slow":
-            return AttemptOutcome.SUCCESS, usual * 6
+                return ServerReply(AttemptOutcome.REJECTED, usual_ns // 4)
+        if identifier in self.affected_endpoints:
+            return self.reply_of_affected_server(class_index, usual_ns)
+        is_success = self.random.random() < 0.99
+        return ServerReply(AttemptOutcome.SUCCESS if is_success else AttemptOutcome.SERVER_ERROR, usual_ns)
+
+    def reply_of_affected_server(self, class_index: int, usual_ns: int) -> ServerReply:
+        never = ServerReply(AttemptOutcome.SUCCESS, 60 * SECOND_NS)
+        reply_by_phase = {
+            "slow": ServerReply(AttemptOutcome.SUCCESS, usual_ns * 6),
+            "unreachable": ServerReply(AttemptOutcome.CONNECT_FAILED, 1 * MILLISECOND_NS),
+            "rejecting": ServerReply(AttemptOutcome.REJECTED, 1 * MILLISECOND_NS),
+            "silent": never,
+        }
+        if self.phase in reply_by_phase:
+            return reply_by_phase[self.phase]
+        if self.phase == "hanging_class" and class_index == 0:
+            return never
         if self.phase == "erring" and self.random.random() < 0.8:
-            return AttemptOutcome.SERVER_ERROR, 2 * MS
-        if self.phase == "unreachable":
-            return AttemptOutcome.CONNECT_FAILED, 1 * MS
+            return ServerReply(AttemptOutcome.SERVER_ERROR, 2 * MILLISECOND_NS)
         if self.phase == "resets" and self.random.random() < 0.5:
-            return AttemptOutcome.CONNECTION_RESET, usual
-        if self.phase == "rejecting":
-            return AttemptOutcome.REJECTED, 1 * MS
-        if self.phase == "silent" or (self.phase == "hanging_class" and cls == 0):
-            return AttemptOutcome.SUCCESS, 60 * SECOND
-        return self.random.choice(
-            (
-                AttemptOutcome.SUCCESS,
-                AttemptOutcome.SUCCESS,
-                AttemptOutcome.SUCCESS,
-                AttemptOutcome.CLIENT_ERROR,
-            )
-        ), usual
+            return ServerReply(AttemptOutcome.CONNECTION_RESET, usual_ns)
+        outcomes = (*[AttemptOutcome.SUCCESS] * 3, AttemptOutcome.CLIENT_ERROR)
+        return ServerReply(self.random.choice(outcomes), usual_ns)
 
-    # What the sidecar does with the actions.
+    # The part of the sidecar and of the clients.
 
     def carry_out(self, instance: Instance, action: Action) -> None:
         if isinstance(action, StartAttempt):
             self.start_attempt(instance, action)
         elif isinstance(action, RejectRequest | FailRequest):
-            instance.requests[action.request_id].answered = True
-            self.forget(instance, action.request_id)
+            instance.requests[action.request_id].is_answered = True
+            self.forget_if_ended(instance, action.request_id)
         elif isinstance(action, CancelAttempt):
             self.end_attempt(instance, action.request_id, action.attempt_index, AttemptOutcome.CANCELLED)
         elif isinstance(action, SetTimer):
-            self.after(action.delay_ns, partial(self.give, instance, TimerFired(action.token)))
+            self.schedule(action.delay_ns, partial(self.handle, instance, TimerFired(action.token)))
         elif isinstance(action, WatchEndpoints):
-            self.after(30 * MS, partial(self.answer_watch, instance))
+            self.schedule(30 * MILLISECOND_NS, partial(self.answer_watch, instance))
         elif isinstance(action, StartHealthCheck):
             self.answer_health_check(instance, action.endpoint_id)
         elif isinstance(action, SendGossip):
             self.deliver(action)
 
-    def answer_health_check(self, instance: Instance, endpoint: bytes) -> None:
-        outcome, took = AttemptOutcome.SUCCESS, self.random.randrange(1 * MS, 8 * MS)
-        if endpoint in self.affected and self.phase in ("unreachable", "silent", "rejecting"):
-            outcome = self.random.choice(
-                (
-                    AttemptOutcome.TIMEOUT,
-                    AttemptOutcome.REJECTED,
-                    AttemptOutcome.CONNECT_FAILED,
-                )
-            )
-            took = 100 * MS
-        self.after(took, partial(self.give, instance, HealthCheckCompleted(endpoint, outcome, took, ())))
+    def answer_health_check(self, instance: Instance, identifier: EndpointId) -> None:
+        outcome = AttemptOutcome.SUCCESS
+        duration_ns = self.random.randrange(1 * MILLISECOND_NS, 8 * MILLISECOND_NS)
+        is_affected = identifier in self.affected_endpoints
+        if is_affected and self.phase in ("unreachable", "silent", "rejecting"):
+            failures = (AttemptOutcome.TIMEOUT, AttemptOutcome.REJECTED, AttemptOutcome.CONNECT_FAILED)
+            outcome = self.random.choice(failures)
+            duration_ns = 100 * MILLISECOND_NS
+        completed = HealthCheckCompleted(identifier, outcome, duration_ns, ())
+        self.schedule(duration_ns, partial(self.handle, instance, completed))
 
     def deliver(self, action: SendGossip) -> None:
-        body = action.payload
+        payload = action.payload
         if self.random.random() < 0.05:
-            body = self.random.choice((body[:-1], b"", self.random.randbytes(len(body))))
+            payload = self.random.choice((payload[:-1], b"", self.random.randbytes(len(payload))))
         recipient = self.instances[action.recipient_index % len(self.instances)]
-        self.after(MS, partial(self.give, recipient, GossipReceived(0, body)))
+        self.schedule(MILLISECOND_NS, partial(self.handle, recipient, GossipReceived(0, payload)))
 
-    def arrive(self, instance: Instance) -> None:
+    def receive_request(self, instance: Instance) -> None:
         rate = self.scenario.requests_per_second * (2.0 if self.phase == "overload" else 1.0)
-        self.after(int(self.random.expovariate(rate) * SECOND), partial(self.arrive, instance))
-        cls = self.random.randrange(len(self.settings.classes))
-        limit = self.settings.classes[cls].client_timeout_ns
-        left = limit if self.random.random() > 0.1 else self.random.randrange(limit)
-        if self.random.random() < self.scenario.hurried:
-            left = self.random.randrange(30 * MS)
-        number, expires = next(self.ids), self.now + left
-        instance.requests[number] = OpenRequest(cls, expires)
-        key = self.random.randrange(1, 200) if self.random.random() < 0.5 else 0
-        repeat = self.random.random() < 0.1
-        event = RequestReceived(number, cls, self.random.randrange(3), key, expires, 0, repeat)
-        self.give(instance, event)
+        next_delay_ns = int(self.random.expovariate(rate) * SECOND_NS)
+        self.schedule(next_delay_ns, partial(self.receive_request, instance))
+        event = self.draw_request()
+        instance.requests[event.request_id] = OpenRequest(event.class_index, event.expires_at_ns)
+        self.handle(instance, event)
         if self.random.random() < 0.02:
-            self.after(self.random.randrange(100 * MS), partial(self.leave, instance, number))
-
-    def leave(self, instance: Instance, number: int) -> None:
-        request = instance.requests.get(number)
-        if request is None or request.answered:
+            delay_ns = self.random.randrange(100 * MILLISECOND_NS)
+            self.schedule(delay_ns, partial(self.detach_request, instance, event.request_id))
+
+    def draw_request(self) -> RequestReceived:
+        class_index = self.random.randrange(len(self.settings.classes))
+        client_timeout_ns = self.settings.classes[class_index].client_timeout_ns
+        is_fresh = self.random.random() > 0.1
+        time_left_ns = client_timeout_ns if is_fresh else self.random.randrange(client_timeout_ns)
+        if self.random.random() < self.scenario.short_timeout_share:
+            time_left_ns = self.random.randrange(30 * MILLISECOND_NS)
+        key_hash = self.random.randrange(1, 200) if self.random.random() < 0.5 else 0
+        is_retry = self.random.random() < 0.1
+        return request_received(
+            next(self.request_ids),
+            self.now + time_left_ns,
+            class_index=class_index,
+            tenant_index=self.random.randrange(3),
+            key_hash=key_hash,
+            is_retry=is_retry,
+        )
+
+    def detach_request(self, instance: Instance, request_id: int) -> None:
+        request = instance.requests.get(request_id)
+        if request is None or request.is_answered:
             return
-        request.answered = True
-        left: Event = ClientDisconnected(number) if self.random.random() < 0.7 else StreamStarted(number)
-        self.give(instance, left)
-        self.forget(instance, number)
+        request.is_answered = True
+        disconnects = self.random.random() < 0.7
+        event = ClientDisconnected(request_id) if disconnects else StreamStarted(request_id)
+        self.handle(instance, event)
+        self.forget_if_ended(instance, request_id)
 
     def start_attempt(self, instance: Instance, action: StartAttempt) -> None:
         request = instance.requests[action.request_id]
-        number, request.attempts = request.attempts, request.attempts + 1
-        request.attempt = Attempt(number, action.endpoint_id, self.now)
-        outcome, took = self.outcome_of(action.endpoint_id, request.cls)
-        most = min(action.timeout_ns or request.expires - self.now, request.expires - self.now)
-        if took > most:
-            outcome, took = AttemptOutcome.TIMEOUT, most
+        attempt = Attempt(request.attempt_count, action.endpoint_id, self.now)
+        request.attempt_count += 1
+        request.attempt = attempt
+        outcome, duration_ns = self.reply_of_server(action.endpoint_id, request.class_index)
+        time_left_ns = request.expires_at_ns - self.now
+        timeout_ns = min(action.timeout_ns or time_left_ns, time_left_ns)
+        if duration_ns > timeout_ns:
+            outcome, duration_ns = AttemptOutcome.TIMEOUT, timeout_ns
         elif self.random.random() < 0.005:
-            outcome, took = AttemptOutcome.NOT_SENT, 0
-        self.after(took, partial(self.end_attempt, instance, action.request_id, number, outcome))
-
-    def end_attempt(self, instance: Instance, number: int, attempt: int, outcome: AttemptOutcome) -> None:
-        request = instance.requests.get(number)
-        if request is None or request.attempt is None or request.attempt.number != attempt:
+            outcome, duration_ns = AttemptOutcome.NOT_SENT, 0
+        end = partial(self.end_attempt, instance, action.request_id, attempt.index, outcome)
+        self.schedule(duration_ns, end)
+
+    def end_attempt(
+        self, instance: Instance, request_id: int, attempt_index: int, outcome: AttemptOutcome
+    ) -> None:
+        request = instance.requests.get(request_id)
+        if request is None or request.attempt is None or request.attempt.index != attempt_index:
             return
-        ended, request.attempt = request.attempt, None
+        attempt, request.attempt = request.attempt, None
         if outcome == AttemptOutcome.SUCCESS:
-            request.answered = True
-        took, over = self.now - ended.sent, request.answered
-        self.forget(instance, number)
-        self.give(instance, AttemptCompleted(number, attempt, ended.endpoint, outcome, took, over, ()))
-
-    def forget(self, instance: Instance, number: int) -> None:
-        request = instance.requests[number]
-        if request.answered and request.attempt is None:
-            del instance.requests[number]
+            request.is_answered = True
+        event = attempt_completed(
+            request_id,
+            attempt.endpoint_id,
+            outcome,
+            self.now - attempt.started_at_ns,
+            attempt_index=attempt_index,
+            request_finished=request.is_answered,
+        )
+        self.forget_if_ended(instance, request_id)
+        self.handle(instance, event)
+
+    def forget_if_ended(self, instance: Instance, request_id: int) -> None:
+        request = instance.requests[request_id]
+        if request.is_answered and request.attempt is None:
+            del instance.requests[request_id]
 
 
 def digests() -> dict[str, str]:
@@ -500,12 +536,12 @@
 
 
 @pytest.mark.parametrize("name", SCENARIOS)
-def test_same_settings_seed_and_events_give_the_recorded_actions(name: str) -> None:
+def test_actions_match_the_recorded_digest(name: str) -> None:
     recorded = json.loads(DIGEST_FILE.read_text())
     assert Driver(SCENARIOS[name]).run() == recorded[name]
 
 
-def test_the_scenarios_bring_about_every_action_that_the_policy_takes() -> None:
+def test_scenarios_produce_every_action_of_the_policy() -> None:
     never_taken = {FetchEndpoints, WriteLog}
     totals = dict.fromkeys(ACTION_TYPES, 0)
     for scenario in SCENARIOS.values():
