Split the client side into connection, exchange, transport, reader and listener

Cause: one module held the listener, the connection, the exchange and the time limits, and they reached into each other's state. Change: downstream/ has a module for each with a documented interface; the limits are a frozen DownstreamTimeouts handed to the listener; the grammar of a request (http_request.py) and its checks against the settings (request_validator.py) are apart.

--- a/balancer/__main__.py
+++ b/balancer/__main__.py
@@ -17,7 +17,8 @@
 from balancer.sidecar.configuration import SECOND, SidecarConfiguration, load
 from balancer.sidecar.discovery_client import DiscoveryClient
 from balancer.sidecar.dispatcher import Dispatcher
-from balancer.sidecar.downstream.listener import DownstreamConnection, Listener
+from balancer.sidecar.downstream.connection import DownstreamConnection
+from balancer.sidecar.downstream.listener import Listener
 from balancer.sidecar.gossip_transport import GossipTransport
 
 # Stopping. Clients use the connections that they have until these close, and where sidecars restart in turn
--- /dev/null
+++ b/balancer/sidecar/downstream/exchange.py
@@ -0,0 +1,100 @@
+"""Requests on a connection and their responses, which go out in the order of the requests."""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import Protocol
+
+from balancer.sidecar.downstream.response import failed_response, forwarded_response, rejected_response
+from balancer.sidecar.http_message import HttpResponse
+
+MAX_PIPELINED_REQUESTS = 16
+"""Requests that are taken on one connection ahead of the response to the first of them."""
+
+
+class ExchangeOwner(Protocol):
+    """What an exchange needs of its connection."""
+
+    def send_ready_responses(self) -> None:
+        """Send the responses whose turn has come."""
+
+    def is_disconnected(self) -> bool:
+        """Whether the client has closed its side."""
+
+
+class Exchange:
+    """One request and its response; implements `ResponseSink` for the dispatcher.
+
+    Attributes:
+        is_last: whether the connection ends after the response.
+        request_id: the dispatcher's id of the request; None if the sidecar responds by itself.
+        response: the response, once there is one.
+    """
+
+    __slots__ = ("_owner", "is_last", "request_id", "response")
+
+    def __init__(self, owner: ExchangeOwner, is_last: bool) -> None:
+        self._owner = owner
+        self.is_last = is_last
+        self.request_id: int | None = None
+        self.response: HttpResponse | None = None
+
+    def respond(self, response: HttpResponse) -> None:
+        """Set the response and send it, or leave it to be sent in its turn."""
+        self.response = response
+        self._owner.send_ready_responses()
+
+    def send_response(self, response: HttpResponse) -> None:
+        """Respond with an endpoint's response."""
+        self.respond(forwarded_response(response))
+
+    def reject(self, retry_after_ns: int) -> None:
+        """Respond that the request was not executed, with a time to retry after (0: none)."""
+        self.respond(rejected_response(retry_after_ns))
+
+    def fail(self, timed_out: bool) -> None:
+        """Respond that the request failed and may have been executed."""
+        self.respond(failed_response(timed_out))
+
+    def is_disconnected(self) -> bool:
+        """Whether the client has left, so that nobody waits for the response."""
+        return self._owner.is_disconnected()
+
+
+class ExchangeQueue:
+    """The exchanges of a connection whose responses have not been sent, in the order of the requests."""
+
+    __slots__ = ("_exchanges",)
+
+    def __init__(self) -> None:
+        self._exchanges: deque[Exchange] = deque()
+
+    def __len__(self) -> int:
+        return len(self._exchanges)
+
+    @property
+    def is_full(self) -> bool:
+        """Whether no further request may be taken until a response has been sent."""
+        return len(self._exchanges) >= MAX_PIPELINED_REQUESTS
+
+    def append(self, exchange: Exchange) -> None:
+        """Add the exchange of the request that came last."""
+        self._exchanges.append(exchange)
+
+    def first_response(self) -> HttpResponse | None:
+        """Return the response whose turn it is, if it is there already."""
+        return self._exchanges[0].response if self._exchanges else None
+
+    def pop_first(self) -> Exchange:
+        """Remove the exchange whose response is sent next."""
+        return self._exchanges.popleft()
+
+    def abandon(self) -> list[int]:
+        """Drop all exchanges. Return the ids of the dispatcher's requests that have no response yet."""
+        exchanges = self._exchanges
+        self._exchanges = deque()
+        return [
+            exchange.request_id
+            for exchange in exchanges
+            if exchange.response is None and exchange.request_id is not None
+        ]
--- /dev/null
+++ b/balancer/sidecar/downstream/response.py
@@ -0,0 +1,66 @@
+"""Responses to clients: the sidecar's own, those of endpoints, and their encoding."""
+
+from __future__ import annotations
+
+from http import HTTPStatus
+
+from balancer.sidecar.http_message import Headers, HttpResponse
+from balancer.sidecar.http_request import HttpRequestError
+from balancer.time_units import SECOND_NS
+
+CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
+"""The interim response to a request with `Expect: 100-continue` (RFC 9110, section 15.2.1)."""
+
+_HEADERS_NOT_FORWARDED = frozenset(
+    (
+        # These concern one connection only (RFC 9110, section 7.6.1).
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        # This one is written anew.
+        b"content-length",
+        # These are meant for sidecars.
+        b"srv-load",
+        b"srv-declined",
+    )
+)
+
+
+def forwarded_response(response: HttpResponse) -> HttpResponse:
+    """Return an endpoint's successful response without the headers that are not for the client."""
+    headers = [header for header in response.headers if header[0] not in _HEADERS_NOT_FORWARDED]
+    return HttpResponse(HTTPStatus.OK, headers, response.body)
+
+
+def rejected_response(retry_after_ns: int) -> HttpResponse:
+    """Return the response to a request that was never executed; 0: without Retry-After."""
+    headers: Headers = []
+    if retry_after_ns:
+        headers.append((b"Retry-After", b"%.3f" % (retry_after_ns / SECOND_NS)))
+    return HttpResponse(HTTPStatus.SERVICE_UNAVAILABLE, headers, b"refused; trying again is harmless\n")
+
+
+def failed_response(timed_out: bool) -> HttpResponse:
+    """Return the response to a request that failed and may have been executed."""
+    status = HTTPStatus.GATEWAY_TIMEOUT if timed_out else HTTPStatus.BAD_GATEWAY
+    return HttpResponse(status, [], b"failed; it may have run\n")
+
+
+def request_error_response(error: HttpRequestError) -> HttpResponse:
+    """Return the response to a request that is not valid."""
+    return HttpResponse(error.status, [], error.reason.encode() + b"\n")
+
+
+def encode_response(response: HttpResponse, close: bool) -> bytes:
+    """Encode a response; `close` announces that the connection ends after it (RFC 9112, section 9.6)."""
+    phrase = HTTPStatus(response.status).phrase.encode()
+    lines = [b"HTTP/1.1 %d %s" % (response.status, phrase)]
+    lines += [b"%s: %s" % header for header in response.headers]
+    lines.append(b"Content-Length: %d" % len(response.body))
+    if close:
+        lines.append(b"Connection: close")
+    return b"\r\n".join(lines) + b"\r\n\r\n" + response.body
--- a/tests/sidecar.py
+++ b/tests/sidecar.py
@@ -17,7 +17,9 @@
 from balancer.sidecar.clock import Clock
 from balancer.sidecar.discovery_client import DiscoveryClient
 from balancer.sidecar.dispatcher import Dispatcher
-from balancer.sidecar.downstream.listener import DownstreamConnection, Listener
+from balancer.sidecar.downstream.connection import DownstreamConnection
+from balancer.sidecar.downstream.listener import Listener
+from balancer.sidecar.downstream.timeouts import DEFAULT_TIMEOUTS, DownstreamTimeouts
 
 Script: TypeAlias = Callable[["Seen"], Awaitable[bytes | None]]
 WAIT = 20.0  # a hang fails the test; no test passes or fails by a shorter time
@@ -173,7 +175,8 @@
 
 
 class Sidecar:
-    def __init__(self, told: dict[str, Any]) -> None:
+    def __init__(self, told: dict[str, Any], timeouts: DownstreamTimeouts = DEFAULT_TIMEOUTS) -> None:
+        self.timeouts = timeouts
         self.config = config.parse(json.loads(json.dumps(told)))
         self.events: list[Event] = []
         self.changed = asyncio.Event()
@@ -189,7 +192,7 @@
             return handle(now, event)
 
         self.dispatcher._balancer.handle = watched  # type: ignore[method-assign]
-        self.listener = Listener(self.config, self.dispatcher, loop)
+        self.listener = Listener(self.config, self.dispatcher, loop, self.timeouts)
         self.discovery = DiscoveryClient(self.config, self.dispatcher, loop)
         self.dispatcher.start(self.config.known_endpoints)
         self.server = await loop.create_server(lambda: DownstreamConnection(self.listener), "127.0.0.1", 0)
@@ -209,8 +212,10 @@
 
 
 @contextlib.asynccontextmanager
-async def sidecar(*dials: str, **changes: Any) -> AsyncIterator[Sidecar]:
-    started = Sidecar(configuration(*dials, **changes))
+async def sidecar(
+    *dials: str, timeouts: DownstreamTimeouts = DEFAULT_TIMEOUTS, **changes: Any
+) -> AsyncIterator[Sidecar]:
+    started = Sidecar(configuration(*dials, **changes), timeouts)
     await started.start()
     try:
         yield started
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -6,10 +6,11 @@
 
 import pytest
 
-from balancer.sidecar.downstream import listener as frontend
-from balancer.sidecar.downstream.listener import MAX_PIPELINED_REQUESTS
+from balancer.sidecar.downstream.exchange import MAX_PIPELINED_REQUESTS
+from balancer.sidecar.downstream.timeouts import DownstreamTimeouts
 from balancer.sidecar.http_message import MAX_HEAD_BYTES
-from balancer.sidecar.http_request import HttpRequestError, deadline, hint, parse_head
+from balancer.sidecar.http_request import HttpRequestError, parse_request_head
+from balancer.sidecar.request_validator import parse_deadline_ns, parse_work_hint_ns
 from tests.sidecar import Seen, always_ok, endpoint, ok, request, run, sidecar
 
 POST = b"POST / HTTP/1.1\r\n%s\r\n\r\n"
@@ -94,10 +95,11 @@
 
 
 def test_numbers_are_digits_and_a_deadline_is_the_class_s_at_most() -> None:
-    assert deadline(b"0.480") == 480_000_000 and hint(b"900") == 900_000
-    assert hint(b"1_0") == hint(b"-1") == hint(b"9" * 13) == hint(b"") == 0
+    assert parse_deadline_ns(b"0.480") == 480_000_000 and parse_work_hint_ns(b"900") == 900_000
+    for text in (b"1_0", b"-1", b"9" * 13, b""):
+        assert parse_work_hint_ns(text) == 0
     with pytest.raises(HttpRequestError):
-        deadline("\u0661".encode())
+        parse_deadline_ns("\u0661".encode())
 
     async def test() -> None:
         async with endpoint(always_ok) as served, sidecar(served.dial) as node:
@@ -114,7 +116,7 @@
         (b"POST / HTTP/1.1\r\ncontent-LENGTH:  7\t\r\nConnection: x, Close\r\n\r\n", 7, False),
         (b"GET / HTTP/1.0\r\n\r\n", 0, False),
     ):
-        head = parse_head(raw)
+        head = parse_request_head(raw)
         assert (head.content_length, head.keeps_alive) == (length, keep)
 
 
@@ -165,13 +167,14 @@
     run(test())
 
 
-def test_a_silent_connection_and_half_a_request_end_in_time(monkeypatch: pytest.MonkeyPatch) -> None:
+def test_a_silent_connection_and_half_a_request_end_in_time() -> None:
     async def test() -> None:
         async with endpoint(always_ok) as served, sidecar(served.dial) as node:
             good = await node.client()
             assert (await good.ask(request()))[0] == 200
-            for name in ("SWEEP", "SILENT", "FIRST_REQUEST"):
-                monkeypatch.setattr(frontend, name, 0.05)
+            node.listener.timeouts = DownstreamTimeouts(
+                sweep_interval_seconds=0.05, first_byte_seconds=0.05, first_request_seconds=0.05
+            )
             silent, half, body = [await node.client() for _ in range(3)]
             half.writer.write(request()[:-2])
             body.writer.write(request("post", body=b"x" * 100)[:-1])
@@ -183,12 +186,14 @@
     run(test())
 
 
-def test_an_idle_connection_is_closed_sooner_where_room_is_short(monkeypatch: pytest.MonkeyPatch) -> None:
-    for name in ("SWEEP", "IDLE_CROWDED"):
-        monkeypatch.setattr(frontend, name, 0.05)
+def test_an_idle_connection_is_closed_sooner_where_room_is_short() -> None:
+    timeouts = DownstreamTimeouts(sweep_interval_seconds=0.05, idle_crowded_seconds=0.05)
 
     async def test() -> None:
-        async with endpoint(always_ok) as served, sidecar(served.dial, limits={"sockets": 19}) as node:
+        async with (
+            endpoint(always_ok) as served,
+            sidecar(served.dial, timeouts=timeouts, limits={"sockets": 19}) as node,
+        ):
             assert node.config.max_downstream_connections == 7
             clients = [await node.client() for _ in range(4)]
             for client in clients:
@@ -215,11 +220,14 @@
     run(test())
 
 
-def test_room_is_made_by_those_that_never_asked(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(frontend, "FIRST_BYTES", -1.0)
+def test_room_is_made_by_those_that_never_asked() -> None:
+    timeouts = DownstreamTimeouts(eviction_grace_seconds=-1.0)
 
     async def test() -> None:
-        async with endpoint(always_ok) as served, sidecar(served.dial, limits={"sockets": 19}) as node:
+        async with (
+            endpoint(always_ok) as served,
+            sidecar(served.dial, timeouts=timeouts, limits={"sockets": 19}) as node,
+        ):
             usual = [await node.client() for _ in range(3)]
             for client in usual:
                 assert (await client.ask(request()))[0] == 200
@@ -232,15 +240,16 @@
     run(test())
 
 
-def test_a_client_that_reads_no_answers_is_not_kept(monkeypatch: pytest.MonkeyPatch) -> None:
-    for name in ("SWEEP", "UNREAD", "LINGER"):
-        monkeypatch.setattr(frontend, name, 0.05)
+def test_a_client_that_reads_no_answers_is_not_kept() -> None:
+    timeouts = DownstreamTimeouts(
+        sweep_interval_seconds=0.05, unread_response_seconds=0.05, linger_seconds=0.05
+    )
 
     async def long(seen: Seen) -> bytes:
         return ok(b"x" * 64_000)
 
     async def test() -> None:
-        async with endpoint(long) as served, sidecar(served.dial) as node:
+        async with endpoint(long) as served, sidecar(served.dial, timeouts=timeouts) as node:
             client = await node.client()
             client.writer.transport.pause_reading()  # type: ignore[attr-defined]
             client.writer.write(b"".join(request() for _ in range(400)))
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -10,22 +10,16 @@
 import signal
 import socket
 from collections.abc import AsyncIterator, Callable, Iterator
+from functools import partial
+from http import HTTPStatus
 from pathlib import Path
 from typing import Any
 
 import pytest
 
-from balancer.sidecar.downstream import listener as frontend
-from balancer.sidecar.downstream.listener import (
-    IDLE,
-    LINGER,
-    LINGER_MOST,
-    LINGER_STOPPING,
-    SILENT,
-    UNLISTED,
-    UNREAD,
-    DownstreamConnection,
-)
+import tests.sidecar
+from balancer.sidecar.downstream.connection import MAX_DISCARDED_BYTES_LINGERING, DownstreamConnection
+from balancer.sidecar.downstream.timeouts import DownstreamTimeouts
 from balancer.sidecar.http_request import HttpRequestError
 from tests.sidecar import (
     Endpoint,
@@ -39,17 +33,15 @@
     ok,
     request,
     run,
-    sidecar,
 )
 from tests.test_program import connect, start
 
 LAST = b"Connection: close\r\n"
 
 
-@pytest.fixture(autouse=True)
-def no_sweep(monkeypatch: pytest.MonkeyPatch) -> None:
-    """Sweeps come when a test makes one, at the time that it says."""
-    monkeypatch.setattr(frontend, "SWEEP", 1e6)
+# Sweeps come when a test makes one, at the time that it says.
+TIMEOUTS = DownstreamTimeouts(sweep_interval_seconds=1e6)
+sidecar = partial(tests.sidecar.sidecar, timeouts=TIMEOUTS)
 
 
 async def until(condition: Callable[[], Any]) -> None:
@@ -65,8 +57,8 @@
 
 
 async def accepted(node: Sidecar) -> DownstreamConnection:
-    await until(lambda: node.listener._others)
-    return next(reversed(node.listener._others))
+    await until(lambda: node.listener._connections._without_request)
+    return next(reversed(node.listener._connections._without_request))
 
 
 async def everything(client: socket.socket) -> bytes:
@@ -113,7 +105,7 @@
                     want = b"200", b"done"
                 elif end == "late":
                     client.sendall(request()[:-2])
-                    await until(lambda: connection._buffer)
+                    await until(lambda: not connection._reader.is_empty)
                     sweep(node, 10)
                     want = b"408", b"Request Timeout\n"
                 else:
@@ -121,16 +113,16 @@
                     await until(lambda: served.seen and connection.is_idle)
                     want = b"200", b"done"
                     if end == "idle":
-                        sweep(node, IDLE + 1)
+                        sweep(node, TIMEOUTS.idle_seconds + 1)
                     elif end == "stopping":
                         node.listener.begin_draining()
                         node.listener.close_idle_connections()
                     else:
                         second = socket.create_connection(("127.0.0.1", node.port))
-                await until(lambda: connection._ended and not connection.has_pending_responses)
+                await until(lambda: not connection.accepts_requests and not connection.has_pending_responses)
                 seen = len(served.seen)
                 client.sendall(more)
-                await until(lambda: connection._dropped >= len(more) or connection._transport is None)
+                await until(lambda: connection._discarded_bytes >= len(more) or not connection.is_connected)
                 assert ends_whole(await everything(client), *want)
                 assert len(served.seen) == seen
             if end == "evicted":
@@ -155,7 +147,7 @@
                 client.sendall(request(extra=LAST))
                 await until(lambda: served.seen)
                 client.sendall(b"x" * 100_000)
-                await until(lambda: connection._ended and not connection.has_pending_responses)
+                await until(lambda: not connection.accepts_requests and not connection.has_pending_responses)
                 client.sendall(b"x" * 1_000)
                 assert ends_whole(await everything(client), b"200", body)
 
@@ -176,9 +168,9 @@
                     await until(lambda: served.seen and connection.is_idle)
                 client.sendall(request(rid="77", extra=LAST))
                 if end == "idle":
-                    sweep(node, IDLE + 1)
+                    sweep(node, TIMEOUTS.idle_seconds + 1)
                 elif end == "silent":
-                    sweep(node, SILENT + 1)
+                    sweep(node, TIMEOUTS.first_byte_seconds + 1)
                 elif end == "stopping":
                     node.listener.begin_draining()
                     node.listener.close_idle_connections()
@@ -206,7 +198,7 @@
                     await until(lambda: served.seen and connection.is_idle)
                 client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
             if answers:
-                connection._reject(HttpRequestError(400))
+                connection._reject(HttpRequestError(HTTPStatus.BAD_REQUEST))
             else:
                 connection.close()
             await until(lambda: not len(node.listener))
@@ -221,17 +213,17 @@
         async with endpoint(always_ok) as served, sidecar(served.dial) as node:
             if stopping:
                 node.listener.begin_shutdown()
-            most = LINGER_STOPPING if stopping else LINGER
+            most = TIMEOUTS.linger_shutdown_seconds if stopping else TIMEOUTS.linger_seconds
             with peer(node) as client:
                 connection = await accepted(node)
                 client.sendall(b"nonsense\r\n\r\n")
-                await until(lambda: connection._shut)
+                await until(lambda: connection.is_lingering)
                 closed = node.listener.now()
                 node.listener.now = lambda: closed + 0.9 * most
                 node.listener._sweep()
-                assert not connection._transport.is_closing()  # type: ignore[union-attr]
+                assert connection._transport.is_open()
                 client.sendall(b"x")  # whatever it sends gives it no more time
-                await until(lambda: connection._dropped)
+                await until(lambda: connection._discarded_bytes)
                 node.listener.now = lambda: closed + 1.1 * most
                 node.listener._sweep()
                 await until(lambda: not len(node.listener))
@@ -260,17 +252,19 @@
                 client.sendall((b"nonsense\r\n\r\n", request(), b"")[n % 3])
                 await until(lambda: len(held) > n)
                 if n % 3 < 2:
-                    await until(lambda: held[n]._shut or (held[n].has_sent_request and held[n].is_idle))
+                    await until(
+                        lambda: held[n].is_lingering or (held[n].has_sent_request and held[n].is_idle)
+                    )
 
             node.listener.on_connection_opened = watched  # type: ignore[method-assign]
             with contextlib.ExitStack() as clients:
                 for n in range(60):  # none of them ends its side, each third one sends no request
                     await come(n, clients.enter_context(peer(node)))
-                lingering = [c for c in held if c._shut and c._transport is not None]
+                lingering = [c for c in held if c.is_lingering and c.is_connected]
                 assert most <= 7 + 2 and len(lingering) <= 3
                 # The newest that linger are still there, and no other has gone before them.
-                assert lingering == [c for c in held if c._shut][-len(lingering) :]
-                assert sum(c._transport is not None for c in held) == len(node.listener)
+                assert lingering == [c for c in held if c.is_lingering][-len(lingering) :]
+                assert sum(c.is_connected for c in held) == len(node.listener)
             await until(lambda: not len(node.listener))
 
     run(test())
@@ -312,14 +306,20 @@
                 client.setblocking(False)
                 loop = asyncio.get_running_loop()
                 flood = asyncio.ensure_future(loop.sock_sendall(client, b"x" * 60_000_000))
-                await until(lambda: connection._paused)
-                assert LINGER_MOST < connection._dropped < 2 * LINGER_MOST and not connection._buffer
+                await until(lambda: connection._transport.is_reading_paused)
+                assert (
+                    MAX_DISCARDED_BYTES_LINGERING
+                    < connection._discarded_bytes
+                    < 2 * MAX_DISCARDED_BYTES_LINGERING
+                )
+                assert connection._reader.is_empty
                 assert (await loop.sock_recv(client, 65536)).startswith(b"HTTP/1.1 400 ")
-                sweep(node, LINGER + 1)
+                sweep(node, TIMEOUTS.linger_seconds + 1)
                 with pytest.raises(ConnectionError):
                     await flood
                 assert not len(node.listener)
-            assert UNREAD > LINGER  # the other limit on who does not read
+            # The other limit on who does not read.
+            assert TIMEOUTS.unread_response_seconds > TIMEOUTS.linger_seconds
 
     run(test())
 
@@ -406,8 +406,9 @@
 
     async def test() -> None:
         async with sidecar() as node:
-            client, began = await node.client(), node.listener._began
-            for seconds, code in ((0.0, 503), (UNLISTED - 0.001, 503), (UNLISTED, 200)):
+            client, began = await node.client(), node.listener._started_at
+            unlisted = TIMEOUTS.first_endpoint_list_seconds
+            for seconds, code in ((0.0, 503), (unlisted - 0.001, 503), (unlisted, 200)):
                 node.listener.now = lambda now=began + seconds: now  # type: ignore[misc]
                 assert (await client.ask(UP))[0] == code
             assert (await client.ask(request("post")))[0] == 503
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -21,7 +21,7 @@
 )
 from balancer.sidecar import configuration as config
 from balancer.sidecar.configuration import SECOND
-from balancer.sidecar.downstream.listener import MAX_PIPELINED_REQUESTS
+from balancer.sidecar.downstream.exchange import MAX_PIPELINED_REQUESTS
 from balancer.sidecar.upstream.connection import CONNECTION_REST_NS, EndpointPool, UpstreamConnection
 from tests.sidecar import (
     SETTINGS,
@@ -161,8 +161,8 @@
                 await asyncio.sleep(0)
             if ending == "flooded":
                 client.writer.write(b"x" * 200_000)
-            [connection] = [*node.listener._others, *node.listener._proven]
-            while connection._paused != (ending != "last"):
+            [connection] = node.listener._connections.accepting()
+            while connection._transport.is_reading_paused != (ending != "last"):
                 await asyncio.sleep(0)
             client.writer.transport.abort() if ending == "flooded" else client.writer.close()
             for _ in range(asked):
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -4,23 +4,24 @@
 
 import asyncio
 import socket
+from functools import partial
 from typing import Any
 
 import pytest
 
+import tests.sidecar
 from balancer.policy_api import Action, AttemptCompleted, AttemptOutcome, ClientDisconnected, Event
-from balancer.sidecar.downstream import listener as frontend
-from balancer.sidecar.downstream.listener import MAX_PIPELINED_REQUESTS, DownstreamConnection
+from balancer.sidecar.downstream.connection import DownstreamConnection
+from balancer.sidecar.downstream.exchange import MAX_PIPELINED_REQUESTS
+from balancer.sidecar.downstream.timeouts import DownstreamTimeouts
 from balancer.sidecar.upstream.connection import EndpointPool, UpstreamConnection
-from tests.sidecar import Seen, Sidecar, always_ok, endpoint, ok, request, run, sidecar
+from tests.sidecar import Seen, Sidecar, always_ok, endpoint, ok, request, run
 
 LAST = b"Connection: close\r\n"
 
 
-@pytest.fixture(autouse=True)
-def no_sweep(monkeypatch: pytest.MonkeyPatch) -> None:
-    """Whatever these tests see was not found by the sweep, which comes by time."""
-    monkeypatch.setattr(frontend, "SWEEP", 1e6)
+# Whatever these tests see was not found by the sweep, which comes by time.
+sidecar = partial(tests.sidecar.sidecar, timeouts=DownstreamTimeouts(sweep_interval_seconds=1e6))
 
 
 class Peer:
@@ -51,7 +52,7 @@
 
 
 def only(node: Sidecar) -> DownstreamConnection:
-    [connection] = [*node.listener._others, *node.listener._proven]
+    [connection] = node.listener._connections.accepting()
     return connection
 
 
@@ -62,14 +63,14 @@
     """Ask, so that no event tells of the client's leaving once all requests have come; how many have."""
     if hidden == "pipelined":
         peer.send(b"".join(request() for _ in range(MAX_PIPELINED_REQUESTS + 3)))
-        await until(lambda: out() == MAX_PIPELINED_REQUESTS and only(node)._paused)
+        await until(lambda: out() == MAX_PIPELINED_REQUESTS and only(node)._transport.is_reading_paused)
         return MAX_PIPELINED_REQUESTS
     peer.send(request(extra=LAST if hidden != "unread" else b""))
     await until(lambda: out() == 1)
     if hidden == "flooded":
         peer.socket.setblocking(False)
         peer.socket.send(b"x" * 200_000)
-        await until(lambda: only(node)._paused)
+        await until(lambda: only(node)._transport.is_reading_paused)
     return 1
 
 
@@ -175,7 +176,7 @@
             peer.send(b"".join(long) + request("post", body=b"x", extra=extra))
             await until(lambda: posts and len(node.dispatcher._open) == 1)
             connection = only(node)
-            assert connection._clogged and connection._paused == (not extra)
+            assert connection._is_write_blocked and connection._transport.is_reading_paused == (not extra)
             peer.leave(how)
             if extra and how == "half-close":
                 await until(lambda: gone(node))  # the event tells
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -33,7 +33,7 @@
 )
 from balancer.sidecar import configuration as config
 from balancer.sidecar.configuration import SECOND
-from balancer.sidecar.downstream.listener import MAX_PIPELINED_REQUESTS
+from balancer.sidecar.downstream.exchange import MAX_PIPELINED_REQUESTS
 from balancer.sidecar.gossip_transport import GossipTransport
 from balancer.sidecar.http_message import MAX_HEAD_BYTES, MAX_RESPONSE_BODY_BYTES
 from balancer.sidecar.upstream.connection import (
@@ -469,7 +469,7 @@
     async def test() -> None:
         up = b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n"
         async with sidecar() as node:
-            node.listener.now = lambda: node.listener._began  # no time passes
+            node.listener.now = lambda: node.listener._started_at  # no time passes
             client = await node.client()
             assert (await client.ask(up))[0] == 503
             told = {"seq": 2, "whole": True, "hosts": [entry("s-0", dead_dial())]}
