--- a/balancer/sidecar/lifecycle.py
+++ b/balancer/sidecar/lifecycle.py
@@ -13,7 +13,8 @@
 from balancer.sidecar.configuration import SidecarConfiguration, load_configuration
 from balancer.sidecar.discovery_client import DiscoveryClient
 from balancer.sidecar.dispatcher import Dispatcher
-from balancer.sidecar.downstream.listener import DownstreamConnection, Listener
+from balancer.sidecar.downstream.connection import DownstreamConnection
+from balancer.sidecar.downstream.listener import Listener
 from balancer.sidecar.gossip_transport import GossipTransport
 from balancer.sidecar.timers import OneShotTimer
 from balancer.time_units import SECOND_NS
--- a/tests/test_example.py
+++ b/tests/test_example.py
@@ -7,7 +7,8 @@
 from pathlib import Path
 
 from balancer.sidecar.configuration import SidecarConfiguration, load_configuration
-from balancer.sidecar.http_request import Checker, parse_head
+from balancer.sidecar.http_request import parse_request_head
+from balancer.sidecar.request_validator import RequestValidator
 
 EXAMPLE = Path(__file__).parent.parent / "deploy" / "example"
 
@@ -28,6 +29,6 @@
     words = shlex.split(command)
     headers = [words[index + 1] for index, word in enumerate(words) if word == "-H"]
     target = words[-1].removeprefix("http://127.0.0.1:8080")
-    head = parse_head("\r\n".join([f"GET {target} HTTP/1.1", *headers, "", ""]).encode())
-    request = Checker(load_example()).check(head, b"")
+    head = parse_request_head("\r\n".join([f"GET {target} HTTP/1.1", *headers, "", ""]).encode())
+    request = RequestValidator(load_example()).validate(head, b"")
     assert (request.client_request_id, request.timeout_ns) == (b"1", 2_000_000_000)
