Import addresses and endpoint lists from the modules that define them

Cause: configuration.py re-exported Address, DiscoveredEndpoint, EndpointListUpdate and NameIndices for modules that had not moved yet. Change: the dispatcher, the gossip transport and the upstream package import them from address.py and endpoint_list.py.

--- a/balancer/sidecar/configuration.py
+++ b/balancer/sidecar/configuration.py
@@ -15,7 +15,6 @@
 from balancer.settings_parser import SettingsError, read_settings
 from balancer.sidecar.address import Address, parse_address
 from balancer.sidecar.endpoint_list import (
-    DiscoveredEndpoint,
     EndpointListUpdate,
     MalformedEndpointListError,
     NameIndices,
@@ -23,13 +22,9 @@
 )
 from balancer.time_units import SECOND_NS
 
-# Modules that have not moved to the names' own modules yet import them from here.
+# SECOND is for the modules that do not use balancer.time_units yet.
 __all__ = [
     "SECOND",
-    "Address",
-    "DiscoveredEndpoint",
-    "EndpointListUpdate",
-    "NameIndices",
     "SidecarConfiguration",
     "load_configuration",
     "parse_configuration",
--- a/balancer/sidecar/dispatcher.py
+++ b/balancer/sidecar/dispatcher.py
@@ -42,7 +42,8 @@
 )
 from balancer.sidecar.client_request import ClientRequest, ResponseSink
 from balancer.sidecar.clock import Clock
-from balancer.sidecar.configuration import EndpointListUpdate, SidecarConfiguration
+from balancer.sidecar.configuration import SidecarConfiguration
+from balancer.sidecar.endpoint_list import EndpointListUpdate
 from balancer.sidecar.http_message import HttpResponse
 from balancer.sidecar.ports import EndpointDiscovery, GossipSender, Policy
 from balancer.sidecar.request_ledger import InFlightRequest, RequestLedger
--- a/balancer/sidecar/gossip_transport.py
+++ b/balancer/sidecar/gossip_transport.py
@@ -6,7 +6,8 @@
 from typing import cast
 
 from balancer.policy_api import GossipReceived
-from balancer.sidecar.configuration import Address, SidecarConfiguration
+from balancer.sidecar.address import Address
+from balancer.sidecar.configuration import SidecarConfiguration
 from balancer.sidecar.dispatcher import Dispatcher
 
 MAX_GOSSIP_BYTES = 256
--- a/balancer/sidecar/upstream/connection.py
+++ b/balancer/sidecar/upstream/connection.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 from typing import TypeAlias, cast
 
-from balancer.sidecar.configuration import Address
+from balancer.sidecar.address import Address
 from balancer.sidecar.http_message import MAX_RESPONSE_BODY_BYTES, HttpResponse
 from balancer.sidecar.sockets import shut_down_socket
 from balancer.sidecar.upstream.buffer_budget import BufferBudget
--- a/balancer/sidecar/upstream/manager.py
+++ b/balancer/sidecar/upstream/manager.py
@@ -7,7 +7,8 @@
 from functools import partial
 
 from balancer.policy_api import AttemptOutcome, EndpointHealth, EndpointId, HealthCheckCompleted
-from balancer.sidecar.configuration import DiscoveredEndpoint, SidecarConfiguration
+from balancer.sidecar.configuration import SidecarConfiguration
+from balancer.sidecar.endpoint_list import DiscoveredEndpoint
 from balancer.sidecar.http_message import HttpResponse
 from balancer.sidecar.upstream.attempt import STATUS_OK, Attempt, CompletionCallback
 from balancer.sidecar.upstream.buffer_budget import BufferBudget
