Split the tests of the simulator's codec and of the benchmarks by module

Cause: tests/test_wire.py covered four modules and tests/test_benchmarks.py five, with names and variables of our own. Change: one test file for each module, named after behaviour; conditions joined by 'and' are separate assertions; the event loop, the discovery agent and the minimal settings of the tests are set up in one place.

--- /dev/null
+++ b/tests/benchmarks/runner.py
@@ -0,0 +1,31 @@
+"""Runs asynchronous tests on the event loop of the standard library, as the benchmarks do."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from benchmarks.discovery_stand_in import DiscoveryStandIn
+
+TEST_TIMEOUT_SECONDS = 20.0  # a hang fails the test; no test passes or fails by a shorter time
+HOST_COUNT = 3
+
+
+def run(test: Callable[[], Awaitable[None]]) -> None:
+    """Run a test; raises TimeoutError if it hangs."""
+
+    async def run_with_timeout() -> None:
+        async with asyncio.timeout(TEST_TIMEOUT_SECONDS):
+            await test()
+
+    asyncio.run(run_with_timeout())
+
+
+def run_with_discovery(test: Callable[[DiscoveryStandIn], Awaitable[None]]) -> None:
+    """Run a test with a discovery agent that lists three hosts; raises TimeoutError if it hangs."""
+
+    async def run_in_context() -> None:
+        async with DiscoveryStandIn(HOST_COUNT) as discovery:
+            await test(discovery)
+
+    run(run_in_context)
