Move the tests of the configuration and of endpoint lists to those of the sidecar

Cause: they stood beside unrelated tests, with names of our own; comparisons of tuples hid which field differed. Change: moved to tests/sidecar, renamed after behaviour, one assertion for each field.

--- a/tests/test_configuration.py
+++ b/tests/sidecar/test_configuration.py
@@ -1,4 +1,4 @@
-"""The configuration of a sidecar: what its errors carry, and that no file ends in any other error."""
+"""The configuration of a sidecar: the fields of its errors, unexpected errors, environment variables."""
 
 from __future__ import annotations
 
@@ -16,7 +16,7 @@
 
 
 @pytest.mark.parametrize(
-    ("change", "key", "value"),
+    ("changes", "key", "value"),
     [
         ({"listen": "here"}, "listen", "here"),
         ({"discovery": ":80"}, "discovery", ":80"),
@@ -29,45 +29,46 @@
         ({"settings": SETTINGS | {"Limits": {"ConnectTimeoutNs": 0}}}, "ConnectTimeoutNs", 0),
     ],
 )
-def test_a_configuration_error_carries_the_key_and_the_value(
-    change: dict[str, Any], key: str, value: object
-) -> None:
+def test_error_carries_the_key_and_the_value(changes: dict[str, Any], key: str, value: object) -> None:
     with pytest.raises(ConfigurationError) as caught:
-        parse_configuration(configuration(**change))
-    assert (caught.value.key, caught.value.value) == (key, value)
+        parse_configuration(configuration(**changes))
+    assert caught.value.key == key
+    assert caught.value.value == value
     assert key in str(caught.value)
     assert "\n" not in str(caught.value)
     assert isinstance(caught.value, SettingsError) == (key in ("Orgs", "ConnectTimeoutNs"))
 
 
-@pytest.mark.parametrize("fault", [AttributeError, KeyError, OverflowError, TypeError, ValueError])
-def test_a_value_that_no_check_foresaw_is_a_configuration_error(
-    fault: type[Exception], tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+@pytest.mark.parametrize("error_type", [AttributeError, KeyError, OverflowError, TypeError, ValueError])
+def test_unexpected_error_becomes_a_configuration_error(
+    error_type: type[Exception], tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    """A file that is read again in service must not bring the sidecar down."""
+    """A file that is reloaded while the sidecar serves must not end its process."""
 
-    def fail(_raw: object) -> None:
-        raise fault("unforeseen")
+    def fail(_fields: object) -> None:
+        raise error_type("unforeseen")
 
     monkeypatch.setattr(configuration_module, "parse_configuration", fail)
-    file = tmp_path / "config.json"
-    file.write_text(json.dumps(configuration()))
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(configuration()))
     with pytest.raises(ConfigurationError, match=r"PROXY_CONFIG makes no sense: .*unforeseen"):
-        load_configuration({"PROXY_CONFIG": str(file)})
+        load_configuration({"PROXY_CONFIG": str(path)})
 
 
-def test_single_variables_stand_in_for_what_the_file_leaves_out(tmp_path: Path) -> None:
+def test_environment_variables_replace_only_keys_missing_from_the_file(tmp_path: Path) -> None:
     fields = configuration()
-    del fields["name"], fields["listen"]
-    file = tmp_path / "config.json"
-    file.write_text(json.dumps(fields))
-    environ = {
-        "PROXY_CONFIG": str(file),
+    del fields["name"]
+    del fields["listen"]
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(fields))
+    environment = {
+        "PROXY_CONFIG": str(path),
         "PROXY_NAME": "n7",
         "PROXY_LISTEN": "[::1]:80",
         "PROXY_DISCOVERY": "x",
     }
-    loaded = load_configuration(environ)
-    assert (loaded.name, loaded.listen_address) == ("n7", ("::1", 80))
+    loaded = load_configuration(environment)
+    assert loaded.name == "n7"
+    assert loaded.listen_address == ("::1", 80)
     host, _, port = fields["discovery"].rpartition(":")
     assert loaded.discovery_address == (host, int(port))
--- a/tests/test_endpoint_list.py
+++ b/tests/sidecar/test_endpoint_list.py
@@ -20,7 +20,6 @@
 )
 from tests.sidecar.harness import SETTINGS, configuration
 
-# As a sidecar's configuration held it before the code was renamed.
 STORED_LIST = """{
   "seq": 41,
   "whole": true,
@@ -33,18 +32,21 @@
      "health": "removed", "share": 1, "born_ms": 7}
   ]
 }"""
+"""As the configuration of an older version held it; the third entry has unknown names."""
+
 NAMES = NameIndices(
     zones={"bangna": 0, "ladprao": 1},
     machine_classes={"new-4c": 0, "old-2c": 1},
 )
 
 
-def test_a_known_list_stored_by_an_older_version_is_read() -> None:
+def test_list_stored_by_an_older_version_is_parsed() -> None:
     settings = SETTINGS | {"Azs": ["bangna", "ladprao"], "Kinds": ["new-4c", "old-2c"]}
     known = parse_configuration(
         configuration(settings=settings, known=json.loads(STORED_LIST))
     ).known_endpoints
-    assert (known.version, known.is_snapshot) == (41, True)
+    assert known.version == 41
+    assert known.is_snapshot is True
     assert known.endpoints == (
         DiscoveredEndpoint(
             Endpoint(
@@ -70,9 +72,11 @@
 
 
 @pytest.mark.parametrize("absent", [None, {}, []])
-def test_no_known_list_is_an_empty_snapshot(absent: object) -> None:
+def test_missing_list_is_an_empty_snapshot(absent: object) -> None:
     known = parse_configuration(configuration(known=absent)).known_endpoints
-    assert (known.version, known.is_snapshot, known.endpoints) == (0, True, ())
+    assert known.version == 0
+    assert known.is_snapshot is True
+    assert known.endpoints == ()
 
 
 @pytest.mark.parametrize(
@@ -88,51 +92,54 @@
         ({"seq": 1.0, "hosts": []}, "seq", 1.0),
     ],
 )
-def test_a_malformed_list_is_a_typed_error_that_names_the_field(raw: object, key: str, value: object) -> None:
+def test_malformed_list_is_rejected_with_the_key_and_the_value(raw: object, key: str, value: object) -> None:
     with pytest.raises(MalformedEndpointListError, match=key) as caught:
         parse_endpoint_list(raw, NAMES)
     assert isinstance(caught.value, ProtocolError)
-    assert (caught.value.key, caught.value.value) == (key, value)
+    assert caught.value.key == key
+    assert caught.value.value == value
     assert "\n" not in str(caught.value)
 
 
-def entry(**changes: Any) -> dict[str, Any]:
+def host_entry(**changes: Any) -> dict[str, Any]:
     valid = {"host": "s-1", "dial": "127.0.0.1:9", "health": "up"}
     return valid | changes
 
 
 @pytest.mark.parametrize(
-    ("invalid", "said"),
+    ("invalid_entry", "message"),
     [
         (7, "entry is not an object"),
         ({}, "host is not a text"),
-        (entry(host=3), "host is not a text"),
-        (entry(host="\ud800"), "host cannot be encoded"),
-        (entry(health="odd"), "host 's-1': health is 'odd'"),
-        (entry(health=[]), "host 's-1': health is []"),
-        (entry(dial="nowhere"), "host 's-1': dial is 'nowhere', not an address"),
-        (entry(dial="h:65536"), "dial is 'h:65536', not an address"),
-        (entry(dial="h:" + "9" * 5000), "dial is 'h:999"),
-        (entry(dial=None), "dial is None, not an address"),
-        (entry(block="x"), "block is 'x', not a number"),
-        (entry(block=None), "block is None, not a number"),
-        (entry(share=float("nan")), "share is nan, not finite"),
-        (entry(share=10**400), "share is 1000"),
-        (entry(born_ms=float("inf")), "born_ms is inf, not a number"),
+        (host_entry(host=3), "host is not a text"),
+        (host_entry(host="\ud800"), "host cannot be encoded"),
+        (host_entry(health="odd"), "host 's-1': health is 'odd'"),
+        (host_entry(health=[]), "host 's-1': health is []"),
+        (host_entry(dial="nowhere"), "host 's-1': dial is 'nowhere', not an address"),
+        (host_entry(dial="h:65536"), "dial is 'h:65536', not an address"),
+        (host_entry(dial="h:" + "9" * 5000), "dial is 'h:999"),
+        (host_entry(dial=None), "dial is None, not an address"),
+        (host_entry(block="x"), "block is 'x', not a number"),
+        (host_entry(block=None), "block is None, not a number"),
+        (host_entry(share=float("nan")), "share is nan, not finite"),
+        (host_entry(share=10**400), "share is 1000"),
+        (host_entry(born_ms=float("inf")), "born_ms is inf, not a number"),
     ],
 )
-def test_an_invalid_entry_is_logged_and_skipped(
-    invalid: object, said: str, caplog: pytest.LogCaptureFixture
+def test_invalid_entry_is_logged_and_skipped(
+    invalid_entry: object, message: str, caplog: pytest.LogCaptureFixture
 ) -> None:
     with caplog.at_level(logging.WARNING):
-        update = parse_endpoint_list({"seq": 1, "hosts": [invalid, entry(host="s-2")]}, NAMES)
-    assert [found.endpoint.id for found in update.endpoints] == [derive_endpoint_id("s-2")]
+        update = parse_endpoint_list({"seq": 1, "hosts": [invalid_entry, host_entry(host="s-2")]}, NAMES)
+    assert [parsed.endpoint.id for parsed in update.endpoints] == [derive_endpoint_id("s-2")]
     [record] = caplog.records
-    assert said in record.getMessage()
+    assert message in record.getMessage()
     assert "InvalidEndpointEntryError" in record.getMessage()
 
 
-def test_numbers_may_be_written_as_text_or_as_other_kinds_of_numbers() -> None:
-    odd = entry(block="12", share="0.5", born_ms=2.9)
-    [found] = parse_endpoint_list({"seq": 1, "hosts": [odd]}, NAMES).endpoints
-    assert (found.endpoint.cell, found.endpoint.weight, found.endpoint.started_at_ns) == (12, 0.5, 2_000_000)
+def test_numbers_are_parsed_from_text_and_from_floats() -> None:
+    host = host_entry(block="12", share="0.5", born_ms=2.9)
+    [parsed] = parse_endpoint_list({"seq": 1, "hosts": [host]}, NAMES).endpoints
+    assert parsed.endpoint.cell == 12
+    assert parsed.endpoint.weight == 0.5
+    assert parsed.endpoint.started_at_ns == 2_000_000
--- a/tests/test_example.py
+++ b/tests/test_example.py
@@ -4,6 +4,7 @@
 
 import re
 import shlex
+from itertools import pairwise
 from pathlib import Path
 
 from balancer.sidecar.configuration import SidecarConfiguration, load_configuration
@@ -16,7 +17,7 @@
     return load_configuration({"PROXY_CONFIG": str(EXAMPLE / "config.json")})
 
 
-def test_example_configuration_names_the_two_account_servers() -> None:
+def test_configuration_lists_both_account_servers() -> None:
     addresses = [entry.address for entry in load_example().known_endpoints.endpoints]
     assert addresses == [("127.0.0.1", 9001), ("127.0.0.1", 9002)]
     script = (EXAMPLE / "run").read_text()
@@ -25,9 +26,10 @@
 
 def test_printed_request_is_accepted() -> None:
     [command] = re.findall(r"^ +(curl .*)$", (EXAMPLE / "run").read_text(), re.MULTILINE)
-    words = shlex.split(command)
-    headers = [words[index + 1] for index, word in enumerate(words) if word == "-H"]
-    target = words[-1].removeprefix("http://127.0.0.1:8080")
+    arguments = shlex.split(command)
+    headers = [value for option, value in pairwise(arguments) if option == "-H"]
+    target = arguments[-1].removeprefix("http://127.0.0.1:8080")
     head = parse_head("\r\n".join([f"GET {target} HTTP/1.1", *headers, "", ""]).encode())
     request = Checker(load_example()).check(head, b"")
-    assert (request.client_request_id, request.timeout_ns) == (b"1", 2_000_000_000)
+    assert request.client_request_id == b"1"
+    assert request.timeout_ns == 2_000_000_000
--- a/tests/test_readme.py
+++ b/tests/test_readme.py
@@ -8,7 +8,7 @@
 import pytest
 
 
-def test_the_example_runs_and_sends(capsys: pytest.CaptureFixture[str]) -> None:
+def test_example_runs_and_starts_an_attempt(capsys: pytest.CaptureFixture[str]) -> None:
     text = (Path(__file__).parent.parent / "README.md").read_text()
     [code] = re.findall(r"```python\n(.*?)```", text, re.DOTALL)
     exec(compile(code, "README.md", "exec"), {})
