Split the tests of discovery by module and wait on events in them

Cause: tests/test_discovery.py covered four modules in one file, with words of our own; it replaced a private method, read a private field and waited in polling loops. Change: test files for the client, the call, the retry policy and the profile; the scripted server and the recorder of calls are a module of their own, which replaces the public methods of the caller; waits are on events (tests/sidecar/waiting.py). DiscoveryCaller has a read-only property idle_connection for its test. The form of a watch's query is now checked on the wire, its timing at the call. The case of the pushed and of the polled retry policy are two cases instead of one loop.

--- a/balancer/sidecar/discovery_call.py
+++ b/balancer/sidecar/discovery_call.py
@@ -80,6 +80,11 @@
         """Where discovery is called."""
         return self._address
 
+    @property
+    def idle_connection(self) -> UpstreamConnection | None:
+        """The connection that is kept for the next call, if there is one."""
+        return self._idle_connection
+
     def change_address(self, address: Address) -> None:
         """Make the calls that begin from now on to another address."""
         self._address = address
--- /dev/null
+++ b/tests/sidecar/scripted_discovery.py
@@ -0,0 +1,207 @@
+"""A discovery server whose answers a test scripts, and a record of the calls that a sidecar makes to it."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import socket
+from collections.abc import AsyncIterator, Awaitable, Callable
+from dataclasses import dataclass
+from typing import Any, TypeAlias
+
+import pytest
+
+from balancer.policy_api import EndpointHealth, EndpointUpdate, EndpointUpdateKind, Event
+from balancer.sidecar.discovery_call import DiscoveryCaller, DiscoveryCallError
+from balancer.sidecar.endpoint_list import EndpointListUpdate
+from tests.sidecar.harness import SETTINGS, WAIT, entry, ok
+
+AnswerScript: TypeAlias = Callable[[asyncio.StreamWriter], Awaitable[None]]
+"""Answers one call in its own way."""
+
+SHORT_TIMEOUT_SECONDS = 0.05  # replaces the timeout that a test is about; no other timeout may end its calls
+
+DRAIN_UPDATE = json.dumps(
+    {"seq": 2, "whole": False, "hosts": [entry("s-0", "127.0.0.1:9", "draining")]}, indent=2
+).encode()
+UNCHANGED_UPDATE = b'{"seq":1,"whole":false,"hosts":[]}'
+INCOMPLETE_RESPONSE = b"HTTP/1.1 200 OK\r\nContent-Length: 40000\r\n\r\n" + DRAIN_UPDATE[:40]
+DISCOVERY_FAILED = EndpointUpdate(EndpointUpdateKind.DISCOVERY_FAILED, ())
+
+
+def discovery_settings(polled: bool) -> dict[str, Any]:
+    """Return the settings of a sidecar whose endpoint list is polled, or pushed."""
+    return SETTINGS | {"Discovery": "on_request" if polled else "pushed"}
+
+
+def is_update_of(kind: EndpointUpdateKind) -> Callable[[Event], bool]:
+    """Return a condition on events: that one is an endpoint update of this kind."""
+    return lambda event: isinstance(event, EndpointUpdate) and event.kind == kind
+
+
+def is_drain_update(event: Event) -> bool:
+    if not isinstance(event, EndpointUpdate):
+        return False
+    return any(endpoint.health == EndpointHealth.DRAINING for endpoint in event.endpoints)
+
+
+class ScriptedDiscovery:
+    """Answers the first call on its first connection with no changes, and the second by a script.
+
+    Every other call is answered with a drain. Nothing listens on its address before `listen`.
+
+    Args:
+        script: Answers the second call; without one, the first call is answered with the drain.
+    """
+
+    def __init__(self, script: AnswerScript | None) -> None:
+        self.socket = socket.socket()
+        self.socket.bind(("127.0.0.1", 0))
+        self.address: tuple[str, int] = self.socket.getsockname()
+        self.dial = "{}:{}".format(*self.address)
+        self.request_lines: list[bytes] = []
+        self.request_received = asyncio.Event()
+        self.connections = 0
+        self._script = script
+        self._server: asyncio.Server | None = None
+
+    async def listen(self) -> None:
+        self._server = await asyncio.start_server(self._serve, sock=self.socket)
+
+    def close(self) -> None:
+        assert self._server is not None
+        self._server.close()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.connections += 1
+        scripts = [send(ok(DRAIN_UPDATE))]
+        if self._script is not None and self.connections == 1:
+            scripts = [send(ok(UNCHANGED_UPDATE)), self._script, *scripts]
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+            for script in scripts:
+                head = await reader.readuntil(b"\r\n\r\n")
+                self.request_lines.append(head.split(b"\r\n")[0])
+                self.request_received.set()
+                await script(writer)
+                await writer.drain()
+            await reader.read()
+        writer.close()
+
+
+def send(response: bytes) -> AnswerScript:
+    async def script(writer: asyncio.StreamWriter) -> None:
+        writer.write(response)
+
+    return script
+
+
+def send_and_close(response: bytes) -> AnswerScript:
+    async def script(writer: asyncio.StreamWriter) -> None:
+        writer.write(response)
+        writer.close()
+
+    return script
+
+
+async def reset_connection(writer: asyncio.StreamWriter) -> None:
+    writer.transport.get_extra_info("socket").setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0"
+    )
+    writer.transport.abort()
+
+
+async def send_without_end(writer: asyncio.StreamWriter) -> None:
+    writer.write(INCOMPLETE_RESPONSE)
+    while not writer.transport.is_closing():
+        writer.write(b" ")
+        await asyncio.sleep(SHORT_TIMEOUT_SECONDS / 10)
+
+
+@contextlib.asynccontextmanager
+async def unreachable(
+    discovery: ScriptedDiscovery, connect_hangs: bool
+) -> AsyncIterator[Callable[[], Awaitable[None]]]:
+    """Keep discovery out of reach until the function that is yielded is awaited.
+
+    Connects are refused, or hang as the only place in the backlog is taken and nothing is accepted.
+    """
+    with socket.socket() as filler:
+        if connect_hangs:
+            discovery.socket.listen(0)
+            filler.connect(discovery.address)
+
+        async def make_reachable() -> None:
+            if connect_hangs:
+                discovery.socket.accept()[0].close()
+            await discovery.listen()
+
+        yield make_reachable
+
+
+@dataclass(frozen=True, slots=True)
+class RecordedCall:
+    """A call with the timing that the client chose for it."""
+
+    timeout_seconds: float
+    hold_seconds: float | None
+    """None where the call fetches a snapshot."""
+
+
+class CallRecorder:
+    """Records the calls of a sidecar, and replaces their timeouts.
+
+    No call ends by its timeout, but the one that the test gives a short one.
+
+    Args:
+        monkeypatch: Undoes the replacement.
+        short_call: The index of the call with the short timeout.
+        short_connect: Whether connects have the short timeout until the first call has failed.
+    """
+
+    def __init__(
+        self, monkeypatch: pytest.MonkeyPatch, short_call: int | None = None, short_connect: bool = False
+    ) -> None:
+        self.calls: list[RecordedCall] = []
+        self.call_started = asyncio.Event()
+        self.error_types: list[type[DiscoveryCallError]] = []
+        self.on_first_failure: Callable[[], Awaitable[None]] | None = None
+        self._short_call = short_call
+        self._short_connect = short_connect
+        self._replace_methods(monkeypatch)
+
+    def _replace_methods(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        original_fetch = DiscoveryCaller.fetch_snapshot
+        original_watch = DiscoveryCaller.watch
+
+        async def fetch_snapshot(caller: DiscoveryCaller, timeout_seconds: float) -> EndpointListUpdate:
+            replaced_seconds = self._start_call(caller, RecordedCall(timeout_seconds, None))
+            return await self._finish_call(original_fetch(caller, replaced_seconds))
+
+        async def watch(
+            caller: DiscoveryCaller, version: int, hold_seconds: float, timeout_seconds: float
+        ) -> EndpointListUpdate:
+            replaced_seconds = self._start_call(caller, RecordedCall(timeout_seconds, hold_seconds))
+            return await self._finish_call(original_watch(caller, version, hold_seconds, replaced_seconds))
+
+        monkeypatch.setattr(DiscoveryCaller, "fetch_snapshot", fetch_snapshot)
+        monkeypatch.setattr(DiscoveryCaller, "watch", watch)
+
+    def _start_call(self, caller: DiscoveryCaller, call: RecordedCall) -> float:
+        """Record a call and return the timeout that it gets."""
+        is_short = len(self.calls) == self._short_call
+        self.calls.append(call)
+        self.call_started.set()
+        has_short_connect = self._short_connect and not self.error_types
+        caller.connect_timeout_seconds = SHORT_TIMEOUT_SECONDS if has_short_connect else WAIT
+        return SHORT_TIMEOUT_SECONDS if is_short else 2 * WAIT
+
+    async def _finish_call(self, call: Awaitable[EndpointListUpdate]) -> EndpointListUpdate:
+        try:
+            return await call
+        except DiscoveryCallError as error:
+            self.error_types.append(type(error))
+            if self.on_first_failure is not None:
+                on_first_failure, self.on_first_failure = self.on_first_failure, None
+                await on_first_failure()
+            raise
--- /dev/null
+++ b/tests/sidecar/test_discovery_call.py
@@ -0,0 +1,95 @@
+"""Single calls to discovery: their connections and their errors."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+
+import pytest
+
+from balancer.errors import DiscoveryError
+from balancer.policy_api import EndpointUpdateKind
+from balancer.sidecar import discovery_profile
+from balancer.sidecar.discovery_call import DiscoveryCaller, DiscoveryCallError
+from balancer.sidecar.endpoint_list import NameIndices
+from tests.sidecar.harness import WAIT, dead_dial, entry, ok, run
+from tests.sidecar.harness import sidecar as start_sidecar
+from tests.sidecar.scripted_discovery import (
+    DRAIN_UPDATE,
+    CallRecorder,
+    RecordedCall,
+    discovery_settings,
+    is_drain_update,
+    is_update_of,
+)
+
+
+class SnapshotServer:
+    """A discovery server that holds the first watch back and answers requests for snapshots at once.
+
+    Later watches stay without an answer.
+    """
+
+    def __init__(self) -> None:
+        self.targets: list[bytes] = []
+        self.request_received = asyncio.Event()
+        self.watch_released = asyncio.Event()
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        with contextlib.suppress(asyncio.IncompleteReadError):
+            while True:
+                target = (await reader.readuntil(b"\r\n\r\n")).split()[1]
+                self.targets.append(target)
+                self.request_received.set()
+                await self._answer(target, writer)
+                await writer.drain()
+
+    async def _answer(self, target: bytes, writer: asyncio.StreamWriter) -> None:
+        if target == b"/discovery/hosts":
+            snapshot = {"seq": 1, "whole": True, "hosts": [entry("s-0", "127.0.0.1:9")]}
+            writer.write(ok(json.dumps(snapshot).encode()))
+        elif len([target for target in self.targets if b"from" in target]) == 1:
+            await self.watch_released.wait()
+            writer.write(ok(DRAIN_UPDATE))
+
+
+def test_snapshot_is_fetched_beside_an_open_watch(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Each call has a connection of its own: on that of the watch, the snapshot would end the watch."""
+    recorder = CallRecorder(monkeypatch)
+
+    async def test() -> None:
+        discovery = SnapshotServer()
+        server = await asyncio.start_server(discovery.serve, "127.0.0.1", 0)
+        dial = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        settings = discovery_settings(polled=True)
+        async with start_sidecar("127.0.0.1:9", discovery=dial, settings=settings) as sidecar:
+            sidecar.discovery.set_watching(True)
+            await discovery.request_received.wait()
+            sidecar.discovery.fetch_snapshot()
+            await sidecar.event(is_update_of(EndpointUpdateKind.SNAPSHOT))
+            discovery.watch_released.set()
+            await sidecar.event(is_drain_update)
+            assert [target.split(b"&")[0] for target in discovery.targets[:2]] == [
+                b"/discovery/hosts?from=1",
+                b"/discovery/hosts",
+            ]
+        assert recorder.calls[1] == RecordedCall(discovery_profile.FETCH_TIMEOUT_SECONDS, hold_seconds=None)
+        server.close()
+
+    run(test())
+
+
+def test_error_carries_the_address_and_the_problem() -> None:
+    async def test() -> None:
+        dial = dead_dial()
+        host, _, port = dial.rpartition(":")
+        loop = asyncio.get_running_loop()
+        caller = DiscoveryCaller((host, int(port)), NameIndices({}, {}), WAIT, loop)
+        with pytest.raises(DiscoveryCallError, match=f"call to discovery at {dial} failed: ") as caught:
+            await caller.fetch_snapshot(WAIT)
+        assert isinstance(caught.value, DiscoveryError)
+        assert caught.value.address == (host, int(port))
+        assert caught.value.problem.startswith("ConnectionRefusedError")
+
+    run(test())
--- /dev/null
+++ b/tests/sidecar/test_discovery_client.py
@@ -0,0 +1,290 @@
+"""The discovery client on loopback sockets: each way a call can end, new addresses, and its tasks."""
+
+from __future__ import annotations
+
+import asyncio
+import re
+from dataclasses import dataclass
+from typing import Any
+
+import pytest
+
+from balancer.policy import membership
+from balancer.policy_api import EndpointUpdateKind
+from balancer.sidecar.discovery_call import (
+    DiscoveryCallError,
+    DiscoveryTimeoutError,
+    MalformedDiscoveryResponseError,
+)
+from balancer.sidecar.discovery_profile import POLLED_DISCOVERY, PUSHED_DISCOVERY
+from balancer.time_units import SECOND_NS
+from tests.sidecar.harness import (
+    Sidecar,
+    dead_dial,
+    endpoint,
+    never,
+    ok,
+    run,
+    status,
+)
+from tests.sidecar.harness import sidecar as start_sidecar
+from tests.sidecar.scripted_discovery import (
+    DISCOVERY_FAILED,
+    DRAIN_UPDATE,
+    INCOMPLETE_RESPONSE,
+    UNCHANGED_UPDATE,
+    AnswerScript,
+    CallRecorder,
+    ScriptedDiscovery,
+    discovery_settings,
+    is_drain_update,
+    is_update_of,
+    reset_connection,
+    send,
+    send_and_close,
+    send_without_end,
+    unreachable,
+)
+from tests.sidecar.waiting import run_ready_callbacks, wait_until
+
+pushed_and_polled = pytest.mark.parametrize("polled", [False, True], ids=["pushed", "polled"])
+
+
+def start_watching(sidecar: Sidecar, polled: bool) -> None:
+    """Start to watch, as the program does at its start or as the policy does where it polls."""
+    if polled:
+        sidecar.discovery.set_watching(True)
+    else:
+        sidecar.discovery.start()
+
+
+@pushed_and_polled
+def test_connect_timeout_is_within_the_grace(polled: bool) -> None:
+    """So a call whose connection is established late still has its whole hold."""
+
+    async def test() -> None:
+        async with start_sidecar(settings=discovery_settings(polled)) as sidecar:
+            client = sidecar.discovery
+            assert 0 < client.caller.connect_timeout_seconds <= client.profile.grace_seconds
+
+    run(test())
+
+
+# ---- the ways that a call can end
+
+
+@dataclass(frozen=True, slots=True)
+class Ending:
+    """How a call ends."""
+
+    script: AnswerScript | None
+    """Answers the call; None where discovery cannot be reached."""
+    error_type: type[DiscoveryCallError] | None
+    """The error of the call; None where it succeeds."""
+    connect_hangs: bool = False
+
+
+ENDINGS = {
+    "error status": Ending(send(status(503)), DiscoveryCallError),
+    "closed": Ending(send_and_close(b""), DiscoveryCallError),
+    "reset": Ending(reset_connection, DiscoveryCallError),
+    "truncated response": Ending(send_and_close(INCOMPLETE_RESPONSE), MalformedDiscoveryResponseError),
+    "invalid HTTP": Ending(
+        send(b"HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n"), MalformedDiscoveryResponseError
+    ),
+    "invalid JSON": Ending(send(ok(DRAIN_UPDATE[:-9])), MalformedDiscoveryResponseError),
+    "timeout before the response": Ending(send(b""), DiscoveryTimeoutError),
+    "timeout in the response": Ending(send(INCOMPLETE_RESPONSE), DiscoveryTimeoutError),
+    "response without end": Ending(send_without_end, DiscoveryTimeoutError),
+    "no changes": Ending(send(ok(UNCHANGED_UPDATE)), None),
+    "connect refused": Ending(None, DiscoveryCallError),
+    "connect timed out": Ending(None, DiscoveryCallError, connect_hangs=True),
+}
+
+
+def assert_timing_matches_profile(recorder: CallRecorder, request_lines: list[bytes], polled: bool) -> None:
+    profile = POLLED_DISCOVERY if polled else PUSHED_DISCOVERY
+    for call in recorder.calls:
+        assert call.hold_seconds is not None
+        assert profile.hold_seconds / 2 <= call.hold_seconds <= profile.hold_seconds
+        assert call.timeout_seconds <= profile.hold_seconds + profile.grace_seconds
+    assert request_lines
+    for line in request_lines:
+        match = re.fullmatch(rb"GET /discovery/hosts\?from=\d+&hold_ms=(\d+) HTTP/1\.1", line)
+        assert match is not None
+        assert profile.hold_seconds / 2 <= int(match[1]) / 1000 <= profile.hold_seconds
+
+
+@pushed_and_polled
+@pytest.mark.parametrize("name", ENDINGS)
+def test_next_call_brings_the_change(name: str, polled: bool, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(membership, "MAX_POLL_SPREAD_NS", SECOND_NS // 100)
+    ending = ENDINGS[name]
+    times_out = ending.error_type is DiscoveryTimeoutError
+    recorder = CallRecorder(monkeypatch, 1 if times_out else None, short_connect=ending.connect_hangs)
+    request_lines: list[bytes] = []
+
+    async def test() -> None:
+        discovery = ScriptedDiscovery(ending.script)
+        async with unreachable(discovery, ending.connect_hangs) as make_reachable:
+            if ending.script is not None:
+                await discovery.listen()
+            else:
+                recorder.on_first_failure = make_reachable
+            settings = discovery_settings(polled)
+            async with start_sidecar("127.0.0.1:9", discovery=discovery.dial, settings=settings) as sidecar:
+                start_watching(sidecar, polled)
+                await sidecar.event(is_drain_update)
+                reported_failures = sidecar.events.count(DISCOVERY_FAILED)
+        assert recorder.error_types == ([ending.error_type] if ending.error_type else [])
+        # A failed call is reported once, and the policy starts the next one. The policy does not see a call
+        # that may have brought a change: the client repeats it.
+        assert reported_failures == (polled and ending.error_type is DiscoveryCallError)
+        discovery.close()
+        request_lines.extend(discovery.request_lines)
+
+    run(test())
+    assert_timing_matches_profile(recorder, request_lines, polled)
+
+
+def test_holds_of_polled_watches_are_spread(monkeypatch: pytest.MonkeyPatch) -> None:
+    holds: list[str] = []
+
+    async def test(seed: str) -> None:
+        discovery = ScriptedDiscovery(send(ok(UNCHANGED_UPDATE)))
+        await discovery.listen()
+        settings = discovery_settings(polled=True)
+        async with start_sidecar(
+            "127.0.0.1:9", discovery=discovery.dial, settings=settings, seed=seed
+        ) as sidecar:
+            start_watching(sidecar, polled=True)
+            await sidecar.event(is_drain_update)
+        targets = [line.split()[1] for line in discovery.request_lines[:3]]
+        holds.extend(target.partition(b"hold_ms=")[2].decode() for target in targets)
+
+    for seed in ("1f", "20", "21"):
+        with monkeypatch.context() as patch:
+            CallRecorder(patch)
+            run(test(seed))
+    assert len(holds) == 9
+    assert len(set(holds)) > 6
+
+
+# ---- a new address
+
+
+@pushed_and_polled
+@pytest.mark.parametrize("hanging_part", ["connect", "call"])
+def test_new_address_is_called_while_a_call_to_the_old_one_hangs(
+    hanging_part: str, polled: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    recorder = CallRecorder(monkeypatch)
+    connect_hangs = hanging_part == "connect"
+
+    async def test() -> None:
+        old_discovery = ScriptedDiscovery(send(b""))
+        new_discovery = ScriptedDiscovery(None)
+        await new_discovery.listen()
+        async with unreachable(old_discovery, connect_hangs) as make_reachable:
+            if not connect_hangs:
+                await make_reachable()
+            settings = discovery_settings(polled)
+            async with start_sidecar(
+                "127.0.0.1:9", discovery=old_discovery.dial, settings=settings
+            ) as sidecar:
+                start_watching(sidecar, polled)
+                hanging_call = 1 if connect_hangs else 2
+                await wait_until(lambda: len(recorder.calls) >= hanging_call, recorder.call_started)
+                await run_ready_callbacks()  # so that the call is under way
+                sidecar.discovery.change_address(new_discovery.address)
+                await wait_until(lambda: bool(new_discovery.request_lines), new_discovery.request_received)
+                assert new_discovery.request_lines[0] == b"GET /discovery/hosts HTTP/1.1"
+                assert DISCOVERY_FAILED not in sidecar.events
+                assert new_discovery.connections == 1
+
+    run(test())
+
+
+def test_unreachable_new_address_is_called_with_growing_pauses(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The pauses have jitter, as many sidecars may get the new address at once."""
+    pauses: list[float] = []
+    enough_pauses = asyncio.Event()
+    original_sleep = asyncio.sleep
+    recorder = CallRecorder(monkeypatch)
+
+    async def record_pause(seconds: float) -> None:
+        pauses.append(seconds)
+        if len(pauses) == 6:
+            enough_pauses.set()
+        await original_sleep(0)
+
+    async def test() -> None:
+        settings = discovery_settings(polled=True)
+        async with start_sidecar("127.0.0.1:9", discovery=dead_dial(), settings=settings) as sidecar:
+            monkeypatch.setattr(asyncio, "sleep", record_pause)
+            host, _, port = dead_dial().rpartition(":")
+            sidecar.discovery.change_address((host, int(port)))
+            await enough_pauses.wait()
+
+    run(test())
+    assert set(recorder.error_types) == {DiscoveryCallError}
+    first_seconds = POLLED_DISCOVERY.first_retry_pause_seconds
+    max_seconds = POLLED_DISCOVERY.max_retry_pause_seconds
+    full_pauses = [min(first_seconds * 2**retry, max_seconds) for retry in range(6)]
+    shares = [pause / full_pause for pause, full_pause in zip(pauses[:6], full_pauses, strict=True)]
+    assert all(0.5 <= share <= 1 for share in shares)
+    assert len(set(shares)) > 1
+
+
+# ---- stopping
+
+
+def running_calls() -> list[asyncio.Task[Any]]:
+    return [task for task in asyncio.all_tasks() if "DiscoveryClient" in repr(task.get_coro())]
+
+
+@pushed_and_polled
+def test_stop_cancels_all_calls_and_prevents_new_ones(polled: bool, monkeypatch: pytest.MonkeyPatch) -> None:
+    recorder = CallRecorder(monkeypatch)
+
+    async def test() -> None:
+        settings = discovery_settings(polled)
+        async with (
+            endpoint(never) as discovery,
+            start_sidecar("127.0.0.1:9", discovery=discovery.dial, settings=settings) as sidecar,
+        ):
+            start_watching(sidecar, polled)
+            sidecar.discovery.fetch_snapshot()
+            await wait_until(lambda: len(discovery.seen) >= 2, discovery.arrived)
+            assert len(running_calls()) == 2
+            await sidecar.discovery.stop()
+            assert running_calls() == []
+            for request in discovery.seen:
+                await request.left.wait()
+            sidecar.discovery.set_watching(True)
+            sidecar.discovery.fetch_snapshot()
+            assert running_calls() == []
+
+    run(test())
+    assert len(recorder.calls) == 2
+    assert recorder.error_types == []
+
+
+def test_stop_closes_the_idle_connection() -> None:
+    async def test() -> None:
+        async with (
+            endpoint(lambda _request: asyncio.sleep(0, ok(UNCHANGED_UPDATE))) as discovery,
+            start_sidecar(
+                "127.0.0.1:9", discovery=discovery.dial, settings=discovery_settings(polled=True)
+            ) as sidecar,
+        ):
+            sidecar.discovery.fetch_snapshot()
+            await sidecar.event(is_update_of(EndpointUpdateKind.DELTA))
+            connection = sidecar.discovery.caller.idle_connection
+            assert connection is not None
+            assert connection.is_reusable()
+            await sidecar.discovery.stop()
+            assert not connection.is_reusable()
+            assert sidecar.discovery.caller.idle_connection is None
+
+    run(test())
--- /dev/null
+++ b/tests/sidecar/test_discovery_profile.py
@@ -0,0 +1,95 @@
+"""The timing of calls to discovery: each way a call can end leaves time for the next to bring a change."""
+
+from __future__ import annotations
+
+import pytest
+
+from balancer.policy import membership, overload
+from balancer.policy.balancer import Balancer
+from balancer.policy_api import WatchEndpoints
+from balancer.sidecar import discovery_profile
+from balancer.sidecar.discovery_profile import POLLED_DISCOVERY, PUSHED_DISCOVERY
+from tests.helpers import SECOND, Bench
+from tests.helpers import settings as policy_settings
+from tests.sidecar.scripted_discovery import DISCOVERY_FAILED
+
+KNOWN_AFTER_SECONDS = 6.0  # since discovery can be reached; then a change counts as known
+KNOWN_AFTER_ADDRESS_CHANGE_SECONDS = 4.0
+MARGIN_SECONDS = 0.5
+SUCCESSFUL_CALL_SECONDS = 0.5  # its connection, its answer, and the lateness of the event loop
+
+
+def longest_delays_seconds(polled: bool, poll_window_ns: int) -> dict[str, float]:
+    """Return the longest time from when discovery can be reached to when a change is received, by ending.
+
+    At worst the call with this ending began just before, and the one that follows succeeds.
+    """
+    policy = Balancer(policy_settings(polls_discovery=polled, discovery_poll_window_ns=poll_window_ns), 1)
+    if polled:
+        profile = POLLED_DISCOVERY
+        pause = (policy.membership.poll_spread_ns + overload.CYCLE_NS) / SECOND
+        immediate_retry = 0.0
+    else:
+        profile = PUSHED_DISCOVERY
+        pause = immediate_retry = profile.max_retry_pause_seconds
+    call = profile.hold_seconds + profile.grace_seconds
+    connect = profile.grace_seconds
+    delays = {
+        "connect refused": pause,
+        "connect timed out": connect + pause,
+        "another status": call + pause,
+        "closed or reset before the response": call + pause,
+        "truncated or malformed response": call + immediate_retry,
+        "malformed response, and the next call fails at once": call + pause,
+        "timed out, before or in the response": call + immediate_retry,
+        "timed out, and the next call fails at once": call + pause,
+        "response without end": call + immediate_retry,
+        "no changes": discovery_profile.UNCHANGED_PAUSE_SECONDS,
+        "first call of a process timed out": (pause if polled else 0.0) + call + immediate_retry,
+        "new address fails": profile.snapshot_timeout_seconds + profile.max_retry_pause_seconds,
+        "single fetch of the whole list fails": discovery_profile.FETCH_TIMEOUT_SECONDS + pause,
+    }
+    return {ending: seconds + SUCCESSFUL_CALL_SECONDS for ending, seconds in delays.items()}
+
+
+@pytest.mark.parametrize("polled", [False, True], ids=["pushed", "polled"])
+@pytest.mark.parametrize("poll_window_ns", [SECOND, 10 * SECOND, 60 * SECOND])
+def test_change_is_received_before_it_counts_as_known(polled: bool, poll_window_ns: int) -> None:
+    delays = longest_delays_seconds(polled, poll_window_ns)
+    longest_allowed = KNOWN_AFTER_SECONDS - MARGIN_SECONDS
+    assert not {ending: seconds for ending, seconds in delays.items() if seconds > longest_allowed}
+
+
+def test_three_snapshot_calls_fit_in_the_time_after_an_address_change() -> None:
+    polled, pushed = POLLED_DISCOVERY, PUSHED_DISCOVERY
+    pauses = [polled.first_retry_pause_seconds * 2**retry for retry in range(2)]
+    assert max(pauses) <= polled.max_retry_pause_seconds
+    assert 3 * polled.snapshot_timeout_seconds + sum(pauses) < KNOWN_AFTER_ADDRESS_CHANGE_SECONDS
+    pushed_seconds = 3 * pushed.snapshot_timeout_seconds + 2 * pushed.max_retry_pause_seconds
+    assert pushed_seconds < KNOWN_AFTER_ADDRESS_CHANGE_SECONDS
+
+
+def next_watch_delay_ns(bench: Bench) -> int:
+    """Advance the clock of the policy until it starts a watch, and return how long that took."""
+    start_ns = bench.now
+    while True:
+        actions = bench.tick(overload.CYCLE_NS / SECOND / 5)
+        if any(isinstance(action, WatchEndpoints) for action in actions):
+            return bench.now - start_ns
+        assert bench.now - start_ns <= membership.MAX_POLL_SPREAD_NS, "the watch is overdue"
+
+
+@pytest.mark.parametrize("poll_window_ns", [10 * SECOND, 60 * SECOND])
+def test_watch_delays_are_bounded_and_spread(poll_window_ns: int) -> None:
+    first_delays_ns: set[int] = set()
+    retry_delays_ns: set[int] = set()
+    for seed in range(40):
+        settings = policy_settings(polls_discovery=True, discovery_poll_window_ns=poll_window_ns)
+        bench = Bench(settings, seed=seed)
+        first_delays_ns.add(next_watch_delay_ns(bench))
+        bench.give(DISCOVERY_FAILED)
+        retry_delays_ns.add(next_watch_delay_ns(bench))
+    assert len(first_delays_ns) > 10
+    assert len(retry_delays_ns) > 10
+    # Without a minimum, many sidecars would overload discovery while it is down.
+    assert min(retry_delays_ns) >= 0.2 * SECOND
