Sort the tests of the upstream side and the dispatcher by the module under test

Cause: tests/test_node.py, test_upstream.py, test_crossings.py and test_response_parser.py mixed modules, named tests as sentences in withdrawn words and repeated set-ups. Change: one file for each module under tests/sidecar/, tests named after the behaviour; connects on hold, raw endpoints, rests and the start of an attempt are shared. Every case and assertion stays; composite assertions are split; the table of load reports became one case each. A paused client is seen at its transport, not at a private field.

--- /dev/null
+++ b/tests/sidecar/downstream/test_requests_over_sockets.py
@@ -0,0 +1,131 @@
+"""Tests of the client's side over loopback sockets: forwarding, pipelining, clients that leave."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from balancer.policy_api import ClientDisconnected, EndpointUpdateKind
+from balancer.sidecar.downstream.listener import MAX_PIPELINED_REQUESTS
+from tests.sidecar.harness import (
+    ReceivedRequest,
+    answer_ok,
+    async_test,
+    endpoint_entry,
+    endpoint_list,
+    ok_response,
+    request_bytes,
+    run_endpoint,
+    run_sidecar,
+    unreachable_address,
+    wait_until,
+)
+from tests.sidecar.upstream.harness import ConnectGate
+
+
+@async_test
+async def test_request_and_response_are_forwarded_unchanged() -> None:
+    async with run_endpoint(answer_ok) as endpoint, run_sidecar(endpoint.address) as sidecar:
+        client = await sidecar.connect_client()
+        status_code, _, body = await client.exchange(
+            request_bytes("post", body=b"x" * 60_000, request_id="9b1f")
+        )
+        assert (status_code, body) == (200, b"x" * 60_000)
+        [received] = endpoint.received_requests
+        assert received.request_line == b"POST /api?k=7f3a HTTP/1.1"
+        assert received.body == b"x" * 60_000
+        assert received.headers[b"req-id"] == b"9b1f"
+        assert received.headers[b"content-length"] == b"60000"
+        assert 0 < float(received.headers[b"req-deadline"]) <= 9
+
+
+@async_test
+async def test_split_and_pipelined_requests_are_answered_in_order() -> None:
+    first_may_end = asyncio.Event()
+
+    async def script(request: ReceivedRequest) -> bytes:
+        if request.headers.get(b"req-extra") == b"n=0":
+            await first_may_end.wait()
+        else:
+            first_may_end.set()
+        return ok_response(b"answer " + request.headers[b"req-extra"][2:])
+
+    async with run_endpoint(script) as endpoint, run_sidecar(endpoint.address) as sidecar:
+        client = await sidecar.connect_client()
+        for byte in request_bytes(extra_headers=b"Req-Extra: n=0\r\n"):
+            client.writer.write(bytes((byte,)))
+            await client.writer.drain()
+        numbers = range(1, MAX_PIPELINED_REQUESTS * 2)
+        client.writer.write(
+            b"".join(request_bytes(extra_headers=b"Req-Extra: n=%d\r\n" % number) for number in numbers)
+        )
+        for number in (0, *numbers):
+            assert (await client.read_response()).body == b"answer %d" % number
+
+
+@async_test
+async def test_draining_sidecar_answers_pipelined_requests_before_it_closes() -> None:
+    may_answer = asyncio.Event()
+
+    async def answer_later(request: ReceivedRequest) -> bytes:
+        await may_answer.wait()
+        return ok_response(b"answer " + request.headers[b"req-extra"][2:])
+
+    async with run_endpoint(answer_later) as endpoint, run_sidecar(endpoint.address) as sidecar:
+        client = await sidecar.connect_client()
+        client.writer.write(
+            b"".join(request_bytes(extra_headers=b"Req-Extra: n=%d\r\n" % number) for number in range(3))
+        )
+        await wait_until(lambda: len(endpoint.received_requests) >= 3)
+        sidecar.listener.is_draining = True
+        may_answer.set()
+        responses = [await client.read_response() for _ in range(3)]
+        assert [response.body for response in responses] == [b"answer 0", b"answer 1", b"answer 2"]
+        assert [b"connection" in response.headers for response in responses] == [False, False, True]
+        assert await client.is_closed()
+
+
+@async_test
+async def test_up_reports_whether_any_endpoint_is_known() -> None:
+    request = b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n"
+    async with run_sidecar() as sidecar:
+        started_at_seconds = sidecar.listener.now()
+        sidecar.listener.now = lambda: started_at_seconds  # no time passes
+        client = await sidecar.connect_client()
+        assert (await client.exchange(request)).status == 503
+        snapshot = endpoint_list(2, endpoint_entry("s-0", unreachable_address()))
+        sidecar.update_endpoints(snapshot, EndpointUpdateKind.SNAPSHOT)
+        assert (await client.exchange(request)).status == 200
+
+
+@pytest.mark.parametrize("ending", ["last", "pipelined", "flooded"])
+@async_test
+async def test_client_disconnect_is_detected_while_reading_is_paused(ending: str) -> None:
+    """Reading pauses after the last request and with a full pipeline; the requests must not be sent then."""
+    async with run_endpoint(answer_ok) as endpoint, run_sidecar(endpoint.address) as sidecar:
+        gate = ConnectGate(sidecar, holds_established=False)
+        client = await sidecar.connect_client()
+        if ending == "pipelined":
+            request_count = MAX_PIPELINED_REQUESTS
+            client.writer.write(b"".join(request_bytes() for _ in range(request_count + 3)))
+        else:
+            request_count = 1
+            client.writer.write(request_bytes(extra_headers=b"Connection: close\r\n"))
+        await wait_until(lambda: gate.connect_count >= request_count)
+        if ending == "flooded":
+            client.writer.write(b"x" * 200_000)
+        [transport] = sidecar.client_transports
+        await wait_until(lambda: transport.is_reading() == (ending == "last"))
+        if ending == "flooded":
+            client.writer.transport.abort()
+        else:
+            client.writer.close()
+        for _ in range(request_count):
+            disconnected = await sidecar.wait_for_event(lambda event: isinstance(event, ClientDisconnected))
+            sidecar.events.remove(disconnected)
+        assert not sidecar.dispatcher.ledger.in_flight
+        gate.opened.set()
+        next_client = await sidecar.connect_client()
+        assert (await next_client.exchange(request_bytes(request_id="77"))).status == 200
+        assert [request.headers[b"req-id"] for request in endpoint.received_requests] == [b"77"]
--- a/tests/sidecar/harness.py
+++ b/tests/sidecar/harness.py
@@ -432,6 +432,11 @@
     headers: dict[bytes, bytes]
     body: bytes
 
+    @property
+    def status_and_body(self) -> tuple[int, bytes]:
+        """What most tests compare."""
+        return self.status, self.body
+
 
 class Client:
     """A connection of a client to the sidecar."""
--- /dev/null
+++ b/tests/sidecar/test_configuration_over_sockets.py
@@ -0,0 +1,12 @@
+"""Tests of what the configuration of a sidecar with real sockets comes to."""
+
+from __future__ import annotations
+
+from balancer.sidecar.configuration import parse_configuration
+from tests.sidecar.harness import SETTINGS, configuration, unreachable_address
+
+
+def test_connection_carries_one_request_at_a_time_whatever_the_settings_say() -> None:
+    settings = SETTINGS | {"Limits": {"StreamsPerConn": 100}}
+    config = parse_configuration(configuration(unreachable_address(), settings=settings))
+    assert config.settings.streams_per_connection == 1
--- /dev/null
+++ b/tests/sidecar/test_discovery_over_sockets.py
@@ -0,0 +1,282 @@
+"""Tests of discovery over loopback sockets: calls that fail, new addresses, lists that are asked for."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import math
+from collections.abc import Callable
+from dataclasses import replace
+from typing import Any
+
+import pytest
+
+from balancer.policy_api import EndpointHealth, EndpointUpdate, EndpointUpdateKind, Event
+from balancer.sidecar.endpoint_list import NameIndices, derive_endpoint_id, parse_endpoint_list
+from tests.sidecar.harness import (
+    TEST_TIMEOUT_SECONDS,
+    ReceivedRequest,
+    Script,
+    Sidecar,
+    async_test,
+    change_classes,
+    endpoint_entry,
+    endpoint_list,
+    never_answer,
+    ok_response,
+    run_endpoint,
+    run_sidecar,
+    status_response,
+    unreachable_address,
+    wait_until,
+)
+
+UNUSED_ADDRESS = "127.0.0.1:9"
+ON_REQUEST = change_classes(Discovery="on_request")
+"""The settings with which endpoint lists are asked for, not pushed."""
+
+
+def is_endpoint_update(kind: EndpointUpdateKind) -> Callable[[Event], bool]:
+    """Return whether an event is an endpoint update of this kind."""
+    return lambda event: isinstance(event, EndpointUpdate) and event.kind == kind
+
+
+is_snapshot = is_endpoint_update(EndpointUpdateKind.SNAPSHOT)
+is_discovery_failure = is_endpoint_update(EndpointUpdateKind.DISCOVERY_FAILED)
+
+
+def respond_in_turn(*responses: bytes | None) -> tuple[Script, list[bytes]]:
+    """Return the script of a discovery that gives these responses, then none, and the paths of its calls."""
+    paths: list[bytes] = []
+
+    async def script(request: ReceivedRequest) -> bytes | None:
+        paths.append(request.request_line.split()[1])
+        if len(paths) > len(responses):
+            return await never_answer(request)
+        return responses[len(paths) - 1]
+
+    return script, paths
+
+
+def list_response(sequence: int, *entries: dict[str, Any], whole: bool = True) -> bytes:
+    """Return a response with an endpoint list."""
+    return ok_response(json.dumps(endpoint_list(sequence, *entries, whole=whole)).encode())
+
+
+def tolerate_late_responses(sidecar: Sidecar) -> None:
+    """Let no response of discovery count as late, however slow the machine is."""
+    sidecar.discovery.profile = replace(sidecar.discovery.profile, grace_seconds=TEST_TIMEOUT_SECONDS)
+    sidecar.discovery.caller.connect_timeout_seconds = TEST_TIMEOUT_SECONDS
+
+
+def change_discovery_address(sidecar: Sidecar, address: str) -> None:
+    """Give the sidecar a new address of discovery."""
+    host, _, port = address.rpartition(":")
+    sidecar.discovery.change_address((host, int(port)))
+
+
+@async_test
+async def test_watch_continues_from_known_sequence_after_any_failure() -> None:
+    added = endpoint_entry("s-1", UNUSED_ADDRESS)
+    drained = endpoint_entry("s-1", UNUSED_ADDRESS, "draining")
+    script, paths = respond_in_turn(
+        None,
+        status_response(503),
+        ok_response(b"no JSON"),
+        ok_response(b"[]"),
+        ok_response(b'{"seq":1,"hosts":[7]}'),
+        list_response(2, endpoint_entry("s-1", UNUSED_ADDRESS) | {"share": math.inf}, whole=False),
+        list_response(1, whole=False),
+        list_response(2, added, whole=False),
+        list_response(3, drained, whole=False),
+        list_response(4, endpoint_entry("s-2", UNUSED_ADDRESS)),
+    )
+
+    async with (
+        run_endpoint(script) as endpoint,
+        run_sidecar(UNUSED_ADDRESS, discovery=endpoint.address) as sidecar,
+    ):
+        tolerate_late_responses(sidecar)
+        sidecar.discovery.start()
+        snapshot = await sidecar.wait_for_event(is_snapshot)
+        assert [endpoint.id for endpoint in snapshot.endpoints] == [derive_endpoint_id("s-2")]
+        updates = [event for event in sidecar.events if isinstance(event, EndpointUpdate)]
+        assert [update.kind for update in updates] == [1, 2, 2, 3]
+        assert [update.endpoints[0].health for update in updates] == [1, 1, 2, 1]
+        await wait_until(lambda: len(paths) >= 11)
+        assert [path.split(b"&")[0] for path in paths[:11]] == [
+            b"/discovery/hosts?from=%d" % sequence for sequence in (1, 1, 1, 1, 1, 1, 2, 1, 2, 3, 4)
+        ]
+
+
+@async_test
+async def test_hung_watch_is_abandoned_and_next_one_brings_list() -> None:
+    """A watch that hangs would otherwise leave the sidecar with the list that it has."""
+    calls: list[ReceivedRequest] = []
+
+    async def script(received: ReceivedRequest) -> bytes:
+        calls.append(received)
+        if len(calls) == 1:
+            return await never_answer(received)
+        return list_response(2, endpoint_entry("s-2", UNUSED_ADDRESS))
+
+    async with (
+        run_endpoint(script) as endpoint,
+        run_sidecar(UNUSED_ADDRESS, discovery=endpoint.address) as sidecar,
+    ):
+        sidecar.discovery.start()
+        await sidecar.wait_for_event(is_snapshot)
+        assert calls[0].connection_closed.is_set()
+        assert len(calls) >= 2
+
+
+@async_test
+async def test_new_discovery_address_is_asked_for_snapshot_at_once() -> None:
+    """Its sequence may start anew: a list with the number that the former had must not be skipped."""
+    former_script, _ = respond_in_turn(list_response(7, endpoint_entry("s-1", UNUSED_ADDRESS)))
+    current_script, paths = respond_in_turn(
+        None, ok_response(b"no JSON"), list_response(7, endpoint_entry("s-2", UNUSED_ADDRESS))
+    )
+    async with (
+        run_endpoint(former_script) as before,
+        run_endpoint(current_script) as after,
+        run_sidecar(UNUSED_ADDRESS, discovery=before.address) as sidecar,
+    ):
+        tolerate_late_responses(sidecar)
+        sidecar.discovery.start()
+        await sidecar.wait_for_event(is_snapshot)
+        await wait_until(lambda: len(before.received_requests) >= 2)
+        change_discovery_address(sidecar, after.address)
+        change_discovery_address(sidecar, after.address)  # the same address
+        await sidecar.wait_for_event(
+            lambda event: is_snapshot(event) and event.endpoints[0].id == derive_endpoint_id("s-2")
+        )
+        await before.received_requests[1].connection_closed.wait()  # the former watch has ended
+        await wait_until(lambda: len(paths) >= 4)
+        assert paths[:3] == [b"/discovery/hosts"] * 3
+        assert paths[3].startswith(b"/discovery/hosts?from=7&")
+        assert len(before.received_requests) == 2
+
+
+@async_test
+async def test_last_of_several_new_discovery_addresses_is_used() -> None:
+    silent_script, _ = respond_in_turn()
+    last_script, paths = respond_in_turn(list_response(1, endpoint_entry("s-2", UNUSED_ADDRESS)))
+    async with (
+        run_endpoint(silent_script) as first,
+        run_endpoint(last_script) as second,
+        run_sidecar(UNUSED_ADDRESS, discovery=unreachable_address()) as sidecar,
+    ):
+        sidecar.discovery.start()
+        for address in (first.address, unreachable_address(), first.address, second.address):
+            change_discovery_address(sidecar, address)
+        snapshot = await sidecar.wait_for_event(is_snapshot)
+        assert snapshot.endpoints[0].id == derive_endpoint_id("s-2")
+        assert paths
+
+
+def test_malformed_entry_hides_no_other_entry() -> None:
+    names = NameIndices({}, {})
+    valid = endpoint_entry("s-1", UNUSED_ADDRESS)
+    drained = endpoint_entry("s-2", "nowhere", "draining")
+    malformed = [7, {}, endpoint_entry("s-3", "nowhere"), valid | {"share": math.inf}, valid | {"health": []}]
+    document = {"seq": 1, "whole": True, "hosts": [*malformed, drained, valid]}
+    update = parse_endpoint_list(document, names)
+    assert [(listed.endpoint.id, listed.endpoint.health) for listed in update.endpoints] == [
+        # That it drains is plain, whatever its address is.
+        (derive_endpoint_id("s-2"), EndpointHealth.DRAINING),
+        (derive_endpoint_id("s-1"), EndpointHealth.READY),
+    ]
+
+
+INCOMPLETE_RESPONSES = [
+    None,  # no response at all
+    ok_response(b'{"seq":2,"whole":false,"hosts":[{"host":"s-0","hea'),
+    b"HTTP/1.1 200 OK\r\nContent-Length: 400\r\n\r\n" + b'{"seq":2,"whole":false,"hosts":[',
+    b"HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n",
+]
+
+
+@pytest.mark.parametrize("first", INCOMPLETE_RESPONSES, ids=["silent", "malformed", "cut", "junk"])
+@async_test
+async def test_watch_that_may_have_missed_update_is_reopened_at_once(first: bytes | None) -> None:
+    """Left to the policy, the next call could be seconds late, and a draining endpoint get requests."""
+    paths: list[bytes] = []
+    on_first_call: list[Callable[[], None]] = []
+
+    async def script(received: ReceivedRequest) -> bytes | None:
+        paths.append(received.request_line.split()[1])
+        if len(paths) == 1:
+            on_first_call[0]()
+        if len(paths) > 2:
+            return await never_answer(received)
+        if len(paths) == 2:
+            delta = endpoint_list(2, endpoint_entry("s-0", UNUSED_ADDRESS, "draining"), whole=False)
+            return ok_response(json.dumps(delta, indent=2).encode())
+        return first if first is not None else await never_answer(received)
+
+    async with (
+        run_endpoint(script) as endpoint,
+        run_sidecar(UNUSED_ADDRESS, discovery=endpoint.address, settings=ON_REQUEST) as sidecar,
+    ):
+        short_profile = replace(sidecar.discovery.profile, hold_seconds=1.0, grace_seconds=0.0)
+        long_profile = replace(short_profile, hold_seconds=TEST_TIMEOUT_SECONDS)
+        sidecar.discovery.profile = short_profile
+        sidecar.discovery.caller.connect_timeout_seconds = TEST_TIMEOUT_SECONDS
+        # Later calls may be slow.
+        on_first_call.append(lambda: setattr(sidecar.discovery, "profile", long_profile))
+        sidecar.discovery.set_watching(True)
+        update = await sidecar.wait_for_event(is_endpoint_update(EndpointUpdateKind.DELTA))
+        assert update.endpoints[0].health == EndpointHealth.DRAINING
+        assert not any(is_discovery_failure(event) for event in sidecar.events)
+        assert [path.split(b"&")[0] for path in paths[:2]] == [b"/discovery/hosts?from=1"] * 2
+
+
+@pytest.mark.parametrize(
+    "response", [None, b"HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n", INCOMPLETE_RESPONSES[1]]
+)
+@async_test
+async def test_watch_that_fails_again_is_left_to_policy(response: bytes | None) -> None:
+    async def script(_request: ReceivedRequest) -> bytes | None:
+        return response
+
+    async with (
+        run_endpoint(script) as endpoint,
+        run_sidecar(UNUSED_ADDRESS, discovery=endpoint.address, settings=ON_REQUEST) as sidecar,
+    ):
+        tolerate_late_responses(sidecar)
+        sidecar.discovery.set_watching(True)
+        await sidecar.wait_for_event(is_discovery_failure)
+        assert len(endpoint.received_requests) == (2 if response == INCOMPLETE_RESPONSES[1] else 1)
+
+
+@async_test
+async def test_new_discovery_address_is_asked_until_it_answers() -> None:
+    """Left to the policy after a failure, the list would come later than it counts as up to date."""
+    former_called = asyncio.Event()
+    failures = [None, INCOMPLETE_RESPONSES[1], status_response(503)]
+
+    async def stay_silent(received: ReceivedRequest) -> bytes:
+        former_called.set()
+        return await never_answer(received)
+
+    async def fail_at_first(_request: ReceivedRequest) -> bytes | None:
+        if failures:
+            return failures.pop(0)
+        return list_response(1, endpoint_entry("s-2", UNUSED_ADDRESS))
+
+    async with (
+        run_endpoint(stay_silent) as before,
+        run_endpoint(fail_at_first) as after,
+        run_sidecar(UNUSED_ADDRESS, discovery=before.address, settings=ON_REQUEST) as sidecar,
+    ):
+        sidecar.discovery.set_watching(True)
+        await former_called.wait()
+        change_discovery_address(sidecar, after.address)
+        update = await sidecar.wait_for_event(is_snapshot)
+        assert update.endpoints[0].id == derive_endpoint_id("s-2")
+        assert not any(is_discovery_failure(event) for event in sidecar.events)
+        assert [received.request_line.split()[1] for received in after.received_requests[:4]] == [
+            b"/discovery/hosts"
+        ] * 4
+        assert len(before.received_requests) == 1
--- /dev/null
+++ b/tests/sidecar/test_dispatcher.py
@@ -0,0 +1,215 @@
+"""Tests of the dispatcher over loopback sockets: deadlines, background attempts, clients that leave."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from balancer.policy_api import (
+    AttemptCompleted,
+    AttemptOutcome,
+    ClientDisconnected,
+    RequestReceived,
+    StartAttempt,
+    TimerFired,
+)
+from balancer.time_units import MILLISECOND_NS, SECOND_NS
+from tests.sidecar.harness import (
+    ReceivedRequest,
+    answer_ok,
+    async_test,
+    change_classes,
+    is_attempt_completed,
+    never_answer,
+    ok_response,
+    request_bytes,
+    run_endpoint,
+    run_sidecar,
+    wait_until,
+)
+
+
+@pytest.mark.parametrize(("class_name", "status_code"), [("read", 503), ("post", 504)])
+@async_test
+async def test_attempt_ends_and_answer_is_sent_at_deadline(class_name: str, status_code: int) -> None:
+    async with run_endpoint(never_answer) as endpoint, run_sidecar(endpoint.address) as sidecar:
+        client = await sidecar.connect_client()
+        assert (await client.exchange(request_bytes(class_name, deadline="1"))).status == status_code
+        await endpoint.received_requests[0].connection_closed.wait()
+        assert (await sidecar.wait_for_event(is_attempt_completed)).outcome == AttemptOutcome.TIMEOUT
+
+
+@pytest.mark.parametrize(
+    ("deadline", "milliseconds_left"), [("0.030", 27), ("0.100", 90), ("1", 990), ("9", 8990)]
+)
+@async_test
+async def test_deadline_margin_is_at_most_a_tenth_of_client_timeout(
+    deadline: str, milliseconds_left: int
+) -> None:
+    """Ten milliseconds of thirty would leave too little time for an answer."""
+    async with run_endpoint(answer_ok) as endpoint, run_sidecar(endpoint.address) as sidecar:
+        client = await sidecar.connect_client()
+        sidecar.dispatcher.now_ns = lambda: 77 * SECOND_NS
+        client.writer.write(request_bytes(deadline=deadline))
+        received = await sidecar.wait_for_event(lambda event: isinstance(event, RequestReceived))
+        assert received.expires_at_ns == 77 * SECOND_NS + milliseconds_left * MILLISECOND_NS
+
+
+@async_test
+async def test_background_attempt_keeps_its_connection_for_next_request() -> None:
+    """Closed at the deadline, each short timeout would cost the next request a handshake."""
+    may_answer = asyncio.Event()
+
+    async def answer_later(request: ReceivedRequest) -> bytes:
+        await may_answer.wait()
+        return ok_response(b"late" if request is endpoint.received_requests[0] else b"next")
+
+    settings = change_classes({"AimNs": 8_000_000_000})
+    async with (
+        run_endpoint(answer_later) as endpoint,
+        run_sidecar(endpoint.address, settings=settings) as sidecar,
+    ):
+        client = await sidecar.connect_client()
+        assert (await client.exchange(request_bytes(deadline="1", request_id="9b1f"))).status == 503
+        assert len(endpoint.received_requests) == 1
+        assert not endpoint.received_requests[0].connection_closed.is_set()
+        assert sidecar.dispatcher.is_duplicate(b"9b1f")  # a copy of it is still in flight
+        assert len(sidecar.dispatcher.upstream.background_attempts) == 1
+        may_answer.set()
+        await wait_until(lambda: not sidecar.dispatcher.upstream.background_attempts)
+        assert not sidecar.dispatcher.is_duplicate(b"9b1f")
+        assert not sidecar.dispatcher.ledger.in_flight
+        assert (await client.exchange(request_bytes())).status_and_body == (200, b"next")
+        assert endpoint.connection_count == 1
+        assert len(endpoint.received_requests) == 2
+
+
+@pytest.mark.parametrize(("latency_objective_ns", "goes_on"), [(1_500_000_000, True), (500_000_000, False)])
+@async_test
+async def test_background_attempt_ends_at_latency_objective(latency_objective_ns: int, goes_on: bool) -> None:
+    settings = change_classes({"AimNs": latency_objective_ns})
+    async with (
+        run_endpoint(never_answer) as endpoint,
+        run_sidecar(endpoint.address, settings=settings) as sidecar,
+    ):
+        client = await sidecar.connect_client()
+        assert (await client.exchange(request_bytes(deadline="1"))).status == 503
+        if not goes_on:
+            assert not sidecar.dispatcher.upstream.background_attempts
+            assert not sidecar.dispatcher.ledger.in_flight
+        [received] = endpoint.received_requests
+        await received.connection_closed.wait()  # in either case
+        assert not sidecar.dispatcher.upstream.background_attempts
+        assert not sidecar.dispatcher.ledger.in_flight
+
+
+@async_test
+async def test_early_deadline_timer_starts_no_second_attempt() -> None:
+    """The event loop rounds its timers. A further attempt would be a second copy in flight."""
+    settings = change_classes({"AimNs": 8_000_000_000})
+    async with (
+        run_endpoint(never_answer) as first,
+        run_endpoint(never_answer) as second,
+        run_sidecar(first.address, second.address, settings=settings) as sidecar,
+    ):
+        started_at_ns = sidecar.dispatcher.now_ns()
+        # For the policy the deadline never comes; for the event loop it does.
+        sidecar.dispatcher.now_ns = lambda: started_at_ns
+        client = await sidecar.connect_client()
+        assert (await client.exchange(request_bytes(deadline="0.2"))).status == 503
+        assert len(sidecar.dispatcher.upstream.background_attempts) == 1
+        assert (await sidecar.wait_for_event(is_attempt_completed)).outcome == AttemptOutcome.TIMEOUT
+        further = await sidecar.wait_for_event(
+            lambda event: isinstance(event, AttemptCompleted) and event.attempt_index == 1
+        )
+        assert further.outcome == AttemptOutcome.NOT_SENT
+        assert first.connection_count + second.connection_count == 1
+
+
+@async_test
+async def test_attempt_keeps_its_connection_after_client_disconnected() -> None:
+    may_answer = asyncio.Event()
+
+    async def answer_later(_request: ReceivedRequest) -> bytes:
+        await may_answer.wait()
+        return ok_response()
+
+    async with run_endpoint(answer_later) as endpoint, run_sidecar(endpoint.address) as sidecar:
+        client = await sidecar.connect_client()
+        client.writer.write(request_bytes())
+        await endpoint.request_arrived.wait()
+        client.writer.close()
+        await sidecar.wait_for_event(lambda event: isinstance(event, ClientDisconnected))
+        may_answer.set()
+        assert (await sidecar.wait_for_event(is_attempt_completed)).request_finished
+        next_client = await sidecar.connect_client()
+        assert (await next_client.exchange(request_bytes())).status == 200
+        assert endpoint.connection_count == 1
+        assert len(endpoint.received_requests) == 2
+
+
+@async_test
+async def test_request_is_not_retried_after_client_disconnected() -> None:
+    may_answer = asyncio.Event()
+
+    async def decline(_request: ReceivedRequest) -> bytes:
+        await may_answer.wait()
+        return b"HTTP/1.1 503 X\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n"
+
+    async with (
+        run_endpoint(decline) as first,
+        run_endpoint(decline) as second,
+        run_sidecar(first.address, second.address) as sidecar,
+    ):
+        client = await sidecar.connect_client()
+        client.writer.write(request_bytes())
+        await wait_until(lambda: first.received_requests or second.received_requests)
+        client.writer.close()
+        await sidecar.wait_for_event(lambda event: isinstance(event, ClientDisconnected))
+        may_answer.set()
+        completed = await sidecar.wait_for_event(is_attempt_completed)
+        assert (completed.outcome, completed.request_finished) == (AttemptOutcome.REJECTED, True)
+        assert not sidecar.dispatcher.ledger.in_flight
+        assert len(first.received_requests) + len(second.received_requests) == 1
+
+
+@async_test
+async def test_stale_events_and_actions_are_ignored() -> None:
+    async with run_endpoint(answer_ok) as endpoint, run_sidecar(endpoint.address) as sidecar:
+        client = await sidecar.connect_client()
+        assert (await client.exchange(request_bytes())).status == 200
+        completed = await sidecar.wait_for_event(is_attempt_completed)
+        for stale_event in (
+            completed,
+            ClientDisconnected(completed.request_id),
+            TimerFired(completed.request_id + 1),
+            TimerFired(77),
+        ):
+            sidecar.dispatcher.dispatch(stale_event)
+        # The request is over: the attempt must not start.
+        sidecar.dispatcher.execute(StartAttempt(completed.request_id, completed.endpoint_id, 0))
+        assert (await client.exchange(request_bytes())).status == 200
+        assert len(endpoint.received_requests) == 2
+
+
+@async_test
+async def test_client_error_is_neither_retried_nor_counted_as_failure() -> None:
+    """An invalid request fails at any endpoint, which says nothing of the endpoints that refuse it."""
+
+    async def answer_bad_request(_request: ReceivedRequest) -> bytes:
+        return b"HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n"
+
+    async with (
+        run_endpoint(answer_bad_request) as first,
+        run_endpoint(answer_bad_request) as second,
+        run_sidecar(first.address, second.address) as sidecar,
+    ):
+        client = await sidecar.connect_client()
+        for request_count in range(1, 5):
+            assert (await client.exchange(request_bytes())).status == 503
+            assert len(first.received_requests) + len(second.received_requests) == request_count
+        states = sidecar.balancer.membership.endpoints.values()
+        for state in states:
+            assert (state.failure_rate, state.consecutive_failures, state.in_flight) == (0.0, 0, 0)
+        assert len(states) == 2
--- /dev/null
+++ b/tests/sidecar/upstream/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the sidecar's side of the endpoints."""
--- /dev/null
+++ b/tests/sidecar/upstream/harness.py
@@ -0,0 +1,183 @@
+"""What the tests of the upstream side share: endpoints that answer in raw bytes, and connections on hold."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+import struct
+from collections.abc import AsyncIterator, Callable
+from enum import Enum, auto
+
+import pytest
+
+from balancer.policy_api import EndpointUpdateKind
+from balancer.sidecar.endpoint_list import derive_endpoint_id
+from balancer.sidecar.upstream.attempt import Attempt, CompletionCallback
+from balancer.sidecar.upstream.connection import UpstreamConnection
+from balancer.sidecar.upstream.manager import UpstreamManager
+from balancer.sidecar.upstream.pool import EndpointPool
+from tests.sidecar.harness import (
+    ReceivedRequest,
+    Script,
+    Sidecar,
+    endpoint_entry,
+    endpoint_list,
+    request_bytes,
+    wait_until,
+)
+
+HEAD_WITHOUT_LENGTH = b"HTTP/1.1 200 OK\r\nX-Shard: 7\r\n\r\n"
+"""The head of a response whose body ends with the connection."""
+
+CHUNKED_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+"""The value of SO_LINGER with which closing a socket resets its connection."""
+
+
+def respond_with(response: bytes) -> Script:
+    """Return a script that answers every request with these bytes."""
+
+    async def script(_request: ReceivedRequest) -> bytes:
+        return response
+
+    return script
+
+
+class ConnectionEnd(Enum):
+    """What a raw endpoint does with its connection once the response is written."""
+
+    CLOSE = auto()
+    RESET = auto()
+    NEVER = auto()
+    """It waits until the sidecar closes the connection."""
+
+
+class RawEndpoint:
+    """An endpoint that writes the same bytes to each connection and then ends it."""
+
+    def __init__(self, response: bytes, ending: ConnectionEnd) -> None:
+        self.response = response
+        self.ending = ending
+        self.connections: list[asyncio.StreamWriter] = []
+        self.connection_ended = asyncio.Event()
+
+    async def serve_connection(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Answer one request."""
+        self.connections.append(writer)
+        with contextlib.suppress(ConnectionError):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(self.response)
+            await writer.drain()
+            if self.ending is ConnectionEnd.RESET:
+                connected_socket = writer.get_extra_info("socket")
+                connected_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+                writer.transport.abort()
+            elif self.ending is ConnectionEnd.NEVER:
+                await reader.read()
+        self.connection_ended.set()
+        writer.close()
+
+
+@contextlib.asynccontextmanager
+async def run_raw_endpoint(response: bytes, ending: ConnectionEnd) -> AsyncIterator[tuple[RawEndpoint, str]]:
+    """Run a raw endpoint, and return it with its address."""
+    endpoint = RawEndpoint(response, ending)
+    server = await asyncio.start_server(endpoint.serve_connection, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    try:
+        yield endpoint, f"{host}:{port}"
+    finally:
+        server.close()
+
+
+class ConnectGate:
+    """Holds every connect of a sidecar to its endpoints until it is opened.
+
+    Args:
+        sidecar: the sidecar whose connects are held.
+        holds_established: whether a connection is made at once and then held, or made only after the hold.
+        first_error: raised in place of the first connection.
+    """
+
+    def __init__(
+        self, sidecar: Sidecar, *, holds_established: bool = True, first_error: OSError | None = None
+    ) -> None:
+        self.opened = asyncio.Event()
+        self.reached = asyncio.Event()
+        """Set once any connect is held."""
+        self.connect_count = 0
+        """How many connects have reached the gate."""
+        self._holds_established = holds_established
+        self._first_error = first_error
+        self._connect = sidecar.dispatcher.upstream.connect
+        sidecar.dispatcher.upstream.connect = self._connect_when_opened  # type: ignore[method-assign]
+
+    async def _connect_when_opened(self, pool: EndpointPool) -> UpstreamConnection:
+        connection = await self._connect(pool) if self._holds_established else None
+        self.connect_count += 1
+        self.reached.set()
+        await self.opened.wait()
+        if connection is None:
+            return await self._connect(pool)
+        if self._first_error is not None and self.connect_count == 1:
+            connection.close()
+            raise self._first_error
+        return connection
+
+
+class RestGate:
+    """Holds every attempt that waits until a connection has rested; the time of the upstream side stands."""
+
+    def __init__(self, sidecar: Sidecar, monkeypatch: pytest.MonkeyPatch) -> None:
+        upstream = sidecar.dispatcher.upstream
+        self.now_ns = upstream.now_ns()
+        self.waiting: list[asyncio.Future[None]] = []
+        self._is_open = False
+        self._sleep = asyncio.sleep
+        upstream.now_ns = lambda: self.now_ns
+        monkeypatch.setattr(asyncio, "sleep", self._hold)
+
+    async def _hold(self, seconds: float) -> None:
+        if not seconds or self._is_open:
+            await self._sleep(0)
+            return
+        release = asyncio.get_running_loop().create_future()
+        self.waiting.append(release)
+        await release
+
+    async def wait_for_attempts(self, count: int) -> None:
+        """Wait until this many attempts were held."""
+        await wait_until(lambda: len(self.waiting) >= count)
+
+    def release_first(self) -> None:
+        """Let the attempt that was held first go on."""
+        self.waiting[0].set_result(None)
+
+    def release_all(self) -> None:
+        """Let every attempt go on, also those that have not come to wait yet."""
+        self._is_open = True
+        for release in self.waiting:
+            release.set_result(None)
+
+
+def start_attempt(
+    upstream: UpstreamManager,
+    endpoint_name: str,
+    on_completed: CompletionCallback,
+    start_before_ns: int = 0,
+    build_payload: Callable[[], bytes] = request_bytes,
+) -> Attempt:
+    """Start an attempt at an endpoint, which must take new requests."""
+    endpoint_id = derive_endpoint_id(endpoint_name)
+    attempt = upstream.create_attempt(endpoint_id, build_payload, on_completed, start_before_ns)
+    assert attempt is not None
+    attempt.start()
+    return attempt
+
+
+def move_endpoint(sidecar: Sidecar, address: str, health: str = "up") -> None:
+    """Give the sidecar a delta with this address and health of the endpoint s-0."""
+    document = endpoint_list(2, endpoint_entry("s-0", address, health), whole=False)
+    sidecar.update_endpoints(document, EndpointUpdateKind.DELTA)
--- /dev/null
+++ b/tests/sidecar/upstream/test_manager.py
@@ -0,0 +1,186 @@
+"""Tests of the owner of all upstream connections: its limits, and that nothing stays open or counted."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import os
+import socket
+from collections.abc import Callable, Iterator
+from typing import Any, cast
+
+import pytest
+
+from balancer.policy_api import AttemptOutcome, EndpointUpdateKind
+from balancer.sidecar.configuration import parse_configuration
+from balancer.sidecar.http_message import MAX_RESPONSE_BODY_BYTES, HttpResponse
+from balancer.sidecar.upstream.connection import UpstreamConnection
+from balancer.sidecar.upstream.manager import UpstreamManager
+from balancer.time_units import SECOND_NS
+from tests.sidecar.harness import (
+    SETTINGS,
+    answer_ok,
+    async_test,
+    configuration,
+    endpoint_entry,
+    endpoint_list,
+    is_attempt_completed,
+    never_answer,
+    ok_response,
+    request_bytes,
+    run_endpoint,
+    run_sidecar,
+    wait_until,
+)
+from tests.sidecar.upstream.harness import (
+    HEAD_WITHOUT_LENGTH,
+    ConnectionEnd,
+    respond_with,
+    run_raw_endpoint,
+    start_attempt,
+)
+
+
+class LosingLoop:
+    """Makes connections that are lost before the task that waits for them runs again."""
+
+    def __init__(self) -> None:
+        self._loop = asyncio.get_running_loop()
+
+    async def create_connection(
+        self, factory: Callable[[], UpstreamConnection], *address: Any
+    ) -> tuple[asyncio.BaseTransport, UpstreamConnection]:
+        """Make a connection, and return once it is lost."""
+        transport, connection = await self._loop.create_connection(factory, *address)
+        transport.abort()
+        await wait_until(lambda: connection.transport is None)
+        return transport, connection
+
+
+@async_test
+async def test_connection_lost_as_soon_as_established_is_not_counted() -> None:
+    async with run_endpoint(answer_ok) as endpoint:
+        config = parse_configuration(configuration(endpoint.address))
+        loop = cast(asyncio.AbstractEventLoop, LosingLoop())
+        upstream = UpstreamManager(config, loop, lambda: SECOND_NS)
+        upstream.update_endpoints(config.known_endpoints.endpoints, is_snapshot=True)
+        [pool] = upstream.pools.values()
+        connection = await upstream.connect(pool)
+        assert upstream.open_connection_count == 0
+        assert not connection.is_reusable()
+        assert connection.send(request_bytes(), lambda _response: None) is False
+
+
+@async_test
+async def test_idle_connection_makes_room_at_limit_else_attempt_ends_unsent() -> None:
+    async with (
+        run_endpoint(never_answer) as silent,
+        run_endpoint(answer_ok) as answering,
+        run_sidecar(silent.address, limits={"sockets": 2}) as sidecar,
+    ):
+        upstream = sidecar.dispatcher.upstream
+        delta = endpoint_list(2, endpoint_entry("s-1", answering.address), whole=False)
+        sidecar.update_endpoints(delta, EndpointUpdateKind.DELTA)
+        outcomes: asyncio.Queue[AttemptOutcome] = asyncio.Queue()
+
+        def on_completed(outcome: AttemptOutcome, _response: HttpResponse | None) -> None:
+            outcomes.put_nowait(outcome)
+
+        start_attempt(upstream, "s-1", on_completed)
+        # Its connection is idle then, and the only one that is allowed.
+        assert await outcomes.get() == AttemptOutcome.SUCCESS
+        start_attempt(upstream, "s-0", on_completed)
+        await silent.request_arrived.wait()
+        start_attempt(upstream, "s-1", on_completed)
+        # The lack of room is this sidecar's: it must not look like a failure of the endpoint.
+        assert await outcomes.get() == AttemptOutcome.NOT_SENT
+        assert len(answering.received_requests) == 1
+
+
+@async_test
+async def test_response_bodies_are_limited_together_not_to_64_kib() -> None:
+    """Endpoints send several times the 64 KiB that the protocol names, and must not look broken then."""
+    body = b"x" * 400_000
+    async with (
+        run_endpoint(respond_with(ok_response(body))) as endpoint,
+        run_sidecar(endpoint.address) as sidecar,
+    ):
+        client = await sidecar.connect_client()
+        assert await client.exchange(request_bytes()) == (200, {b"content-length": b"400000"}, body)
+        budget = sidecar.dispatcher.upstream.buffer_budget
+        assert budget.used_bytes == 0
+        budget.max_bytes = 300_000
+        assert (await client.exchange(request_bytes("post"))).status == 502
+        assert budget.used_bytes == 0
+
+
+@pytest.mark.parametrize("max_buffered_bytes", [MAX_RESPONSE_BODY_BYTES // 2, 3 * MAX_RESPONSE_BODY_BYTES])
+@async_test
+async def test_too_long_response_without_length_is_refused_before_it_ends(max_buffered_bytes: int) -> None:
+    """By the limit of one response, and by that of all together."""
+    response = HEAD_WITHOUT_LENGTH + b"x" * 2 * MAX_RESPONSE_BODY_BYTES
+    async with (
+        run_raw_endpoint(response, ConnectionEnd.NEVER) as (endpoint, address),
+        run_sidecar(address) as sidecar,
+    ):
+        budget = sidecar.dispatcher.upstream.buffer_budget
+        budget.max_bytes = max_buffered_bytes
+        client = await sidecar.connect_client()
+        assert (await client.exchange(request_bytes("post"))).status == 502
+        assert (await sidecar.wait_for_event(is_attempt_completed)).outcome == AttemptOutcome.CONNECTION_RESET
+        await endpoint.connection_ended.wait()  # which the endpoint itself would keep open
+        assert budget.used_bytes == 0
+
+
+def count_open_descriptors() -> int:
+    """Return how many file descriptors this process has open."""
+    return len(os.listdir("/proc/self/fd"))
+
+
+@contextlib.contextmanager
+def unresponsive_address() -> Iterator[str]:
+    """An address that completes no connect: its backlog is full of connections that nobody accepts."""
+    with socket.socket() as listening, contextlib.ExitStack() as stack:
+        listening.bind(("127.0.0.1", 0))
+        listening.listen(0)
+        host, port = listening.getsockname()
+        for _ in range(8):
+            waiting = stack.enter_context(socket.socket())
+            waiting.setblocking(False)
+            waiting.connect_ex((host, port))
+        yield f"{host}:{port}"
+
+
+@pytest.mark.parametrize(
+    ("connect_timeout_ns", "is_aborted", "outcome"),
+    [
+        (50_000_000, False, AttemptOutcome.CONNECT_FAILED),
+        (9_000_000_000, True, AttemptOutcome.CANCELLED),
+    ],
+    ids=["timeout", "abort"],
+)
+@async_test
+async def test_abandoned_connect_leaves_nothing_open(
+    connect_timeout_ns: int, is_aborted: bool, outcome: AttemptOutcome
+) -> None:
+    """Neither a descriptor nor a place in the count is left."""
+    settings = SETTINGS | {"Limits": {"ConnectTimeoutNs": connect_timeout_ns}}
+    with unresponsive_address() as address:
+        async with run_sidecar(address, settings=settings) as sidecar:
+            upstream = sidecar.dispatcher.upstream
+            descriptors_before = count_open_descriptors()
+            outcomes: list[AttemptOutcome] = []
+            attempts = [
+                start_attempt(upstream, "s-0", lambda outcome, _response: outcomes.append(outcome))
+                for _ in range(5)
+            ]
+            await wait_until(lambda: count_open_descriptors() >= descriptors_before + 5)
+            assert upstream.open_connection_count == 5
+            if is_aborted:
+                for attempt in attempts:
+                    attempt.abort(AttemptOutcome.CANCELLED)
+            await wait_until(lambda: len(outcomes) >= 5 and not upstream.open_connection_count)
+            await wait_until(lambda: count_open_descriptors() <= descriptors_before)
+            assert upstream.open_connection_count == 0
+            assert not upstream.background_attempts
+            assert outcomes == [outcome] * 5
--- a/tests/test_response_parser.py
+++ b/tests/sidecar/upstream/test_response_parser.py
@@ -1,7 +1,8 @@
-"""The parser of responses: what it refuses, with which error, and what it leaves of a connection."""
+"""Tests of the response parser: what it refuses, with which error, and whether a connection is kept."""
 
 from __future__ import annotations
 
+import httptools
 import pytest
 
 from balancer.sidecar.http_message import MAX_HEAD_BYTES, HttpResponse
@@ -13,6 +14,7 @@
     ResponseParser,
     ResponseTooLargeError,
 )
+from tests.sidecar.harness import ok_response
 
 MAX_BODY_BYTES = 1000
 COMPLETE = b"HTTP/1.1 200 OK\r\nX-Shard: 7\r\nContent-Length: 4\r\n\r\ndone"
@@ -20,16 +22,16 @@
 WITHOUT_LENGTH = b"HTTP/1.1 200 OK\r\n\r\n"
 
 
-def expecting_a_response(budget_bytes: int = 10 * MAX_BODY_BYTES) -> ResponseParser:
+def parser_of_next_response(budget_bytes: int = 10 * MAX_BODY_BYTES) -> ResponseParser:
     parser = ResponseParser(BufferBudget(budget_bytes))
     parser.begin_response(MAX_BODY_BYTES)
     return parser
 
 
-@pytest.mark.parametrize("part_bytes", [1, 7, len(COMPLETE)])
-def test_a_response_is_the_same_in_any_parts(part_bytes: int) -> None:
-    parser = expecting_a_response()
-    parts = [COMPLETE[at : at + part_bytes] for at in range(0, len(COMPLETE), part_bytes)]
+@pytest.mark.parametrize("part_length", [1, 7, len(COMPLETE)])
+def test_response_is_the_same_however_it_is_split(part_length: int) -> None:
+    parser = parser_of_next_response()
+    parts = [COMPLETE[start : start + part_length] for start in range(0, len(COMPLETE), part_length)]
     responses = [parser.feed(part) for part in parts]
     assert responses[:-1] == [None] * (len(parts) - 1)
     assert responses[-1] == HttpResponse(200, [(b"x-shard", b"7"), (b"content-length", b"4")], b"done")
@@ -53,16 +55,16 @@
     ],
     ids=["stated length", "no length", "chunk", "header", "unfinished header", "chunk extension"],
 )
-def test_a_response_that_is_too_large_is_refused(raw: bytes, size_bytes: int, max_bytes: int) -> None:
+def test_too_large_response_is_refused(raw: bytes, size_bytes: int, max_bytes: int) -> None:
     with pytest.raises(ResponseTooLargeError) as caught:
-        expecting_a_response().feed(raw)
+        parser_of_next_response().feed(raw)
     assert (caught.value.size_bytes, caught.value.max_bytes) == (size_bytes, max_bytes)
 
 
-def test_a_length_that_is_stated_twice_is_refused() -> None:
+def test_response_with_two_transfer_encodings_is_refused() -> None:
     raw = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n\r\n"
     with pytest.raises(AmbiguousLengthError) as caught:
-        expecting_a_response().feed(raw)
+        parser_of_next_response().feed(raw)
     assert caught.value.statements == (b"gzip", b"chunked")
 
 
@@ -77,12 +79,12 @@
     ],
     ids=["noise", "length", "two lengths", "length and chunked", "upgrade"],
 )
-def test_what_is_no_response_is_refused(raw: bytes) -> None:
+def test_malformed_response_is_refused(raw: bytes) -> None:
     with pytest.raises(MalformedResponseError):
-        expecting_a_response().feed(raw)
+        parser_of_next_response().feed(raw)
 
 
-def test_bodies_are_refused_beyond_the_budget_that_they_share() -> None:
+def test_body_beyond_shared_buffer_budget_is_refused() -> None:
     budget = BufferBudget(1500)
     first, second = ResponseParser(budget), ResponseParser(budget)
     for parser in (first, second):
@@ -98,16 +100,16 @@
 
 
 @pytest.mark.parametrize("more", [b" noise", COMPLETE, b"HTTP/1.1 103 Early Hints\r\n\r\n"])
-def test_bytes_after_a_response_leave_it_valid_and_its_connection_unfit(more: bytes) -> None:
-    parser = expecting_a_response()
+def test_surplus_bytes_leave_response_valid_and_close_connection(more: bytes) -> None:
+    parser = parser_of_next_response()
     response = parser.feed(COMPLETE + more)
     assert response is not None
     assert (response.status, response.body) == (200, b"done")
     assert not parser.keeps_connection
 
 
-def test_the_end_of_the_connection_completes_a_response_without_length_only() -> None:
-    parser = expecting_a_response()
+def test_end_of_connection_completes_only_response_without_length() -> None:
+    parser = parser_of_next_response()
     assert parser.response_at_end_of_connection() is None
     assert parser.feed(WITHOUT_LENGTH + b"do") is None
     assert parser.feed(b"ne") is None
@@ -117,6 +119,20 @@
     assert parser.response_at_end_of_connection() is None
 
 
-def test_interim_responses_are_skipped_with_their_headers() -> None:
-    response = expecting_a_response().feed(b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + COMPLETE)
+def test_interim_response_is_skipped_with_its_headers() -> None:
+    response = parser_of_next_response().feed(b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + COMPLETE)
     assert response == HttpResponse(200, [(b"x-shard", b"7"), (b"content-length", b"4")], b"done")
+
+
+def test_httptools_reports_keep_alive_only_inside_its_callback() -> None:
+    """The parser relies on it: asked later, httptools answers that the connection is not kept."""
+    answers: list[bool] = []
+
+    class Callbacks:
+        def on_message_complete(self) -> None:
+            answers.append(parser.should_keep_alive())
+
+    parser = httptools.HttpResponseParser(Callbacks())
+    parser.feed_data(ok_response())
+    assert answers == [True]
+    assert not parser.should_keep_alive()
