Call the time before a connection is reused its reuse delay

Change: CONNECTION_REUSE_DELAY_NS, seconds_until_reusable, and the tests named after them; doc comments in the same words.

--- a/balancer/sidecar/upstream/attempt.py
+++ b/balancer/sidecar/upstream/attempt.py
@@ -103,10 +103,10 @@
 
     - NEW: not started. `start` writes the request to an idle connection (IN_FLIGHT), else waits for a
       connection (CONNECTING), else ends, as there is no room for one.
-    - CONNECTING: a task waits until a used connection has rested or a new one is made. Once there is one the
-      request is written (IN_FLIGHT), unless there is none, it is too late or the endpoint takes nothing new
-      any more, which ends the attempt. `detach`, `expire` and `continue_in_background` report that nothing
-      was sent (DETACHED).
+    - CONNECTING: a task waits until the reuse delay of a used connection is over, or a new one is made. Once
+      there is one the request is written (IN_FLIGHT), unless there is none, it is too late or the endpoint
+      takes nothing new any more, which ends the attempt. `detach`, `expire` and `continue_in_background`
+      report that nothing was sent (DETACHED).
     - DETACHED: reported, while the connection is still being made. It goes to the pool, which ends the
       attempt.
     - IN_FLIGHT: the request is written, or a part of it. A response or the loss of the connection ends the
@@ -167,10 +167,10 @@
         if connection is not None:
             self._send(connection)
             return
-        rest_seconds = self._pool.seconds_until_rested(provider.now_ns())
-        if rest_seconds > 0 or provider.make_room():
+        reuse_delay_seconds = self._pool.seconds_until_reusable(provider.now_ns())
+        if reuse_delay_seconds > 0 or provider.make_room():
             self._state = AttemptState.CONNECTING
-            self._connect_task = provider.loop.create_task(self._connect_and_send(rest_seconds))
+            self._connect_task = provider.loop.create_task(self._connect_and_send(reuse_delay_seconds))
         else:
             # The lack of room is this sidecar's: it says nothing of the endpoint.
             self._end(AttemptOutcome.NOT_SENT)
@@ -220,11 +220,11 @@
 
     # ---- connecting
 
-    async def _connect_and_send(self, rest_seconds: float) -> None:
+    async def _connect_and_send(self, reuse_delay_seconds: float) -> None:
         connection: UpstreamConnection | None = None
         failure_outcome = AttemptOutcome.NOT_SENT
         try:
-            connection = await self._obtain_connection(rest_seconds)
+            connection = await self._obtain_connection(reuse_delay_seconds)
         except ConnectError as error:
             failure_outcome = error.attempt_outcome
         self._connect_task = None
@@ -235,14 +235,14 @@
         else:
             self._use_new_connection(connection)
 
-    async def _obtain_connection(self, rest_seconds: float) -> UpstreamConnection | None:
-        """Return a connection that has rested, which is cheaper than a handshake, or else a new one.
+    async def _obtain_connection(self, reuse_delay_seconds: float) -> UpstreamConnection | None:
+        """Return a used connection after its reuse delay, which is cheaper than a handshake, else a new one.
 
-        Returns None where the attempt was detached during the rest: then neither is of use. Raises
+        Returns None where the attempt was detached during the delay: then neither is of use. Raises
         ConnectError.
         """
-        if rest_seconds > 0:
-            await asyncio.sleep(rest_seconds + TIMER_RESOLUTION_SECONDS)
+        if reuse_delay_seconds > 0:
+            await asyncio.sleep(reuse_delay_seconds + TIMER_RESOLUTION_SECONDS)
             if self._state is not AttemptState.CONNECTING:
                 return None
             connection = self._pool.acquire(self._provider.now_ns())
--- a/balancer/sidecar/upstream/pool.py
+++ b/balancer/sidecar/upstream/pool.py
@@ -7,8 +7,8 @@
 from balancer.sidecar.upstream.connection import UpstreamConnection
 from balancer.time_units import SECOND_NS
 
-CONNECTION_REST_NS = SECOND_NS // 125
-"""How long a connection rests between two requests.
+CONNECTION_REUSE_DELAY_NS = SECOND_NS // 125
+"""How long a connection that was used takes no further request.
 
 A second response to one request may come some milliseconds after the first. Taken for the response to a
 request that was written meanwhile, it would be passed on, or say that the request was never executed.
@@ -49,15 +49,15 @@
         self.close_idle_connections()
 
     def acquire(self, now_ns: int) -> UpstreamConnection | None:
-        """Take the most recently used connection that has rested and is still good, or None.
+        """Take the most recently used connection whose reuse delay is over and that is still good, or None.
 
         The most recently used one goes first so that the surplus grows old and closes.
         """
-        rested_since_ns = now_ns - CONNECTION_REST_NS
+        reusable_since_ns = now_ns - CONNECTION_REUSE_DELAY_NS
         usable_after_ns = now_ns - self._max_idle_ns
         for index in range(len(self.idle_connections) - 1, -1, -1):
             connection = self.idle_connections[index]
-            if connection.idle_since_ns > rested_since_ns:
+            if connection.idle_since_ns > reusable_since_ns:
                 continue
             del self.idle_connections[index]
             if connection.idle_since_ns > usable_after_ns and connection.is_reusable():
@@ -76,13 +76,16 @@
         while self.idle_connections[0].idle_since_ns < now_ns - SURPLUS_IDLE_NS:
             self.close_longest_idle()  # but never the one that was released just now
 
-    def seconds_until_rested(self, now_ns: int) -> float:
-        """Return in how many seconds the first idle connection will have rested; 0 if none is idle."""
-        rest_ns = min(
-            (connection.idle_since_ns + CONNECTION_REST_NS - now_ns for connection in self.idle_connections),
+    def seconds_until_reusable(self, now_ns: int) -> float:
+        """Return in how many seconds the first idle connection may be reused; 0 if none is idle."""
+        remaining_delay_ns = min(
+            (
+                connection.idle_since_ns + CONNECTION_REUSE_DELAY_NS - now_ns
+                for connection in self.idle_connections
+            ),
             default=0,
         )
-        return rest_ns / SECOND_NS
+        return remaining_delay_ns / SECOND_NS
 
     def discard(self, connection: UpstreamConnection) -> None:
         """Forget a connection that is lost, if it was idle here."""
--- a/benchmarks/command_line.py
+++ b/benchmarks/command_line.py
@@ -36,6 +36,7 @@
     """Says in one line what is wrong with the arguments, without the usage."""
 
     def error(self, message: str) -> NoReturn:
+        """Print the message and exit with status 2."""
         self.exit(2, f"{self.prog}: {message}\n")
 
 
--- a/tests/sidecar/test_overload_over_sockets.py
+++ b/tests/sidecar/test_overload_over_sockets.py
@@ -197,7 +197,7 @@
     POST_COUNT = 4
     """How many posts are sent at once: so many that each endpoint gets one, however the reads are split."""
     PAUSE_NS = 15 * MILLISECOND_NS
-    """How long after the answers the next posts are sent: their connections have rested then."""
+    """How long after the answers the next posts are sent: their connections have waited then."""
 
     def __init__(self, manual_time: ManualTime) -> None:
         self.hung: list[ReceivedRequest] = []
--- a/tests/sidecar/upstream/harness.py
+++ b/tests/sidecar/upstream/harness.py
@@ -127,8 +127,8 @@
         return connection
 
 
-class RestGate:
-    """Holds every attempt that waits until a connection has rested; the time of the upstream side stands."""
+class ReuseDelayGate:
+    """Holds every attempt that waits for a reuse delay; the clock of the upstream side stands still."""
 
     def __init__(self, sidecar: Sidecar, monkeypatch: pytest.MonkeyPatch) -> None:
         upstream = sidecar.dispatcher.upstream
--- a/tests/sidecar/upstream/test_attempt.py
+++ b/tests/sidecar/upstream/test_attempt.py
@@ -18,7 +18,7 @@
 from balancer.sidecar.upstream.attempt import AttemptState
 from balancer.sidecar.upstream.connection import UpstreamConnection
 from balancer.sidecar.upstream.manager import UpstreamManager
-from balancer.sidecar.upstream.pool import CONNECTION_REST_NS, EndpointPool
+from balancer.sidecar.upstream.pool import CONNECTION_REUSE_DELAY_NS, EndpointPool
 from balancer.time_units import SECOND_NS
 from tests.sidecar.harness import (
     SETTINGS,
@@ -44,7 +44,7 @@
     HEAD_WITHOUT_LENGTH,
     ConnectGate,
     ConnectionEnd,
-    RestGate,
+    ReuseDelayGate,
     move_endpoint,
     respond_with,
     run_raw_endpoint,
@@ -270,13 +270,13 @@
 
 
 @async_test
-async def test_no_connection_is_opened_after_client_disconnected_during_rest(
+async def test_no_connection_is_opened_after_client_disconnected_during_reuse_delay(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    """The attempt waits until a connection has rested, and ends unsent."""
+    """The attempt waits for the reuse delay of a connection, and ends unsent."""
     async with run_endpoint(answer_ok) as endpoint, run_sidecar(endpoint.address) as sidecar:
         upstream = sidecar.dispatcher.upstream
-        rest_gate = RestGate(sidecar, monkeypatch)  # no connection rests enough
+        reuse_delay_gate = ReuseDelayGate(sidecar, monkeypatch)  # no connection becomes reusable
         client = await sidecar.connect_client()
         next_client = await sidecar.connect_client()
         assert (await client.exchange(request_bytes())).status == 200
@@ -286,8 +286,8 @@
         )
         client.writer.close()
         await sidecar.wait_for_event(lambda event: isinstance(event, ClientDisconnected))
-        await rest_gate.wait_for_attempts(1)
-        rest_gate.release_all()
+        await reuse_delay_gate.wait_for_attempts(1)
+        reuse_delay_gate.release_all()
         await wait_until(lambda: not upstream.background_attempts)
         assert endpoint.connection_count == 1
         assert len(endpoint.received_requests) == 1
@@ -391,7 +391,7 @@
 
 
 @async_test
-async def test_attempt_goes_to_current_address_after_waiting_for_rest(
+async def test_attempt_goes_to_current_address_after_waiting_for_reuse_delay(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     async with (
@@ -399,13 +399,13 @@
         run_endpoint(answer_ok) as current,
         run_sidecar(former.address) as sidecar,
     ):
-        rest_gate = RestGate(sidecar, monkeypatch)
+        reuse_delay_gate = ReuseDelayGate(sidecar, monkeypatch)
         client = await sidecar.connect_client()
         assert (await client.exchange(request_bytes("post"))).status == 200
         client.writer.write(request_bytes("post"))
-        await rest_gate.wait_for_attempts(1)
+        await reuse_delay_gate.wait_for_attempts(1)
         move_endpoint(sidecar, current.address)
-        rest_gate.release_first()
+        reuse_delay_gate.release_first()
         assert (await client.read_response()).status == 200
         assert (len(former.received_requests), len(current.received_requests)) == (1, 1)
 
@@ -416,7 +416,7 @@
     late: bool, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     async with run_endpoint(answer_ok) as endpoint, run_sidecar(endpoint.address) as sidecar:
-        rest_gate = RestGate(sidecar, monkeypatch)
+        reuse_delay_gate = ReuseDelayGate(sidecar, monkeypatch)
         upstream = sidecar.dispatcher.upstream
         outcomes = asyncio.Queue[AttemptOutcome]()
 
@@ -425,10 +425,10 @@
 
         start_attempt(upstream, "s-0", on_completed)
         assert await outcomes.get() == AttemptOutcome.SUCCESS
-        start_attempt(upstream, "s-0", on_completed, rest_gate.now_ns + 2 * CONNECTION_REST_NS)
-        await rest_gate.wait_for_attempts(1)
-        rest_gate.now_ns += 2 * CONNECTION_REST_NS - (not late)
-        rest_gate.release_first()
+        start_attempt(upstream, "s-0", on_completed, reuse_delay_gate.now_ns + 2 * CONNECTION_REUSE_DELAY_NS)
+        await reuse_delay_gate.wait_for_attempts(1)
+        reuse_delay_gate.now_ns += 2 * CONNECTION_REUSE_DELAY_NS - (not late)
+        reuse_delay_gate.release_first()
         assert await outcomes.get() == (AttemptOutcome.NOT_SENT if late else AttemptOutcome.SUCCESS)
         [pool] = upstream.pools.values()
         assert len(endpoint.received_requests) == (1 if late else 2)
--- a/tests/sidecar/upstream/test_pool.py
+++ b/tests/sidecar/upstream/test_pool.py
@@ -9,7 +9,7 @@
 from balancer.policy_api import ClientDisconnected, RequestReceived
 from balancer.sidecar.configuration import parse_configuration
 from balancer.sidecar.upstream.manager import UpstreamManager
-from balancer.sidecar.upstream.pool import CONNECTION_REST_NS, SURPLUS_IDLE_NS
+from balancer.sidecar.upstream.pool import CONNECTION_REUSE_DELAY_NS, SURPLUS_IDLE_NS
 from balancer.time_units import SECOND_NS
 from tests.sidecar.harness import (
     ReceivedRequest,
@@ -121,7 +121,7 @@
     "second_response", [ok_response(b"again"), b"HTTP/1.1 503 X\r\nSrv-Declined: 1\r\n\r\n"]
 )
 @async_test
-async def test_connection_is_not_reused_within_rest_period(second_response: bytes) -> None:
+async def test_connection_is_not_reused_within_reuse_delay(second_response: bytes) -> None:
     """A late second_response answer to one request would be taken for the answer to the next one."""
     may_send_second = asyncio.Event()
 
@@ -140,12 +140,12 @@
     async with run_sidecar(f"{host}:{port}") as sidecar:
         upstream = sidecar.dispatcher.upstream
         now_ns = upstream.now_ns()
-        upstream.now_ns = lambda: now_ns  # no connection rests enough
+        upstream.now_ns = lambda: now_ns  # no connection becomes reusable
         client = await sidecar.connect_client()
         assert (await client.exchange(request_bytes("post"))).status_and_body == (200, b"1")
         [pool] = upstream.pools.values()
         assert len(pool.idle_connections) == 1
-        assert pool.seconds_until_rested(now_ns) == CONNECTION_REST_NS / SECOND_NS
+        assert pool.seconds_until_reusable(now_ns) == CONNECTION_REUSE_DELAY_NS / SECOND_NS
         client.writer.write(request_bytes("post"))
         await sidecar.wait_for_event(
             lambda event: isinstance(event, RequestReceived) and event.request_id == 2
