--- a/deploy/example/account_server.py
+++ b/deploy/example/account_server.py
@@ -13,7 +13,8 @@
 
     def do_GET(self) -> None:
         """Answer a request, or a health check, with the address of this server."""
-        body = f"served by {self.server.server_address[1]}\n".encode()
+        port = self.connection.getsockname()[1]
+        body = f"served by {port}\n".encode()
         self.send_response(200)
         self.send_header("Content-Length", str(len(body)))
         self.end_headers()
--- a/tests/sidecar/upstream/test_attempt.py
+++ b/tests/sidecar/upstream/test_attempt.py
@@ -412,7 +412,7 @@
 
 @pytest.mark.parametrize("late", [False, True])
 @async_test
-async def test_attempt_waiting_for_rest_is_sent_within_its_start_window_or_not_at_all(
+async def test_attempt_waiting_for_reuse_delay_is_sent_within_its_start_window_or_not_at_all(
     late: bool, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     async with run_endpoint(answer_ok) as endpoint, run_sidecar(endpoint.address) as sidecar:
