Name the client side's clock by its unit and give its tests public properties to look at

Cause: Listener.now had no unit in its name, and tests of the client's side read private fields. ResponseSink's parameters bind by name, as those of Exchange do, so the type checker compares them. The tests follow the names only.

--- a/balancer/sidecar/client_request.py
+++ b/balancer/sidecar/client_request.py
@@ -10,13 +10,13 @@
 class ResponseSink(Protocol):
     """Takes the final answer of one request. One of the first three methods is called, once."""
 
-    def send_response(self, response: HttpResponse, /) -> None:
+    def send_response(self, response: HttpResponse) -> None:
         """Pass on an endpoint's successful response."""
 
-    def reject(self, retry_after_ns: int, /) -> None:
+    def reject(self, retry_after_ns: int) -> None:
         """Answer that the request was rejected and may be sent again, after this time (0: no advice)."""
 
-    def fail(self, timed_out: bool, /) -> None:
+    def fail(self, timed_out: bool) -> None:
         """Answer that the request failed, perhaps after it was executed; `timed_out`: by its time."""
 
     def is_disconnected(self) -> bool:
--- a/balancer/sidecar/downstream/connection.py
+++ b/balancer/sidecar/downstream/connection.py
@@ -43,7 +43,7 @@
     def linger_timeout_seconds(self) -> float:
         """How long a connection may linger."""
 
-    def now(self) -> float:
+    def now_seconds(self) -> float:
         """Return the event loop's time, in seconds."""
 
     def validate_request(self, head: RequestHead, body: bytes) -> ClientRequest:
@@ -87,7 +87,7 @@
         self._is_parsing = False
         self._is_write_blocked = False
         self._discarded_bytes = 0
-        self._waiting_since = 0.0
+        self._waiting_since_seconds = 0.0
 
     @property
     def is_connected(self) -> bool:
@@ -114,6 +114,31 @@
         """Whether our side is closed and the client's side is waited for."""
         return self._is_lingering
 
+    @property
+    def is_open(self) -> bool:
+        """Whether the event loop is not closing the connection, nor has reported it as lost."""
+        return self._transport.is_open()
+
+    @property
+    def is_reading_paused(self) -> bool:
+        """Whether nothing is read from the client for now."""
+        return self._transport.is_reading_paused
+
+    @property
+    def is_write_blocked(self) -> bool:
+        """Whether the client does not read its responses, so that they pile up."""
+        return self._is_write_blocked
+
+    @property
+    def has_partial_request(self) -> bool:
+        """Whether bytes of a request have been read that has not been taken yet."""
+        return not self._reader.is_empty
+
+    @property
+    def discarded_bytes(self) -> int:
+        """How many bytes were read and discarded after the last request."""
+        return self._discarded_bytes
+
     def is_disconnected(self) -> bool:
         """Whether the client has closed its side, asked of the socket."""
         return self._transport.is_peer_closed()
@@ -122,9 +147,9 @@
         """Whether bytes have arrived that have not been read yet."""
         return self._transport.has_unread_bytes()
 
-    def seconds_waited(self, now: float) -> float:
+    def seconds_waited(self, now_seconds: float) -> float:
         """Return for how long the connection has waited for what it waits for now."""
-        return now - self._waiting_since
+        return now_seconds - self._waiting_since_seconds
 
     # Events of the transport
 
@@ -278,13 +303,13 @@
     # Time limits
 
     def _restart_wait(self) -> None:
-        self._waiting_since = self._manager.now()
+        self._waiting_since_seconds = self._manager.now_seconds()
 
-    def enforce_timeouts(self, now: float, idle_timeout_seconds: float) -> None:
+    def enforce_timeouts(self, now_seconds: float, idle_timeout_seconds: float) -> None:
         """End the connection if it has waited for too long, or unnoticed by an event the client has left.
 
         Args:
-            now: the event loop's time, in seconds.
+            now_seconds: the event loop's time, in seconds.
             idle_timeout_seconds: the limit between requests.
         """
         if not self._transport.is_connected:
@@ -292,7 +317,7 @@
         if self._has_left_unnoticed():
             self.abort()
             return
-        waited = self.seconds_waited(now)
+        waited = self.seconds_waited(now_seconds)
         if self._is_lingering or not self._transport.is_open():
             if waited > self._manager.linger_timeout_seconds:
                 self.abort()
--- a/balancer/sidecar/downstream/connection_registry.py
+++ b/balancer/sidecar/downstream/connection_registry.py
@@ -74,7 +74,7 @@
         return oldest
 
     def select_eviction(
-        self, newcomer: DownstreamConnection, now: float, grace_seconds: float
+        self, newcomer: DownstreamConnection, now_seconds: float, grace_seconds: float
     ) -> DownstreamConnection:
         """Return the connection to close for a newcomer, which is that one itself if no other can be closed.
 
@@ -84,7 +84,7 @@
         once sent a request stand idle.
         """
         silent = self._oldest_silent()
-        if silent is not None and silent.seconds_waited(now) > grace_seconds:
+        if silent is not None and silent.seconds_waited(now_seconds) > grace_seconds:
             return silent
         return self._longest_idle() or silent or newcomer
 
--- a/balancer/sidecar/downstream/listener.py
+++ b/balancer/sidecar/downstream/listener.py
@@ -26,7 +26,7 @@
     Attributes:
         dispatcher: takes the valid requests.
         timeouts: the time limits of the connections.
-        now: returns the event loop's time, in seconds.
+        now_seconds: returns the event loop's time, in seconds.
         is_draining: whether connections end with the response after which they would be idle.
     """
 
@@ -39,14 +39,14 @@
     ) -> None:
         self.dispatcher = dispatcher
         self.timeouts = timeouts
-        self.now = loop.time
+        self.now_seconds = loop.time
         self.is_draining = False
         self._is_shutting_down = False
         self._validator = RequestValidator(config)
         self._connections = ConnectionRegistry(config.max_downstream_connections)
         self._all_closed = asyncio.Event()
         self._sweep_timer = OneShotTimer(loop)
-        self._started_at = self.now()
+        self._started_at_seconds = self.now_seconds()
 
     def __len__(self) -> int:
         """Return the number of open connections."""
@@ -59,6 +59,16 @@
             return self.timeouts.linger_shutdown_seconds
         return self.timeouts.linger_seconds
 
+    @property
+    def started_at_seconds(self) -> float:
+        """When the listener was made, by `now_seconds`."""
+        return self._started_at_seconds
+
+    @property
+    def accepting_connections(self) -> list[DownstreamConnection]:
+        """The connections that may send requests, those that have not sent one first."""
+        return self._connections.accepting()
+
     # Requests
 
     def validate_request(self, head: RequestHead, body: bytes) -> ClientRequest:
@@ -71,7 +81,7 @@
 
     def readiness_response(self) -> HttpResponse:
         """Return 200 once an endpoint is known or the time to wait for a list is over, else 503."""
-        seconds_since_start = self.now() - self._started_at
+        seconds_since_start = self.now_seconds() - self._started_at_seconds
         if self.dispatcher.has_endpoints or seconds_since_start >= self.timeouts.first_endpoint_list_seconds:
             return HttpResponse(HTTPStatus.OK, [], b"up\n")
         return HttpResponse(HTTPStatus.SERVICE_UNAVAILABLE, [], b"no endpoint is known yet\n")
@@ -83,7 +93,7 @@
         self._connections.add(connection)
         self._make_room(connection)
         if not self._sweep_timer.is_running:
-            self._sweep_timer.start(self.timeouts.sweep_interval_seconds, self._sweep)
+            self._sweep_timer.start(self.timeouts.sweep_interval_seconds, self.sweep)
 
     def on_request_accepted(self, connection: DownstreamConnection) -> None:
         """Note that a connection has sent a valid request."""
@@ -106,18 +116,18 @@
             connection.abort()
         if excess > len(aborted):
             grace_seconds = self.timeouts.eviction_grace_seconds
-            self._connections.select_eviction(newcomer, self.now(), grace_seconds).close()
+            self._connections.select_eviction(newcomer, self.now_seconds(), grace_seconds).close()
 
-    def _sweep(self) -> None:
-        """Close the connections that have waited for too long."""
-        now = self.now()
+    def sweep(self) -> None:
+        """Close the connections that have waited for too long, and do so again after the sweep interval."""
+        now_seconds = self.now_seconds()
         timeouts = self.timeouts
         is_crowded = self._connections.is_crowded
         idle_timeout_seconds = timeouts.idle_crowded_seconds if is_crowded else timeouts.idle_seconds
         for connection in self._connections.all():
-            connection.enforce_timeouts(now, idle_timeout_seconds)
+            connection.enforce_timeouts(now_seconds, idle_timeout_seconds)
         if len(self._connections):
-            self._sweep_timer.start(timeouts.sweep_interval_seconds, self._sweep)
+            self._sweep_timer.start(timeouts.sweep_interval_seconds, self.sweep)
 
     # Shutdown
 
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -210,7 +210,7 @@
     # Clients that asked once and stayed left sixteen places to all others, who lost theirs at once.
     async def test() -> None:
         async with endpoint(always_ok) as served, sidecar(served.dial, limits={"sockets": 19}) as node:
-            node.listener.now = lambda: 0.0  # so no connection has waited yet
+            node.listener.now_seconds = lambda: 0.0  # so no connection has waited yet
             stayed = [await node.client() for _ in range(7)]
             for client in stayed:
                 assert (await client.ask(request()))[0] == 200
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -76,9 +76,9 @@
 
 def sweep(node: Sidecar, seconds: float) -> None:
     """A sweep so much later."""
-    now = node.listener.now() + seconds
-    node.listener.now = lambda: now
-    node.listener._sweep()
+    now = node.listener.now_seconds() + seconds
+    node.listener.now_seconds = lambda: now
+    node.listener.sweep()
 
 
 MORE = [b"x" * 3_000, request(), b"x" * 200_000]
@@ -175,7 +175,7 @@
                     node.listener.begin_draining()
                     node.listener.close_idle_connections()
                 else:
-                    node.listener.now = lambda: 0.0  # so no newcomer has waited yet
+                    node.listener.now_seconds = lambda: 0.0  # so no newcomer has waited yet
                     for _ in range(2):
                         node.listener.on_connection_opened(DownstreamConnection(node.listener))
                 got = await everything(client)
@@ -218,14 +218,14 @@
                 connection = await accepted(node)
                 client.sendall(b"nonsense\r\n\r\n")
                 await until(lambda: connection.is_lingering)
-                closed = node.listener.now()
-                node.listener.now = lambda: closed + 0.9 * most
-                node.listener._sweep()
+                closed = node.listener.now_seconds()
+                node.listener.now_seconds = lambda: closed + 0.9 * most
+                node.listener.sweep()
                 assert connection._transport.is_open()
                 client.sendall(b"x")  # whatever it sends gives it no more time
                 await until(lambda: connection._discarded_bytes)
-                node.listener.now = lambda: closed + 1.1 * most
-                node.listener._sweep()
+                node.listener.now_seconds = lambda: closed + 1.1 * most
+                node.listener.sweep()
                 await until(lambda: not len(node.listener))
                 assert ends_whole(await everything(client), b"400", b"malformed request\n")
 
@@ -238,7 +238,7 @@
     async def test() -> None:
         async with endpoint(always_ok) as served, sidecar(served.dial, limits={"sockets": 19}) as node:
             assert node.config.max_downstream_connections == 7
-            node.listener.now = lambda: 0.0  # so no connection has waited yet
+            node.listener.now_seconds = lambda: 0.0  # so no connection has waited yet
             held: list[DownstreamConnection] = []
             opened, most = node.listener.on_connection_opened, 0
 
@@ -406,10 +406,10 @@
 
     async def test() -> None:
         async with sidecar() as node:
-            client, began = await node.client(), node.listener._started_at
+            client, began = await node.client(), node.listener.started_at_seconds
             unlisted = TIMEOUTS.first_endpoint_list_seconds
             for seconds, code in ((0.0, 503), (unlisted - 0.001, 503), (unlisted, 200)):
-                node.listener.now = lambda now=began + seconds: now  # type: ignore[misc]
+                node.listener.now_seconds = lambda now=began + seconds: now  # type: ignore[misc]
                 assert (await client.ask(UP))[0] == code
             assert (await client.ask(request("post")))[0] == 503
             assert not node.dispatcher.ledger.in_flight
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -473,7 +473,7 @@
     async def test() -> None:
         up = b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n"
         async with sidecar() as node:
-            node.listener.now = lambda: node.listener._started_at  # no time passes
+            node.listener.now_seconds = lambda: node.listener.started_at_seconds  # no time passes
             client = await node.client()
             assert (await client.ask(up))[0] == 503
             told = {"seq": 2, "whole": True, "hosts": [entry("s-0", dead_dial())]}
