Sort the tests of the client's side and of the process by the module under test

Cause: four test files were named by themes, their tests as sentences in words of the project's own; the same set-ups stood in three of them, and tests read private fields. Change: tests/sidecar/downstream and tests/sidecar/test_lifecycle.py, with the names of the field. Composite assertions are split, and the test of numbers and that of valid heads are split by case.

--- /dev/null
+++ b/tests/sidecar/downstream/harness.py
@@ -0,0 +1,161 @@
+"""Clients on plain sockets, and a sidecar whose sweeps come when a test calls for one."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import struct
+from collections.abc import AsyncIterator, Callable, Iterator
+from functools import partial
+from socket import SO_LINGER, SOL_SOCKET, create_connection, socket
+from typing import Any, TypeAlias
+
+from balancer.sidecar.downstream.connection import DownstreamConnection
+from balancer.sidecar.downstream.timeouts import DownstreamTimeouts
+from tests.sidecar.harness import Endpoint, Script, Sidecar, request
+from tests.sidecar.harness import always_ok as answer_ok
+from tests.sidecar.harness import endpoint as run_endpoint
+from tests.sidecar.harness import sidecar as run_sidecar
+from tests.sidecar.process_harness import wait_until
+
+CLOSE_HEADER = b"Connection: close\r\n"
+READINESS_REQUEST = b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n"
+MALFORMED_REQUEST = b"nonsense\r\n\r\n"
+LINGER_FOR_NO_TIME = struct.pack("ii", 1, 0)
+"""Value of SO_LINGER with which a socket's close resets the connection."""
+
+Closing: TypeAlias = Callable[[Sidecar], None]
+"""A way to make a sidecar close an idle connection."""
+
+TIMEOUTS = DownstreamTimeouts(sweep_interval_seconds=1e6)
+"""The usual time limits, but no sweep within the time of a test."""
+
+run_sidecar_without_sweeps = partial(run_sidecar, timeouts=TIMEOUTS)
+
+
+def set_time(sidecar: Sidecar, now_seconds: float) -> None:
+    """Stop the clock of the client's side at this time."""
+    sidecar.listener.now_seconds = lambda: now_seconds
+
+
+def sweep_at(sidecar: Sidecar, now_seconds: float) -> None:
+    """Enforce the time limits at this time."""
+    set_time(sidecar, now_seconds)
+    sidecar.listener.sweep()
+
+
+def sweep_after(sidecar: Sidecar, seconds: float) -> None:
+    """Enforce the time limits as if so much time had passed."""
+    sweep_at(sidecar, sidecar.listener.now_seconds() + seconds)
+
+
+def close_by_idle_timeout(sidecar: Sidecar) -> None:
+    """Close a connection on which no further request comes."""
+    sweep_after(sidecar, TIMEOUTS.idle_seconds + 1)
+
+
+def close_by_first_byte_timeout(sidecar: Sidecar) -> None:
+    """Close a connection on which no request came."""
+    sweep_after(sidecar, TIMEOUTS.first_byte_seconds + 1)
+
+
+def close_by_draining(sidecar: Sidecar) -> None:
+    """Close the idle connections as a shutdown does."""
+    sidecar.listener.begin_draining()
+    sidecar.listener.close_idle_connections()
+
+
+@contextlib.contextmanager
+def connect_socket(sidecar: Sidecar) -> Iterator[socket]:
+    """Connect a client whose bytes have reached the sidecar's socket before the event loop turns."""
+    with create_connection(("127.0.0.1", sidecar.port)) as client:
+        yield client
+
+
+def reset_on_close(client: socket) -> None:
+    """Let the close of a client's socket reset its connection."""
+    client.setsockopt(SOL_SOCKET, SO_LINGER, LINGER_FOR_NO_TIME)
+
+
+async def accepted_connection(sidecar: Sidecar) -> DownstreamConnection:
+    """Wait for a connection without a request, and return the newest."""
+
+    def without_request() -> list[DownstreamConnection]:
+        connections = sidecar.listener.accepting_connections
+        return [connection for connection in connections if not connection.has_sent_request]
+
+    await wait_until(without_request)
+    return without_request()[-1]
+
+
+async def receive_all(client: socket) -> bytes:
+    """Return what comes until the sidecar closes its side. Raises ConnectionResetError if it resets."""
+    client.setblocking(False)
+    loop = asyncio.get_running_loop()
+    received = bytearray()
+    while data := await loop.sock_recv(client, 65536):
+        received += data
+    return bytes(received)
+
+
+def is_whole_response(received: bytes, status: bytes, body: bytes) -> bool:
+    """Whether these bytes begin and end as the response with this status and body."""
+    return received.startswith(b"HTTP/1.1 " + status) and received.endswith(b"\r\n\r\n" + body)
+
+
+async def check_rejection(raw: bytes, expected_status: int) -> None:
+    """Check that a request is rejected, its connection closed and nothing else affected."""
+    async with run_endpoint(answer_ok) as endpoint, run_sidecar(endpoint.dial) as sidecar:
+        client, other_client = await sidecar.client(), await sidecar.client()
+        status, headers, _ = await client.ask(raw)
+        assert (status, headers[b"connection"]) == (expected_status, b"close")
+        assert await client.ended()
+        assert (await other_client.ask(request()))[0] == 200
+        assert len(endpoint.seen) == 1
+
+
+class ClientSession:
+    """A client's connection from both ends, with the endpoint that serves it."""
+
+    def __init__(self, sidecar: Sidecar, endpoint: Endpoint, sockets: contextlib.ExitStack) -> None:
+        self.sidecar = sidecar
+        self.endpoint = endpoint
+        self.client = sockets.enter_context(connect_socket(sidecar))
+        self._sockets = sockets
+
+    async def accept(self) -> None:
+        """Wait until the sidecar has accepted the connection."""
+        self.connection = await accepted_connection(self.sidecar)
+
+    def connect_further_client(self) -> None:
+        """Connect another client, which stays until `disconnect`."""
+        self._sockets.enter_context(connect_socket(self.sidecar))
+
+    async def complete_request(self) -> None:
+        """Have a first request answered, after which the connection is idle."""
+        self.client.sendall(request())
+        await wait_until(lambda: self.endpoint.seen and self.connection.is_idle)
+
+    async def wait_until_last_response(self) -> None:
+        """Wait until the last response has been written."""
+        await wait_until(
+            lambda: not self.connection.accepts_requests and not self.connection.has_pending_responses
+        )
+
+    async def disconnect(self) -> None:
+        """Close the clients' sockets, and wait until the sidecar holds no connection."""
+        self._sockets.close()
+        await wait_until(lambda: not len(self.sidecar.listener))
+
+
+@contextlib.asynccontextmanager
+async def run_client_session(script: Script = answer_ok, **changes: Any) -> AsyncIterator[ClientSession]:
+    """Connect one client to a sidecar without sweeps that has one endpoint."""
+    async with (
+        run_endpoint(script) as endpoint,
+        run_sidecar_without_sweeps(endpoint.dial, **changes) as sidecar,
+    ):
+        with contextlib.ExitStack() as sockets:
+            session = ClientSession(sidecar, endpoint, sockets)
+            await session.accept()
+            yield session
--- /dev/null
+++ b/tests/sidecar/downstream/test_client_disconnect.py
@@ -0,0 +1,201 @@
+"""Clients that disconnect: no attempt begins for them any more, whether or not an event reports it."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from enum import Enum
+from socket import SHUT_WR, socket
+
+import pytest
+
+from balancer.policy_api import Action, AttemptCompleted, AttemptOutcome, ClientDisconnected, Event
+from balancer.sidecar.downstream.connection import DownstreamConnection
+from balancer.sidecar.downstream.exchange import MAX_PIPELINED_REQUESTS
+from balancer.sidecar.upstream.connection import UpstreamConnection
+from balancer.sidecar.upstream.pool import EndpointPool
+from tests.sidecar.downstream.harness import (
+    CLOSE_HEADER,
+    connect_socket,
+    reset_on_close,
+    run_sidecar_without_sweeps,
+)
+from tests.sidecar.harness import Seen, Sidecar, ok, request
+from tests.sidecar.harness import always_ok as answer_ok
+from tests.sidecar.harness import endpoint as run_endpoint
+from tests.sidecar.process_harness import async_test, wait_until
+
+DECLINED_RESPONSE = b"HTTP/1.1 503 X\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n"
+
+
+class Disconnect(Enum):
+    """How a client disconnects."""
+
+    CLOSE = "close"
+    HALF_CLOSE = "half-close"
+    RESET = "reset"
+
+
+class ConnectionState(Enum):
+    """What a client has sent when it disconnects; in none of these an event reports it in time."""
+
+    ONE_REQUEST = "one request"
+    LAST_REQUEST = "last request"
+    READING_PAUSED_BY_FLOOD = "reading paused by flood"
+    READING_PAUSED_BY_PIPELINE = "reading paused by pipeline"
+
+
+def disconnect(client: socket, how: Disconnect) -> None:
+    """Disconnect a client, unless its socket is closed already."""
+    if client.fileno() < 0:
+        return
+    if how is Disconnect.HALF_CLOSE:
+        client.shutdown(SHUT_WR)
+        return
+    if how is Disconnect.RESET:
+        reset_on_close(client)
+    client.close()
+
+
+def disconnected_count(sidecar: Sidecar) -> int:
+    """How many requests the policy was told of that their client has left."""
+    return sum(isinstance(event, ClientDisconnected) for event in sidecar.events)
+
+
+def only_connection(sidecar: Sidecar) -> DownstreamConnection:
+    """Return the one connection of a client."""
+    [connection] = sidecar.listener.accepting_connections
+    return connection
+
+
+async def send_requests(
+    sidecar: Sidecar, client: socket, state: ConnectionState, attempt_count: Callable[[], int]
+) -> int:
+    """Bring the connection into a state, with the attempts in flight, and return the number of requests."""
+    if state is ConnectionState.READING_PAUSED_BY_PIPELINE:
+        client.sendall(b"".join(request() for _ in range(MAX_PIPELINED_REQUESTS + 3)))
+        await wait_until(
+            lambda: attempt_count() == MAX_PIPELINED_REQUESTS and only_connection(sidecar).is_reading_paused
+        )
+        return MAX_PIPELINED_REQUESTS
+    client.sendall(request(extra=b"" if state is ConnectionState.ONE_REQUEST else CLOSE_HEADER))
+    await wait_until(lambda: attempt_count() == 1)
+    if state is ConnectionState.READING_PAUSED_BY_FLOOD:
+        client.setblocking(False)
+        client.send(b"x" * 200_000)
+        await wait_until(lambda: only_connection(sidecar).is_reading_paused)
+    return 1
+
+
+@pytest.mark.parametrize("how", Disconnect)
+@pytest.mark.parametrize("state", ConnectionState)
+@async_test
+async def test_first_attempt_is_not_sent_after_disconnect_while_connecting(
+    monkeypatch: pytest.MonkeyPatch, state: ConnectionState, how: Disconnect
+) -> None:
+    async with run_endpoint(answer_ok) as endpoint, run_sidecar_without_sweeps(endpoint.dial) as sidecar:
+        upstream = sidecar.dispatcher.upstream
+        connect = upstream.connect
+        connected_count = 0
+        connections_released = asyncio.Event()
+
+        async def connect_and_disconnect_client(pool: EndpointPool) -> UpstreamConnection:
+            nonlocal connected_count
+            connection = await connect(pool)
+            connected_count += 1
+            await connections_released.wait()
+            disconnect(client, how)
+            return connection  # the attempt would be sent in this turn of the event loop
+
+        with connect_socket(sidecar) as client:
+            monkeypatch.setattr(upstream, "connect", connect_and_disconnect_client)
+            request_count = await send_requests(sidecar, client, state, lambda: connected_count)
+            connections_released.set()
+            await wait_until(lambda: disconnected_count(sidecar) == request_count)
+            await wait_until(lambda: not sidecar.dispatcher.ledger.in_flight)
+            assert not endpoint.seen
+            completed = [event for event in sidecar.events if isinstance(event, AttemptCompleted)]
+            expected = [(AttemptOutcome.NOT_SENT, True)] * request_count
+            assert [(event.outcome, event.request_finished) for event in completed] == expected
+            monkeypatch.setattr(upstream, "connect", connect)
+            other_client = await sidecar.client()
+            assert (await other_client.ask(request(rid="77")))[0] == 200
+            assert [received.headers[b"req-id"] for received in endpoint.seen] == [b"77"]
+
+
+@pytest.mark.parametrize("how", Disconnect)
+@pytest.mark.parametrize("state", ConnectionState)
+@async_test
+async def test_request_is_not_retried_after_disconnect(
+    monkeypatch: pytest.MonkeyPatch, state: ConnectionState, how: Disconnect
+) -> None:
+    responses_released = asyncio.Event()
+
+    async def decline_when_released(_request: Seen) -> bytes:
+        await responses_released.wait()
+        return DECLINED_RESPONSE
+
+    async with (
+        run_endpoint(decline_when_released) as first_endpoint,
+        run_endpoint(decline_when_released) as second_endpoint,
+        run_sidecar_without_sweeps(first_endpoint.dial, second_endpoint.dial) as sidecar,
+    ):
+
+        def attempt_count() -> int:
+            return len(first_endpoint.seen) + len(second_endpoint.seen)
+
+        with connect_socket(sidecar) as client:
+            request_count = await send_requests(sidecar, client, state, attempt_count)
+            handle = sidecar.balancer.handle
+
+            def disconnect_and_handle(now_ns: int, event: Event) -> list[Action]:
+                # The client disconnects before the decision on a retry.
+                if isinstance(event, AttemptCompleted):
+                    disconnect(client, how)
+                return handle(now_ns, event)
+
+            monkeypatch.setattr(sidecar.balancer, "handle", disconnect_and_handle)
+            responses_released.set()
+            await wait_until(lambda: not sidecar.dispatcher.ledger.in_flight)
+            # Not all of a full pipeline: some of its requests are rejected, as the retry budget is small.
+            assert disconnected_count(sidecar)
+            assert attempt_count() == request_count
+
+
+@pytest.mark.parametrize("how", [Disconnect.HALF_CLOSE, Disconnect.RESET])
+@pytest.mark.parametrize("extra", [b"", CLOSE_HEADER], ids=["reading paused", "last request"])
+@async_test
+async def test_request_is_not_retried_after_disconnect_with_unread_responses(
+    extra: bytes, how: Disconnect
+) -> None:
+    """A connection that ends with its last response must not wait for responses that are never read."""
+    response_released = asyncio.Event()
+    posts: list[Seen] = []
+
+    async def respond_at_length_and_decline_posts(received: Seen) -> bytes:
+        if not received.body:
+            return ok(b"x" * 1_000_000)
+        posts.append(received)
+        await response_released.wait()
+        return DECLINED_RESPONSE
+
+    async with (
+        run_endpoint(respond_at_length_and_decline_posts) as first_endpoint,
+        run_endpoint(respond_at_length_and_decline_posts) as second_endpoint,
+        run_sidecar_without_sweeps(first_endpoint.dial, second_endpoint.dial) as sidecar,
+    ):
+        sidecar.dispatcher.upstream.buffer_budget.max_bytes = 1 << 30
+        with connect_socket(sidecar) as client:
+            gets = [request() for _ in range(MAX_PIPELINED_REQUESTS - 1)]
+            client.sendall(b"".join(gets) + request("post", body=b"x", extra=extra))
+            await wait_until(lambda: posts and len(sidecar.dispatcher.ledger.in_flight) == 1)
+            connection = only_connection(sidecar)
+            assert connection.is_write_blocked
+            assert connection.is_reading_paused == (not extra)
+            disconnect(client, how)
+            if extra and how is Disconnect.HALF_CLOSE:
+                await wait_until(lambda: disconnected_count(sidecar))  # an event reports it
+            response_released.set()
+            await wait_until(lambda: not sidecar.dispatcher.ledger.in_flight)
+            assert len(posts) == 1
+            assert disconnected_count(sidecar) == 1
--- /dev/null
+++ b/tests/sidecar/downstream/test_listener.py
@@ -0,0 +1,213 @@
+"""The listener: admission and eviction at the limit of connections, readiness, duplicate requests."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from socket import SO_RCVBUF, SOL_SOCKET, socket
+
+import pytest
+
+from balancer.sidecar.downstream.connection import DownstreamConnection
+from balancer.sidecar.downstream.timeouts import DownstreamTimeouts
+from tests.sidecar.downstream.harness import (
+    CLOSE_HEADER,
+    MALFORMED_REQUEST,
+    READINESS_REQUEST,
+    TIMEOUTS,
+    connect_socket,
+    run_sidecar_without_sweeps,
+    set_time,
+)
+from tests.sidecar.harness import Endpoint, Seen, Sidecar, ok, request
+from tests.sidecar.harness import always_ok as answer_ok
+from tests.sidecar.harness import endpoint as run_endpoint
+from tests.sidecar.harness import sidecar as run_sidecar
+from tests.sidecar.process_harness import async_test, wait_until
+
+LIMITS = {"sockets": 19}
+MAX_CONNECTIONS = 7
+"""How many connections of clients these limits allow."""
+MAX_CLOSING_CONNECTIONS = 2
+"""How many more there may be for a moment, which the event loop has yet to close."""
+
+
+# ---- duplicate requests
+
+
+@async_test
+async def test_duplicate_request_id_is_rejected_until_attempt_has_ended() -> None:
+    response_released = asyncio.Event()
+
+    async def respond_when_released(_request: Seen) -> bytes:
+        await response_released.wait()
+        return ok(b"the first's")
+
+    def is_answered(sidecar: Sidecar) -> bool:
+        in_flight = sidecar.dispatcher.ledger.in_flight
+        return not in_flight or next(iter(in_flight.values())).answered
+
+    async with run_endpoint(respond_when_released) as endpoint, run_sidecar(endpoint.dial) as sidecar:
+        first, second = await sidecar.client(), await sidecar.client()
+        first.writer.write(request("post", rid="aa"))
+        await endpoint.arrived.wait()
+        assert (await second.ask(request("post", rid="aa")))[0] == 409
+        first.writer.close()  # its client has left, but its attempt is still in flight
+        await wait_until(lambda: is_answered(sidecar))
+        third = await sidecar.client()
+        assert (await third.ask(request("post", rid="aa")))[0] == 409
+        assert len(endpoint.seen) == 1
+        response_released.set()
+        await wait_until(lambda: not sidecar.dispatcher.is_duplicate(b"aa"))
+        fourth = await sidecar.client()
+        assert (await fourth.ask(request("post", rid="aa")))[0] == 200
+
+
+# ---- eviction
+
+
+@async_test
+async def test_idle_connection_is_closed_sooner_when_crowded() -> None:
+    timeouts = DownstreamTimeouts(sweep_interval_seconds=0.05, idle_crowded_seconds=0.05)
+    async with (
+        run_endpoint(answer_ok) as endpoint,
+        run_sidecar(endpoint.dial, timeouts=timeouts, limits=LIMITS) as sidecar,
+    ):
+        assert sidecar.config.max_downstream_connections == MAX_CONNECTIONS
+        clients = [await sidecar.client() for _ in range(4)]
+        for client in clients:
+            assert (await client.ask(request()))[0] == 200
+        assert await clients[0].ended()
+
+
+@async_test
+async def test_longest_idle_connection_is_evicted_before_new_ones() -> None:
+    """Otherwise clients that once sent a request and stay would leave no room to all others."""
+    async with run_endpoint(answer_ok) as endpoint, run_sidecar(endpoint.dial, limits=LIMITS) as sidecar:
+        set_time(sidecar, 0.0)  # so no connection has waited yet
+        idle_clients = [await sidecar.client() for _ in range(7)]
+        for client in idle_clients:
+            assert (await client.ask(request()))[0] == 200
+        new_clients = [await sidecar.client() for _ in range(3)]
+        for client in idle_clients[:3]:
+            assert await client.ended()
+        for client in new_clients:
+            assert (await client.ask(request()))[0] == 200
+
+
+@async_test
+async def test_connection_without_request_is_evicted_first_after_grace() -> None:
+    timeouts = DownstreamTimeouts(eviction_grace_seconds=-1.0)
+    async with (
+        run_endpoint(answer_ok) as endpoint,
+        run_sidecar(endpoint.dial, timeouts=timeouts, limits=LIMITS) as sidecar,
+    ):
+        idle_clients = [await sidecar.client() for _ in range(3)]
+        for client in idle_clients:
+            assert (await client.ask(request()))[0] == 200
+        silent_clients = [await sidecar.client() for _ in range(8)]
+        for client in silent_clients[:4]:
+            assert await client.ended()
+        for client in idle_clients:
+            assert (await client.ask(request()))[0] == 200
+
+
+class AdmissionRecorder:
+    """Takes the place of a listener's `on_connection_opened`, and records each connection."""
+
+    def __init__(self, sidecar: Sidecar) -> None:
+        self.connections: list[DownstreamConnection] = []
+        """All connections so far, oldest first."""
+        self.max_connection_count = 0
+        """How many were open at once."""
+        self._listener = sidecar.listener
+        self._on_connection_opened = sidecar.listener.on_connection_opened
+
+    def on_connection_opened(self, connection: DownstreamConnection) -> None:
+        """Record a connection and have it admitted."""
+        self.connections.append(connection)
+        self._on_connection_opened(connection)
+        self.max_connection_count = max(self.max_connection_count, len(self._listener))
+
+    async def send_first_bytes(self, index: int, client: socket) -> None:
+        """Send on a new connection; every third client is rejected and lingers, every third sends nothing."""
+        client.sendall((MALFORMED_REQUEST, request(), b"")[index % 3])
+        await wait_until(lambda: len(self.connections) > index)
+        if index % 3 < 2:
+            await wait_until(lambda: self._is_done(self.connections[index]))
+
+    @staticmethod
+    def _is_done(connection: DownstreamConnection) -> bool:
+        return connection.is_lingering or (connection.has_sent_request and connection.is_idle)
+
+
+@async_test
+async def test_lingering_connections_count_and_oldest_are_evicted_first(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async with (
+        run_endpoint(answer_ok) as endpoint,
+        run_sidecar_without_sweeps(endpoint.dial, limits=LIMITS) as sidecar,
+    ):
+        assert sidecar.config.max_downstream_connections == MAX_CONNECTIONS
+        set_time(sidecar, 0.0)  # so no connection has waited yet
+        recorder = AdmissionRecorder(sidecar)
+        connections = recorder.connections
+        monkeypatch.setattr(sidecar.listener, "on_connection_opened", recorder.on_connection_opened)
+        with contextlib.ExitStack() as clients:
+            for index in range(60):  # none of them closes its side
+                await recorder.send_first_bytes(index, clients.enter_context(connect_socket(sidecar)))
+            closed = [connection for connection in connections if connection.is_lingering]
+            lingering = [connection for connection in closed if connection.is_connected]
+            assert recorder.max_connection_count <= MAX_CONNECTIONS + MAX_CLOSING_CONNECTIONS
+            assert len(lingering) <= 3
+            # The newest that linger are still there, and no other has gone before them.
+            assert lingering == closed[-len(lingering) :]
+            connected_count = sum(connection.is_connected for connection in connections)
+            assert connected_count == len(sidecar.listener)
+        await wait_until(lambda: not len(sidecar.listener))
+
+
+async def leave_responses_unread(sidecar: Sidecar, endpoint: Endpoint, client: socket) -> None:
+    """Send eight requests, the last of which closes the connection, and read no response."""
+    client.setsockopt(SOL_SOCKET, SO_RCVBUF, 4096)
+    client.connect(("127.0.0.1", sidecar.port))
+    earlier_count = len(endpoint.seen)
+    client.sendall(b"".join([request() for _ in range(7)]) + request(extra=CLOSE_HEADER))
+    await wait_until(
+        lambda: len(endpoint.seen) >= earlier_count + 8 and not sidecar.dispatcher.ledger.in_flight
+    )
+
+
+@async_test
+async def test_closed_connections_with_unread_responses_stay_within_limit() -> None:
+    async def respond_at_length(_request: Seen) -> bytes:
+        return ok(b"x" * 1_000_000)
+
+    async with (
+        run_endpoint(respond_at_length) as endpoint,
+        run_sidecar_without_sweeps(endpoint.dial, limits=LIMITS) as sidecar,
+    ):
+        assert sidecar.config.max_downstream_connections == MAX_CONNECTIONS
+        sidecar.dispatcher.upstream.buffer_budget.max_bytes = 1 << 30
+        with contextlib.ExitStack() as clients:
+            for _ in range(30):
+                await leave_responses_unread(sidecar, endpoint, clients.enter_context(socket()))
+                assert len(sidecar.listener) <= MAX_CONNECTIONS + MAX_CLOSING_CONNECTIONS
+        await wait_until(lambda: not len(sidecar.listener))
+
+
+# ---- readiness
+
+
+@async_test
+async def test_sidecar_without_endpoints_is_ready_after_timeout_and_rejects_requests() -> None:
+    async with run_sidecar_without_sweeps() as sidecar:
+        client = await sidecar.client()
+        started_at_seconds = sidecar.listener.started_at_seconds
+        timeout_seconds = TIMEOUTS.first_endpoint_list_seconds
+        for seconds, status in ((0.0, 503), (timeout_seconds - 0.001, 503), (timeout_seconds, 200)):
+            set_time(sidecar, started_at_seconds + seconds)
+            assert (await client.ask(READINESS_REQUEST))[0] == status
+        assert (await client.ask(request("post")))[0] == 503
+        assert not sidecar.dispatcher.ledger.in_flight
--- /dev/null
+++ b/tests/sidecar/downstream/test_request_validator.py
@@ -0,0 +1,78 @@
+"""The header fields of the sidecar's own protocol: how they are checked and which go on to the endpoint."""
+
+from __future__ import annotations
+
+import pytest
+
+from balancer.sidecar.http_request import HttpRequestError
+from balancer.sidecar.request_validator import parse_deadline_ns, parse_work_hint_ns
+from tests.sidecar.downstream.harness import check_rejection
+from tests.sidecar.harness import always_ok as answer_ok
+from tests.sidecar.harness import endpoint as run_endpoint
+from tests.sidecar.harness import request
+from tests.sidecar.harness import sidecar as run_sidecar
+from tests.sidecar.process_harness import async_test
+
+INVALID_REQUESTS = [
+    (request(rid="9b1f").replace(b"Req-Kind: read", b"Req-Kind: odd"), 400),
+    (request(rid="9b1f").replace(b"Req-Id: 9b1f\r\n", b""), 400),
+    (request(rid="9b 1f"), 400),
+    (request(deadline="soon"), 400),
+    (request(deadline="nan"), 400),
+    (request(deadline="inf"), 400),
+    (request(deadline="1_0"), 400),
+    (request(deadline="1e3"), 400),
+    (request(deadline="-1"), 400),
+    (request(deadline="0.000"), 400),
+    (request(body=b"a safe request has none"), 400),
+    (request("post").replace(b"POST", b"PUT"), 405),
+]
+
+
+@pytest.mark.parametrize(("raw", "status"), INVALID_REQUESTS)
+@async_test
+async def test_invalid_request_is_rejected_and_its_connection_closed(raw: bytes, status: int) -> None:
+    await check_rejection(raw, status)
+
+
+@async_test
+async def test_only_headers_of_the_protocol_are_forwarded() -> None:
+    async with run_endpoint(answer_ok) as endpoint, run_sidecar(endpoint.dial) as sidecar:
+        client = await sidecar.client()
+        forwarded = b"Req-Retry: 1\r\nReq-Extra: a=1\r\nReq-Cost: 900\r\n"
+        dropped = b"X-Trace: 7\r\nTE: trailers\r\nIdempotency-Key: k\r\nSrv-Load: x\r\n"
+        response = await client.ask(request("post", body=b"x", extra=forwarded + dropped))
+        assert response[0] == 200
+        assert set(endpoint.seen[0].headers) == {
+            b"host",
+            b"req-id",
+            b"req-kind",
+            b"req-retry",
+            b"req-extra",
+            b"req-cost",
+            b"req-deadline",
+            b"content-length",
+        }
+
+
+def test_numbers_are_parsed_to_nanoseconds() -> None:
+    assert parse_deadline_ns(b"0.480") == 480_000_000
+    assert parse_work_hint_ns(b"900") == 900_000
+
+
+@pytest.mark.parametrize("text", [b"1_0", b"-1", b"9" * 13, b""])
+def test_malformed_work_hint_counts_as_unknown(text: bytes) -> None:
+    assert parse_work_hint_ns(text) == 0
+
+
+def test_deadline_in_digits_other_than_ascii_is_rejected() -> None:
+    with pytest.raises(HttpRequestError):
+        parse_deadline_ns("\u0661".encode())
+
+
+@async_test
+async def test_deadline_is_limited_to_client_timeout_of_class() -> None:
+    async with run_endpoint(answer_ok) as endpoint, run_sidecar(endpoint.dial) as sidecar:
+        client = await sidecar.client()
+        assert (await client.ask(request(deadline="999999999")))[0] == 200
+        assert float(endpoint.seen[0].headers[b"req-deadline"]) <= 9
--- /dev/null
+++ b/tests/sidecar/process_harness.py
@@ -0,0 +1,126 @@
+"""Runs the program in a process of its own, and waits for what happens in it."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import functools
+import json
+import os
+import sys
+from collections.abc import Awaitable, Callable, Coroutine
+from pathlib import Path
+from typing import Any, ParamSpec, TypeVar
+
+from tests.sidecar.harness import Client, configuration, run
+from tests.sidecar.harness import dead_dial as unreachable_address
+
+COMMAND = (sys.executable, "-m", "balancer")
+REPOSITORY_ROOT = Path(__file__).parent.parent.parent
+POLL_INTERVAL_SECONDS = 0.01
+
+Result = TypeVar("Result")
+TestParameters = ParamSpec("TestParameters")
+
+
+def async_test(
+    test: Callable[TestParameters, Coroutine[Any, Any, None]],
+) -> Callable[TestParameters, None]:
+    """Make a test function of a coroutine function, which runs on the event loop that the program uses."""
+
+    @functools.wraps(test)
+    def run_test(*args: TestParameters.args, **kwargs: TestParameters.kwargs) -> None:
+        run(test(*args, **kwargs))
+
+    return run_test
+
+
+async def wait_until(condition: Callable[[], object]) -> None:
+    """Wait until a condition holds. It is checked at once, then in every turn of the event loop."""
+    loop = asyncio.get_running_loop()
+    holds = loop.create_future()
+
+    def check() -> None:
+        if holds.done():
+            return
+        try:
+            if condition():
+                holds.set_result(None)
+            else:
+                loop.call_soon(check)
+        except Exception as error:
+            holds.set_exception(error)
+
+    check()
+    await holds
+
+
+async def retry_until_result(
+    attempt: Callable[[], Awaitable[Result | None]], interval_seconds: float = POLL_INTERVAL_SECONDS
+) -> Result:
+    """Repeat an attempt until it returns something other than None, and return that."""
+    while True:
+        result = await attempt()
+        if result is not None:
+            return result
+        await asyncio.sleep(interval_seconds)
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return the host and the port of an address."""
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
+class ConfigurationFile:
+    """The configuration file of a sidecar, with an address of its own to listen at."""
+
+    def __init__(self, directory: Path) -> None:
+        self.path = directory / "config.json"
+        self.listen_address = unreachable_address()
+
+    def write(self, *endpoint_addresses: str, **changes: Any) -> None:
+        """Write the configuration for these endpoints with changes."""
+        document = configuration(*endpoint_addresses, listen=self.listen_address, **changes)
+        self.write_text(json.dumps(document))
+
+    def write_text(self, text: str) -> None:
+        """Write a text, which need not be a configuration."""
+        self.path.write_text(text)
+
+
+async def start_process(configuration_path: Path, **options: Any) -> asyncio.subprocess.Process:
+    """Start the program; `options` are those of `asyncio.create_subprocess_exec`."""
+    return await asyncio.create_subprocess_exec(
+        *COMMAND,
+        env=os.environ | {"PROXY_CONFIG": str(configuration_path)},
+        cwd=REPOSITORY_ROOT,
+        **options,
+    )
+
+
+async def connect(listen_address: str) -> Client:
+    """Return a connection to a sidecar that may still be starting."""
+    host, port = split_address(listen_address)
+
+    async def try_to_connect() -> Client | None:
+        with contextlib.suppress(ConnectionError):
+            return Client(*await asyncio.open_connection(host, port))
+        return None
+
+    return await retry_until_result(try_to_connect)
+
+
+async def wait_until_refused(listen_address: str) -> None:
+    """Wait until the sidecar accepts no more connections."""
+    host, port = split_address(listen_address)
+
+    async def is_refused() -> bool | None:
+        try:
+            _, writer = await asyncio.open_connection(host, port)
+        except ConnectionError:
+            return True
+        writer.close()
+        return None
+
+    await retry_until_result(is_refused)
--- /dev/null
+++ b/tests/sidecar/test_lifecycle.py
@@ -0,0 +1,439 @@
+"""The program in a process of its own: start, configuration, signals, shutdown and scarce descriptors."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import itertools
+import json
+import os
+import resource
+import signal
+import subprocess
+from collections.abc import AsyncIterator, Callable
+from pathlib import Path
+from socket import create_connection
+from typing import Any
+
+import pytest
+
+from tests.sidecar.downstream.harness import CLOSE_HEADER, MALFORMED_REQUEST, READINESS_REQUEST
+from tests.sidecar.harness import SETTINGS, Client, Endpoint, Seen, configuration, entry, ok, request
+from tests.sidecar.harness import always_ok as answer_ok
+from tests.sidecar.harness import dead_dial as unreachable_address
+from tests.sidecar.harness import endpoint as run_endpoint
+from tests.sidecar.process_harness import (
+    COMMAND,
+    REPOSITORY_ROOT,
+    ConfigurationFile,
+    async_test,
+    connect,
+    retry_until_result,
+    split_address,
+    start_process,
+    wait_until_refused,
+)
+
+MAX_DESCRIPTORS = 256
+KEPT_CONFIGURATION_LINE = b"the old configuration stays"
+
+
+@pytest.fixture
+def configuration_file(tmp_path: Path) -> ConfigurationFile:
+    return ConfigurationFile(tmp_path)
+
+
+# ---- shutdown
+
+
+@async_test
+async def test_shutdown_accepts_waiting_connection_and_completes_requests(
+    configuration_file: ConfigurationFile,
+) -> None:
+    responses_released, both_arrived = asyncio.Event(), asyncio.Event()
+    arrived: list[Seen] = []
+
+    async def respond_when_released(received: Seen) -> bytes:
+        arrived.append(received)
+        if len(arrived) == 2:
+            both_arrived.set()
+        await responses_released.wait()
+        return ok(b"done")
+
+    async with run_endpoint(respond_when_released) as endpoint:
+        configuration_file.write(endpoint.dial)
+        listen_address = configuration_file.listen_address
+        process = await start_process(configuration_file.path)
+        before_signal = await connect(listen_address)
+        assert (await before_signal.ask(READINESS_REQUEST))[0] == 200
+        before_signal.writer.write(request("post"))
+        await endpoint.arrived.wait()
+        # Stopped, the process has both the signal and the connection waiting, in either order.
+        process.send_signal(signal.SIGSTOP)
+        process.send_signal(signal.SIGTERM)
+        after_signal = Client(*await asyncio.open_connection(*split_address(listen_address)))
+        process.send_signal(signal.SIGCONT)
+        after_signal.writer.write(request("post"))
+        await both_arrived.wait()
+        await wait_until_refused(listen_address)
+        responses_released.set()
+        for client in (before_signal, after_signal):
+            status, _, body = await client.answer()
+            assert (status, body) == (200, b"done")
+            assert await client.ended()
+        assert await process.wait() == 0
+
+
+@async_test
+async def test_shutdown_serves_open_connections_and_answers_all_in_time(
+    configuration_file: ConfigurationFile,
+) -> None:
+    both_arrived = asyncio.Event()
+    unanswered: list[Seen] = []
+
+    async def never_answer_stuck(received: Seen) -> bytes:
+        if received.body == b"stuck":
+            unanswered.append(received)
+            if len(unanswered) == 2:
+                both_arrived.set()
+            await asyncio.Event().wait()
+        return ok(b"done")
+
+    async with run_endpoint(never_answer_stuck) as endpoint:
+        configuration_file.write(endpoint.dial)
+        listen_address = configuration_file.listen_address
+        process = await start_process(configuration_file.path)
+        open_client, before_signal, after_signal = [await connect(listen_address) for _ in range(3)]
+        for client in (open_client, before_signal, after_signal):
+            assert (await client.ask(request("post")))[0] == 200
+        before_signal.writer.write(request("post", body=b"stuck"))
+        signalled_at_seconds = asyncio.get_running_loop().time()
+        process.send_signal(signal.SIGTERM)
+        await wait_until_refused(listen_address)
+        assert (await open_client.ask(request("post")))[0] == 200
+        after_signal.writer.write(request("post", body=b"stuck"))
+        await both_arrived.wait()
+        for client in (before_signal, after_signal):
+            assert (await client.answer())[0] == 504
+        # Their deadlines are 9 s away; a shutdown leaves them 3.7 s.
+        assert asyncio.get_running_loop().time() - signalled_at_seconds < 6
+        assert await process.wait() == 0
+
+
+@async_test
+async def test_shutdown_ignores_further_signals_and_takes_rest_of_request(
+    configuration_file: ConfigurationFile,
+) -> None:
+    async def echo(received: Seen) -> bytes:
+        return ok(received.body)
+
+    async with run_endpoint(echo) as endpoint:
+        configuration_file.write(endpoint.dial)
+        listen_address = configuration_file.listen_address
+        process = await start_process(configuration_file.path, stderr=asyncio.subprocess.PIPE)
+        open_client, sending_client = [await connect(listen_address) for _ in range(2)]
+        assert (await open_client.ask(request("post", body=b"first")))[2] == b"first"
+        raw = request("post", body=b"x" * 3000)
+        sending_client.writer.write(raw[:-2000])
+        await sending_client.writer.drain()
+        process.send_signal(signal.SIGTERM)
+        await wait_until_refused(listen_address)
+        configuration_file.write_text("{")
+        assert process.stderr is not None
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            process.send_signal(number)
+        assert KEPT_CONFIGURATION_LINE in await process.stderr.readline()
+        sending_client.writer.write(raw[-2000:])
+        assert (await sending_client.answer())[2] == b"x" * 3000
+        assert (await open_client.ask(request("post", body=b"last")))[2] == b"last"
+        for client in (open_client, sending_client):
+            client.writer.close()
+        assert await process.wait() == 0
+        assert await process.stderr.read() == b""
+        assert len(endpoint.seen) == 3
+
+
+# ---- configuration
+
+
+async def send_hang_ups_until_exit(process: asyncio.subprocess.Process) -> int:
+    """Send SIGHUP in any of the steps of a shutdown, and return the exit status."""
+    exiting = asyncio.ensure_future(process.wait())
+    while not exiting.done():
+        with contextlib.suppress(ProcessLookupError):
+            process.send_signal(signal.SIGHUP)
+        await asyncio.sleep(0)
+    return await exiting
+
+
+@async_test
+async def test_reload_rejects_invalid_file_and_moves_to_new_discovery_address(
+    configuration_file: ConfigurationFile,
+) -> None:
+    async def answer_snapshot_only(received: Seen) -> bytes:
+        if b"from=" in received.line:
+            await asyncio.Event().wait()
+        return ok(json.dumps({"seq": 1, "whole": True, "hosts": []}).encode())
+
+    invalid_texts = ("{", json.dumps({"settings": 7}), json.dumps(configuration(discovery="nowhere")))
+    async with (
+        run_endpoint(answer_snapshot_only) as old_discovery,
+        run_endpoint(answer_snapshot_only) as new_discovery,
+    ):
+        configuration_file.write("127.0.0.1:9", discovery=old_discovery.dial)
+        process = await start_process(configuration_file.path, stderr=asyncio.subprocess.PIPE)
+        client = await connect(configuration_file.listen_address)  # from here on it handles signals
+        await old_discovery.arrived.wait()
+        assert process.stderr is not None
+        for text in invalid_texts:
+            configuration_file.write_text(text)
+            process.send_signal(signal.SIGHUP)
+            assert KEPT_CONFIGURATION_LINE in await process.stderr.readline()
+        assert new_discovery.seen == []
+        assert old_discovery.seen[0].line.startswith(b"GET /discovery/hosts?from=1&")
+        configuration_file.write("127.0.0.1:9", discovery=new_discovery.dial)
+        process.send_signal(signal.SIGHUP)
+        await new_discovery.arrived.wait()
+        assert new_discovery.seen[0].line == b"GET /discovery/hosts HTTP/1.1"
+        process.send_signal(signal.SIGTERM)
+        assert await client.ended()  # the shutdown has begun
+        assert await send_hang_ups_until_exit(process) == 0
+        assert await process.stderr.read() == b""
+
+
+def run_to_error(environment: dict[str, str]) -> str:
+    """Run the program, check that it fails with one plain line, and return that line."""
+    inherited = {name: value for name, value in os.environ.items() if not name.startswith("PROXY_")}
+    completed = subprocess.run(
+        COMMAND,
+        env=inherited | environment,
+        cwd=REPOSITORY_ROOT,
+        capture_output=True,
+        text=True,
+        check=False,
+        timeout=60,
+    )
+    assert completed.returncode != 0
+    assert completed.stdout == ""
+    assert completed.stderr.count("\n") == 1
+    assert completed.stderr.startswith("balancer: ")
+    return completed.stderr
+
+
+@pytest.mark.parametrize(
+    ("change", "expected_text"),
+    [
+        ({"listen": "here"}, "listen"),
+        ({"discovery": None}, "discovery"),
+        ({"settings": {}}, "Categories"),
+        ({"settings": None}, "settings"),
+        ({"seed": "xyz"}, "seed"),
+        ({"peers": 3}, "peers"),
+        ({"known": {"seq": "1", "hosts": []}}, "known"),
+        ({"settings": SETTINGS | {"Orgs": [7]}}, "makes no sense"),
+    ],
+)
+def test_invalid_configuration_is_reported_in_one_line(
+    tmp_path: Path, change: dict[str, Any], expected_text: str
+) -> None:
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(configuration("127.0.0.1:9") | change))
+    assert expected_text in run_to_error({"PROXY_CONFIG": str(path)})
+
+
+def test_missing_or_malformed_file_is_reported_in_one_line(tmp_path: Path) -> None:
+    malformed = tmp_path / "config.json"
+    malformed.write_text("{")
+    assert "PROXY_CONFIG is not set" in run_to_error({})
+    assert "No such file" in run_to_error({"PROXY_CONFIG": str(tmp_path / "none")})
+    assert "not JSON" in run_to_error({"PROXY_CONFIG": str(malformed)})
+
+
+# ---- start
+
+
+@async_test
+async def test_sidecar_with_known_endpoints_is_ready_at_once_without_discovery(
+    configuration_file: ConfigurationFile,
+) -> None:
+    configuration_file.write(unreachable_address())
+    process = await start_process(configuration_file.path)
+    client = await connect(configuration_file.listen_address)
+    assert (await client.ask(READINESS_REQUEST))[0] == 200
+    assert (await client.ask(request("post")))[0] == 503  # nothing listens at its only address
+    client.writer.close()
+    process.terminate()
+    assert await process.wait() == 0
+
+
+@pytest.mark.parametrize("number", [signal.SIGKILL, signal.SIGTERM])
+@async_test
+async def test_restart_listens_at_same_address_despite_old_connections(
+    configuration_file: ConfigurationFile, number: signal.Signals
+) -> None:
+    async with run_endpoint(answer_ok) as endpoint:
+        configuration_file.write(endpoint.dial)
+        listen_address = configuration_file.listen_address
+        open_clients = []
+        for _ in range(3):
+            process = await start_process(configuration_file.path)
+            idle, last = await connect(listen_address), await connect(listen_address)
+            open_clients += [last] if number == signal.SIGTERM else [idle, last]
+            assert (await idle.ask(request()))[0] == 200
+            assert (await last.ask(request(extra=CLOSE_HEADER)))[0] == 200
+            assert await last.ended()
+            if number == signal.SIGTERM:
+                idle.writer.close()
+            process.send_signal(number)
+            await process.wait()
+
+
+# ---- few descriptors
+
+
+def open_descriptors(process: asyncio.subprocess.Process) -> set[int]:
+    """Return the file descriptors that a process has open."""
+    return {int(path.name) for path in Path(f"/proc/{process.pid}/fd").iterdir()}
+
+
+def limit_descriptors(max_descriptors: int) -> Callable[[], None]:
+    """Return a function that limits the descriptors of the process in which it is called."""
+    _, hard_limit = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (max_descriptors, hard_limit))
+
+
+class DiscoveryServer(Endpoint):
+    """Discovery at a given address, which has one snapshot and no further update."""
+
+    def __init__(self, *endpoint_addresses: str) -> None:
+        super().__init__(self._answer)
+        entries = [entry(f"s-{index}", address) for index, address in enumerate(endpoint_addresses)]
+        self._snapshot = json.dumps({"seq": 2, "whole": True, "hosts": entries}).encode()
+
+    async def _answer(self, received: Seen) -> bytes:
+        if b"from=2&" in received.line:
+            await asyncio.Event().wait()
+        return ok(self._snapshot)
+
+    async def start(self, listen_address: str) -> asyncio.Server:
+        """Listen at an address that was unreachable before."""
+        return await asyncio.start_server(self._serve, *split_address(listen_address))
+
+
+@contextlib.asynccontextmanager
+async def run_discovery(listen_address: str, *endpoint_addresses: str) -> AsyncIterator[DiscoveryServer]:
+    """Run discovery at this address, with these endpoints."""
+    discovery = DiscoveryServer(*endpoint_addresses)
+    server = await discovery.start(listen_address)
+    try:
+        yield discovery
+    finally:
+        server.close()
+
+
+@contextlib.asynccontextmanager
+async def run_flooded_process(
+    configuration_file: ConfigurationFile, discovery_address: str
+) -> AsyncIterator[asyncio.subprocess.Process]:
+    """Run a sidecar that knows no endpoint, with more clients than it may have descriptors.
+
+    Discovery is down, and most clients send no whole request.
+    """
+    limits = {"sockets": MAX_DESCRIPTORS, "memory_mb": 64}
+    configuration_file.write(discovery=discovery_address, limits=limits)
+    process = await start_process(configuration_file.path, preexec_fn=limit_descriptors(MAX_DESCRIPTORS))
+    listen_address = configuration_file.listen_address
+    first_bytes = (b"", request()[:-2], READINESS_REQUEST, b"", MALFORMED_REQUEST, request())
+    with contextlib.ExitStack() as clients:
+        (await connect(listen_address)).writer.close()
+        for index in range(2 * MAX_DESCRIPTORS):
+            client = clients.enter_context(create_connection(split_address(listen_address)))
+            client.sendall(first_bytes[index % len(first_bytes)])
+            assert len(open_descriptors(process)) < MAX_DESCRIPTORS
+            await asyncio.sleep(0)
+        yield process
+    process.terminate()
+    assert await process.wait() == 0
+
+
+@async_test
+async def test_flood_of_clients_blocks_neither_discovery_nor_endpoints_nor_other_clients(
+    configuration_file: ConfigurationFile,
+) -> None:
+    listen_address, discovery_address = configuration_file.listen_address, unreachable_address()
+
+    async def status_once_listed() -> int | None:
+        """Return the status of a request; None while the endpoint list is on its way."""
+        status = (await (await connect(listen_address)).ask(request("post")))[0]
+        return None if status == 503 else status
+
+    async with (
+        run_endpoint(answer_ok) as endpoint,
+        run_flooded_process(configuration_file, discovery_address) as process,
+    ):
+        assert (await (await connect(listen_address)).ask(request()))[0] == 503
+        async with run_discovery(discovery_address, endpoint.dial) as discovery:
+            await discovery.arrived.wait()
+            assert await retry_until_result(status_once_listed, interval_seconds=0) == 200
+            assert len(endpoint.seen) == 1
+            assert len(open_descriptors(process)) < MAX_DESCRIPTORS
+
+
+@async_test
+async def test_sidecar_without_endpoints_and_discovery_gets_ready_under_flood(
+    configuration_file: ConfigurationFile,
+) -> None:
+    listen_address = configuration_file.listen_address
+
+    async def is_ready() -> bool | None:
+        client = await connect(listen_address)
+        status = 503
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+            status = (await client.ask(READINESS_REQUEST))[0]
+        client.writer.close()
+        return True if status == 200 else None
+
+    async with run_flooded_process(configuration_file, unreachable_address()):
+        await retry_until_result(is_ready)
+        assert (await (await connect(listen_address)).ask(request()))[0] == 503
+
+
+async def is_closed_without_response(client: Client) -> bool:
+    """Send a request, and return whether the connection is closed instead of a response."""
+    try:
+        assert (await client.ask(request()))[0] in (200, 503)
+    except (ConnectionError, asyncio.IncompleteReadError):
+        return True
+    return False
+
+
+@async_test
+async def test_without_free_descriptors_listener_survives_and_closes_new_connections(
+    configuration_file: ConfigurationFile,
+) -> None:
+    listen_address, discovery_address = configuration_file.listen_address, unreachable_address()
+    async with run_endpoint(answer_ok) as endpoint:
+        configuration_file.write(endpoint.dial, discovery=discovery_address)
+        process = await start_process(configuration_file.path, stderr=asyncio.subprocess.PIPE)
+        open_client = await connect(listen_address)
+        assert (await open_client.ask(request()))[0] == 200
+        _, hard_limit = resource.prlimit(process.pid, resource.RLIMIT_NOFILE)
+        in_use = open_descriptors(process)
+        first_free = next(number for number in itertools.count() if number not in in_use)
+        resource.prlimit(process.pid, resource.RLIMIT_NOFILE, (first_free, hard_limit))
+        clients: list[Client] = []
+        closed_count = 0
+        for _ in range(40):  # a few may find a descriptor that another has left
+            clients.append(await connect(listen_address))
+            closed_count += await is_closed_without_response(clients[-1])
+        assert closed_count > 30
+        assert (await open_client.ask(request()))[0] == 200
+        resource.prlimit(process.pid, resource.RLIMIT_NOFILE, (MAX_DESCRIPTORS, hard_limit))
+        async with run_discovery(discovery_address, endpoint.dial) as discovery:
+            await discovery.arrived.wait()
+            assert (await (await connect(listen_address)).ask(request()))[0] == 200
+        process.terminate()
+        open_client.writer.close()
+        assert await process.wait() == 0
+        assert process.stderr is not None
+        assert await process.stderr.read() == b""
