--- a/tests/sidecar/downstream/test_listener.py
+++ b/tests/sidecar/downstream/test_listener.py
@@ -9,6 +9,7 @@
 import pytest
 
 from balancer.sidecar.downstream.connection import DownstreamConnection
+from balancer.sidecar.downstream.connection_registry import ConnectionRegistry
 from balancer.sidecar.downstream.timeouts import DownstreamTimeouts
 from tests.sidecar.downstream.harness import (
     CLOSE_HEADER,
@@ -168,6 +169,19 @@
         await wait_until(lambda: not len(sidecar.listener))
 
 
+@async_test
+async def test_connections_that_lingered_longest_are_removed_first() -> None:
+    async with run_sidecar_without_sweeps() as sidecar:
+        registry = ConnectionRegistry(max_connections=1)
+        oldest, middle, newest = [DownstreamConnection(sidecar.listener) for _ in range(3)]
+        for connection in (newest, oldest, middle):
+            registry.add(connection)
+        for connection in (oldest, middle, newest):
+            registry.mark_lingering(connection)
+        assert registry.pop_lingering(registry.excess) == [oldest, middle]
+        assert registry.all() == [newest]
+
+
 async def leave_responses_unread(sidecar: Sidecar, endpoint: Endpoint, client: socket) -> None:
     """Send eight requests, the last of which closes the connection, and read no response."""
     client.setsockopt(SOL_SOCKET, SO_RCVBUF, 4096)
