--- a/tests/__init__.py
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""The tests, laid out after the modules under test."""
--- a/tests/sidecar/downstream/test_requests_over_sockets.py
+++ b/tests/sidecar/downstream/test_requests_over_sockets.py
@@ -90,8 +90,8 @@
 async def test_up_reports_whether_any_endpoint_is_known() -> None:
     request = b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n"
     async with run_sidecar() as sidecar:
-        started_at_seconds = sidecar.listener.now()
-        sidecar.listener.now = lambda: started_at_seconds  # no time passes
+        started_at_seconds = sidecar.listener.now_seconds()
+        sidecar.listener.now_seconds = lambda: started_at_seconds  # no time passes
         client = await sidecar.connect_client()
         assert (await client.exchange(request)).status == 503
         snapshot = endpoint_list(2, endpoint_entry("s-0", unreachable_address()))
