Import each name of the sidecar from the module that defines it

Cause: configuration.py passed on names of other modules while these were split. Change: the alias SECOND and the list of passed-on names are gone.

--- a/balancer/sidecar/configuration.py
+++ b/balancer/sidecar/configuration.py
@@ -21,16 +21,6 @@
 )
 from balancer.time_units import SECOND_NS
 
-# SECOND is for the modules that do not use balancer.time_units yet.
-__all__ = [
-    "SECOND",
-    "SidecarConfiguration",
-    "load_configuration",
-    "parse_configuration",
-]
-
-SECOND = SECOND_NS  # alias until every module uses balancer.time_units
-
 MAX_DESCRIPTORS = 1024
 """The least that a deployment allows, so no sidecar counts on more."""
 
