Drop the earlier names of the test harnesses

Cause: they stood while the test files were moved one by one. Measured: the tests of discovery pass, mypy and ruff are clean.

--- a/tests/sidecar/harness.py
+++ b/tests/sidecar/harness.py
@@ -179,16 +179,6 @@
         self.connection_closed = asyncio.Event()
         """Set when the sidecar closes the connection before it has a response."""
 
-    @property
-    def line(self) -> bytes:
-        """The earlier name of `request_line`."""
-        return self.request_line
-
-    @property
-    def left(self) -> asyncio.Event:
-        """The earlier name of `connection_closed`."""
-        return self.connection_closed
-
 
 class ScriptedEndpoint:
     """An HTTP server that answers each request by its script."""
@@ -203,26 +193,6 @@
         self.address = ""
         """Host and port, set once it listens."""
 
-    @property
-    def seen(self) -> list[ReceivedRequest]:
-        """The earlier name of `received_requests`."""
-        return self.received_requests
-
-    @property
-    def arrived(self) -> asyncio.Event:
-        """The earlier name of `request_arrived`."""
-        return self.request_arrived
-
-    @property
-    def connections(self) -> int:
-        """The earlier name of `connection_count`."""
-        return self.connection_count
-
-    @property
-    def dial(self) -> str:
-        """The earlier name of `address`."""
-        return self.address
-
     async def serve_connection(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Answer requests until either side ends the connection."""
         self.connection_count += 1
@@ -250,8 +220,6 @@
         await writer.drain()
         return True
 
-    _serve = serve_connection  # the earlier name
-
     async def _read_request(self, reader: asyncio.StreamReader) -> ReceivedRequest:
         request_line, *header_lines = (await reader.readuntil(b"\r\n\r\n")).split(b"\r\n")
         headers = _parse_headers(header_lines)
@@ -386,10 +354,6 @@
     def _accept_client(self) -> DownstreamConnection:
         return _ObservedConnection(self.listener, self.client_transports)
 
-    # What the tests of the client's side use, which are not restructured yet.
-    event = wait_for_event
-    client = connect_client
-
 
 class _ObservedConnection(DownstreamConnection):
     """A client's connection, whose transport a test may look at."""
@@ -467,30 +431,3 @@
             return await self.reader.read() == b""
         except ConnectionError:
             return True
-
-    # What the tests of the client's side use, which are not restructured yet.
-    ask = exchange
-    answer = read_response
-    ended = is_closed
-
-
-# ---- earlier names, for test files that are not restructured yet
-
-Endpoint = ScriptedEndpoint
-Seen = ReceivedRequest
-WAIT = TEST_TIMEOUT_SECONDS
-always_ok = answer_ok
-dead_dial = unreachable_address
-endpoint = run_endpoint
-entry = endpoint_entry
-never = never_answer
-ok = ok_response
-sidecar = run_sidecar
-status = status_response
-
-
-def request(
-    cls: str = "read", deadline: str = "9", body: bytes = b"", extra: bytes = b"", rid: str = ""
-) -> bytes:
-    """Return a client's request: the earlier form of `request_bytes`."""
-    return request_bytes(cls, deadline, body, extra, rid)
--- a/tests/sidecar/scripted_discovery.py
+++ b/tests/sidecar/scripted_discovery.py
@@ -15,7 +15,7 @@
 from balancer.policy_api import EndpointHealth, EndpointUpdate, EndpointUpdateKind, Event
 from balancer.sidecar.discovery_call import DiscoveryCaller, DiscoveryCallError
 from balancer.sidecar.endpoint_list import EndpointListUpdate
-from tests.sidecar.harness import SETTINGS, WAIT, entry, ok
+from tests.sidecar.harness import SETTINGS, TEST_TIMEOUT_SECONDS, endpoint_entry, ok_response
 
 AnswerScript: TypeAlias = Callable[[asyncio.StreamWriter], Awaitable[None]]
 """Answers one call in its own way."""
@@ -23,7 +23,7 @@
 SHORT_TIMEOUT_SECONDS = 0.05  # replaces the timeout that a test is about; no other timeout may end its calls
 
 DRAIN_UPDATE = json.dumps(
-    {"seq": 2, "whole": False, "hosts": [entry("s-0", "127.0.0.1:9", "draining")]}, indent=2
+    {"seq": 2, "whole": False, "hosts": [endpoint_entry("s-0", "127.0.0.1:9", "draining")]}, indent=2
 ).encode()
 UNCHANGED_UPDATE = b'{"seq":1,"whole":false,"hosts":[]}'
 INCOMPLETE_RESPONSE = b"HTTP/1.1 200 OK\r\nContent-Length: 40000\r\n\r\n" + DRAIN_UPDATE[:40]
@@ -75,9 +75,9 @@
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.connections += 1
-        scripts = [send(ok(DRAIN_UPDATE))]
+        scripts = [send(ok_response(DRAIN_UPDATE))]
         if self._script is not None and self.connections == 1:
-            scripts = [send(ok(UNCHANGED_UPDATE)), self._script, *scripts]
+            scripts = [send(ok_response(UNCHANGED_UPDATE)), self._script, *scripts]
         with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
             for script in scripts:
                 head = await reader.readuntil(b"\r\n\r\n")
@@ -193,8 +193,8 @@
         self.calls.append(call)
         self.call_started.set()
         has_short_connect = self._short_connect and not self.error_types
-        caller.connect_timeout_seconds = SHORT_TIMEOUT_SECONDS if has_short_connect else WAIT
-        return SHORT_TIMEOUT_SECONDS if is_short else 2 * WAIT
+        caller.connect_timeout_seconds = SHORT_TIMEOUT_SECONDS if has_short_connect else TEST_TIMEOUT_SECONDS
+        return SHORT_TIMEOUT_SECONDS if is_short else 2 * TEST_TIMEOUT_SECONDS
 
     async def _finish_call(self, call: Awaitable[EndpointListUpdate]) -> EndpointListUpdate:
         try:
--- a/tests/sidecar/test_discovery_call.py
+++ b/tests/sidecar/test_discovery_call.py
@@ -13,8 +13,14 @@
 from balancer.sidecar import discovery_profile
 from balancer.sidecar.discovery_call import DiscoveryCaller, DiscoveryCallError
 from balancer.sidecar.endpoint_list import NameIndices
-from tests.sidecar.harness import WAIT, dead_dial, entry, ok, run
-from tests.sidecar.harness import sidecar as start_sidecar
+from tests.sidecar.harness import (
+    TEST_TIMEOUT_SECONDS,
+    endpoint_entry,
+    ok_response,
+    run,
+    run_sidecar,
+    unreachable_address,
+)
 from tests.sidecar.scripted_discovery import (
     DRAIN_UPDATE,
     CallRecorder,
@@ -47,11 +53,11 @@
 
     async def _answer(self, target: bytes, writer: asyncio.StreamWriter) -> None:
         if target == b"/discovery/hosts":
-            snapshot = {"seq": 1, "whole": True, "hosts": [entry("s-0", "127.0.0.1:9")]}
-            writer.write(ok(json.dumps(snapshot).encode()))
+            snapshot = {"seq": 1, "whole": True, "hosts": [endpoint_entry("s-0", "127.0.0.1:9")]}
+            writer.write(ok_response(json.dumps(snapshot).encode()))
         elif len([target for target in self.targets if b"from" in target]) == 1:
             await self.watch_released.wait()
-            writer.write(ok(DRAIN_UPDATE))
+            writer.write(ok_response(DRAIN_UPDATE))
 
 
 def test_snapshot_is_fetched_beside_an_open_watch(monkeypatch: pytest.MonkeyPatch) -> None:
@@ -63,13 +69,13 @@
         server = await asyncio.start_server(discovery.serve, "127.0.0.1", 0)
         dial = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
         settings = discovery_settings(polled=True)
-        async with start_sidecar("127.0.0.1:9", discovery=dial, settings=settings) as sidecar:
+        async with run_sidecar("127.0.0.1:9", discovery=dial, settings=settings) as sidecar:
             sidecar.discovery.set_watching(True)
             await discovery.request_received.wait()
             sidecar.discovery.fetch_snapshot()
-            await sidecar.event(is_update_of(EndpointUpdateKind.SNAPSHOT))
+            await sidecar.wait_for_event(is_update_of(EndpointUpdateKind.SNAPSHOT))
             discovery.watch_released.set()
-            await sidecar.event(is_drain_update)
+            await sidecar.wait_for_event(is_drain_update)
             assert [target.split(b"&")[0] for target in discovery.targets[:2]] == [
                 b"/discovery/hosts?from=1",
                 b"/discovery/hosts",
@@ -82,12 +88,12 @@
 
 def test_error_carries_the_address_and_the_problem() -> None:
     async def test() -> None:
-        dial = dead_dial()
+        dial = unreachable_address()
         host, _, port = dial.rpartition(":")
         loop = asyncio.get_running_loop()
-        caller = DiscoveryCaller((host, int(port)), NameIndices({}, {}), WAIT, loop)
+        caller = DiscoveryCaller((host, int(port)), NameIndices({}, {}), TEST_TIMEOUT_SECONDS, loop)
         with pytest.raises(DiscoveryCallError, match=f"call to discovery at {dial} failed: ") as caught:
-            await caller.fetch_snapshot(WAIT)
+            await caller.fetch_snapshot(TEST_TIMEOUT_SECONDS)
         assert isinstance(caught.value, DiscoveryError)
         assert caught.value.address == (host, int(port))
         assert caught.value.problem.startswith("ConnectionRefusedError")
--- a/tests/sidecar/test_discovery_client.py
+++ b/tests/sidecar/test_discovery_client.py
@@ -20,14 +20,14 @@
 from balancer.time_units import SECOND_NS
 from tests.sidecar.harness import (
     Sidecar,
-    dead_dial,
-    endpoint,
-    never,
-    ok,
+    never_answer,
+    ok_response,
     run,
-    status,
+    run_endpoint,
+    run_sidecar,
+    status_response,
+    unreachable_address,
 )
-from tests.sidecar.harness import sidecar as start_sidecar
 from tests.sidecar.scripted_discovery import (
     DISCOVERY_FAILED,
     DRAIN_UPDATE,
@@ -63,7 +63,7 @@
     """So a call whose connection is established late still has its whole hold."""
 
     async def test() -> None:
-        async with start_sidecar(settings=discovery_settings(polled)) as sidecar:
+        async with run_sidecar(settings=discovery_settings(polled)) as sidecar:
             client = sidecar.discovery
             assert 0 < client.caller.connect_timeout_seconds <= client.profile.grace_seconds
 
@@ -85,18 +85,18 @@
 
 
 ENDINGS = {
-    "error status": Ending(send(status(503)), DiscoveryCallError),
+    "error status": Ending(send(status_response(503)), DiscoveryCallError),
     "closed": Ending(send_and_close(b""), DiscoveryCallError),
     "reset": Ending(reset_connection, DiscoveryCallError),
     "truncated response": Ending(send_and_close(INCOMPLETE_RESPONSE), MalformedDiscoveryResponseError),
     "invalid HTTP": Ending(
         send(b"HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n"), MalformedDiscoveryResponseError
     ),
-    "invalid JSON": Ending(send(ok(DRAIN_UPDATE[:-9])), MalformedDiscoveryResponseError),
+    "invalid JSON": Ending(send(ok_response(DRAIN_UPDATE[:-9])), MalformedDiscoveryResponseError),
     "timeout before the response": Ending(send(b""), DiscoveryTimeoutError),
     "timeout in the response": Ending(send(INCOMPLETE_RESPONSE), DiscoveryTimeoutError),
     "response without end": Ending(send_without_end, DiscoveryTimeoutError),
-    "no changes": Ending(send(ok(UNCHANGED_UPDATE)), None),
+    "no changes": Ending(send(ok_response(UNCHANGED_UPDATE)), None),
     "connect refused": Ending(None, DiscoveryCallError),
     "connect timed out": Ending(None, DiscoveryCallError, connect_hangs=True),
 }
@@ -132,9 +132,9 @@
             else:
                 recorder.on_first_failure = make_reachable
             settings = discovery_settings(polled)
-            async with start_sidecar("127.0.0.1:9", discovery=discovery.dial, settings=settings) as sidecar:
+            async with run_sidecar("127.0.0.1:9", discovery=discovery.dial, settings=settings) as sidecar:
                 start_watching(sidecar, polled)
-                await sidecar.event(is_drain_update)
+                await sidecar.wait_for_event(is_drain_update)
                 reported_failures = sidecar.events.count(DISCOVERY_FAILED)
         assert recorder.error_types == ([ending.error_type] if ending.error_type else [])
         # A failed call is reported once, and the policy starts the next one. The policy does not see a call
@@ -151,14 +151,14 @@
     holds: list[str] = []
 
     async def test(seed: str) -> None:
-        discovery = ScriptedDiscovery(send(ok(UNCHANGED_UPDATE)))
+        discovery = ScriptedDiscovery(send(ok_response(UNCHANGED_UPDATE)))
         await discovery.listen()
         settings = discovery_settings(polled=True)
-        async with start_sidecar(
+        async with run_sidecar(
             "127.0.0.1:9", discovery=discovery.dial, settings=settings, seed=seed
         ) as sidecar:
             start_watching(sidecar, polled=True)
-            await sidecar.event(is_drain_update)
+            await sidecar.wait_for_event(is_drain_update)
         targets = [line.split()[1] for line in discovery.request_lines[:3]]
         holds.extend(target.partition(b"hold_ms=")[2].decode() for target in targets)
 
@@ -189,9 +189,7 @@
             if not connect_hangs:
                 await make_reachable()
             settings = discovery_settings(polled)
-            async with start_sidecar(
-                "127.0.0.1:9", discovery=old_discovery.dial, settings=settings
-            ) as sidecar:
+            async with run_sidecar("127.0.0.1:9", discovery=old_discovery.dial, settings=settings) as sidecar:
                 start_watching(sidecar, polled)
                 hanging_call = 1 if connect_hangs else 2
                 await wait_until(lambda: len(recorder.calls) >= hanging_call, recorder.call_started)
@@ -220,9 +218,9 @@
 
     async def test() -> None:
         settings = discovery_settings(polled=True)
-        async with start_sidecar("127.0.0.1:9", discovery=dead_dial(), settings=settings) as sidecar:
+        async with run_sidecar("127.0.0.1:9", discovery=unreachable_address(), settings=settings) as sidecar:
             monkeypatch.setattr(asyncio, "sleep", record_pause)
-            host, _, port = dead_dial().rpartition(":")
+            host, _, port = unreachable_address().rpartition(":")
             sidecar.discovery.change_address((host, int(port)))
             await enough_pauses.wait()
 
@@ -250,17 +248,17 @@
     async def test() -> None:
         settings = discovery_settings(polled)
         async with (
-            endpoint(never) as discovery,
-            start_sidecar("127.0.0.1:9", discovery=discovery.dial, settings=settings) as sidecar,
+            run_endpoint(never_answer) as discovery,
+            run_sidecar("127.0.0.1:9", discovery=discovery.address, settings=settings) as sidecar,
         ):
             start_watching(sidecar, polled)
             sidecar.discovery.fetch_snapshot()
-            await wait_until(lambda: len(discovery.seen) >= 2, discovery.arrived)
+            await wait_until(lambda: len(discovery.received_requests) >= 2, discovery.request_arrived)
             assert len(running_calls()) == 2
             await sidecar.discovery.stop()
             assert running_calls() == []
-            for request in discovery.seen:
-                await request.left.wait()
+            for request in discovery.received_requests:
+                await request.connection_closed.wait()
             sidecar.discovery.set_watching(True)
             sidecar.discovery.fetch_snapshot()
             assert running_calls() == []
@@ -273,13 +271,13 @@
 def test_stop_closes_the_idle_connection() -> None:
     async def test() -> None:
         async with (
-            endpoint(lambda _request: asyncio.sleep(0, ok(UNCHANGED_UPDATE))) as discovery,
-            start_sidecar(
-                "127.0.0.1:9", discovery=discovery.dial, settings=discovery_settings(polled=True)
+            run_endpoint(lambda _request: asyncio.sleep(0, ok_response(UNCHANGED_UPDATE))) as discovery,
+            run_sidecar(
+                "127.0.0.1:9", discovery=discovery.address, settings=discovery_settings(polled=True)
             ) as sidecar,
         ):
             sidecar.discovery.fetch_snapshot()
-            await sidecar.event(is_update_of(EndpointUpdateKind.DELTA))
+            await sidecar.wait_for_event(is_update_of(EndpointUpdateKind.DELTA))
             connection = sidecar.discovery.caller.idle_connection
             assert connection is not None
             assert connection.is_reusable()
--- a/tests/sidecar/test_discovery_profile.py
+++ b/tests/sidecar/test_discovery_profile.py
@@ -9,8 +9,9 @@
 from balancer.policy_api import WatchEndpoints
 from balancer.sidecar import discovery_profile
 from balancer.sidecar.discovery_profile import POLLED_DISCOVERY, PUSHED_DISCOVERY
-from tests.helpers import SECOND, Bench
-from tests.helpers import settings as policy_settings
+from balancer.time_units import SECOND_NS
+from tests.builders import settings as policy_settings
+from tests.policy.harness import BalancerHarness
 from tests.sidecar.scripted_discovery import DISCOVERY_FAILED
 
 KNOWN_AFTER_SECONDS = 6.0  # since discovery can be reached; then a change counts as known
@@ -27,7 +28,7 @@
     policy = Balancer(policy_settings(polls_discovery=polled, discovery_poll_window_ns=poll_window_ns), 1)
     if polled:
         profile = POLLED_DISCOVERY
-        pause = (policy.membership.poll_spread_ns + overload.CYCLE_NS) / SECOND
+        pause = (policy.membership.poll_spread_ns + overload.CYCLE_NS) / SECOND_NS
         immediate_retry = 0.0
     else:
         profile = PUSHED_DISCOVERY
@@ -53,7 +54,7 @@
 
 
 @pytest.mark.parametrize("polled", [False, True], ids=["pushed", "polled"])
-@pytest.mark.parametrize("poll_window_ns", [SECOND, 10 * SECOND, 60 * SECOND])
+@pytest.mark.parametrize("poll_window_ns", [SECOND_NS, 10 * SECOND_NS, 60 * SECOND_NS])
 def test_change_is_received_before_it_counts_as_known(polled: bool, poll_window_ns: int) -> None:
     delays = longest_delays_seconds(polled, poll_window_ns)
     longest_allowed = KNOWN_AFTER_SECONDS - MARGIN_SECONDS
@@ -69,27 +70,27 @@
     assert pushed_seconds < KNOWN_AFTER_ADDRESS_CHANGE_SECONDS
 
 
-def next_watch_delay_ns(bench: Bench) -> int:
+def next_watch_delay_ns(harness: BalancerHarness) -> int:
     """Advance the clock of the policy until it starts a watch, and return how long that took."""
-    start_ns = bench.now
+    start_ns = harness.now
     while True:
-        actions = bench.tick(overload.CYCLE_NS / SECOND / 5)
+        actions = harness.tick(overload.CYCLE_NS / SECOND_NS / 5)
         if any(isinstance(action, WatchEndpoints) for action in actions):
-            return bench.now - start_ns
-        assert bench.now - start_ns <= membership.MAX_POLL_SPREAD_NS, "the watch is overdue"
+            return harness.now - start_ns
+        assert harness.now - start_ns <= membership.MAX_POLL_SPREAD_NS, "the watch is overdue"
 
 
-@pytest.mark.parametrize("poll_window_ns", [10 * SECOND, 60 * SECOND])
+@pytest.mark.parametrize("poll_window_ns", [10 * SECOND_NS, 60 * SECOND_NS])
 def test_watch_delays_are_bounded_and_spread(poll_window_ns: int) -> None:
     first_delays_ns: set[int] = set()
     retry_delays_ns: set[int] = set()
     for seed in range(40):
         settings = policy_settings(polls_discovery=True, discovery_poll_window_ns=poll_window_ns)
-        bench = Bench(settings, seed=seed)
-        first_delays_ns.add(next_watch_delay_ns(bench))
-        bench.give(DISCOVERY_FAILED)
-        retry_delays_ns.add(next_watch_delay_ns(bench))
+        harness = BalancerHarness(settings, seed=seed)
+        first_delays_ns.add(next_watch_delay_ns(harness))
+        harness.handle(DISCOVERY_FAILED)
+        retry_delays_ns.add(next_watch_delay_ns(harness))
     assert len(first_delays_ns) > 10
     assert len(retry_delays_ns) > 10
     # Without a minimum, many sidecars would overload discovery while it is down.
-    assert min(retry_delays_ns) >= 0.2 * SECOND
+    assert min(retry_delays_ns) >= 0.2 * SECOND_NS
