--- a/tests/sidecar/downstream/harness.py
+++ b/tests/sidecar/downstream/harness.py
@@ -20,8 +20,8 @@
     request_bytes,
     run_endpoint,
     run_sidecar,
+    wait_until,
 )
-from tests.sidecar.process_harness import wait_until
 
 CLOSE_HEADER = b"Connection: close\r\n"
 READINESS_REQUEST = b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n"
--- a/tests/sidecar/downstream/test_client_disconnect.py
+++ b/tests/sidecar/downstream/test_client_disconnect.py
@@ -24,11 +24,12 @@
     ReceivedRequest,
     Sidecar,
     answer_ok,
+    async_test,
     ok_response,
     request_bytes,
     run_endpoint,
+    wait_until,
 )
-from tests.sidecar.process_harness import async_test, wait_until
 
 DECLINED_RESPONSE = b"HTTP/1.1 503 X\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n"
 
--- a/tests/sidecar/downstream/test_connection.py
+++ b/tests/sidecar/downstream/test_connection.py
@@ -35,12 +35,13 @@
     ReceivedRequest,
     Sidecar,
     answer_ok,
+    async_test,
     ok_response,
     request_bytes,
     run_endpoint,
     run_sidecar,
+    wait_until,
 )
-from tests.sidecar.process_harness import async_test, wait_until
 
 # ---- pipelining
 
--- a/tests/sidecar/downstream/test_http_request.py
+++ b/tests/sidecar/downstream/test_http_request.py
@@ -7,8 +7,7 @@
 from balancer.sidecar.http_message import MAX_HEAD_BYTES
 from balancer.sidecar.http_request import parse_request_head
 from tests.sidecar.downstream.harness import MALFORMED_REQUEST, check_rejection
-from tests.sidecar.harness import request_bytes
-from tests.sidecar.process_harness import async_test
+from tests.sidecar.harness import async_test, request_bytes
 
 POST = b"POST / HTTP/1.1\r\n%s\r\n\r\n"
 
--- a/tests/sidecar/downstream/test_request_validator.py
+++ b/tests/sidecar/downstream/test_request_validator.py
@@ -7,8 +7,7 @@
 from balancer.sidecar.http_request import HttpRequestError
 from balancer.sidecar.request_validator import parse_deadline_ns, parse_work_hint_ns
 from tests.sidecar.downstream.harness import check_rejection
-from tests.sidecar.harness import answer_ok, request_bytes, run_endpoint, run_sidecar
-from tests.sidecar.process_harness import async_test
+from tests.sidecar.harness import answer_ok, async_test, request_bytes, run_endpoint, run_sidecar
 
 INVALID_REQUESTS = [
     (request_bytes(request_id="9b1f").replace(b"Req-Kind: read", b"Req-Kind: odd"), 400),
--- a/tests/sidecar/process_harness.py
+++ b/tests/sidecar/process_harness.py
@@ -4,54 +4,20 @@
 
 import asyncio
 import contextlib
-import functools
 import json
 import os
 import sys
-from collections.abc import Awaitable, Callable, Coroutine
+from collections.abc import Awaitable, Callable
 from pathlib import Path
-from typing import Any, ParamSpec, TypeVar
+from typing import Any, TypeVar
 
-from tests.sidecar.harness import Client, configuration, run, unreachable_address
+from tests.sidecar.harness import Client, configuration, unreachable_address
 
 COMMAND = (sys.executable, "-m", "balancer")
 REPOSITORY_ROOT = Path(__file__).parent.parent.parent
 POLL_INTERVAL_SECONDS = 0.01
 
 Result = TypeVar("Result")
-TestParameters = ParamSpec("TestParameters")
-
-
-def async_test(
-    test: Callable[TestParameters, Coroutine[Any, Any, None]],
-) -> Callable[TestParameters, None]:
-    """Make a test function of a coroutine function, which runs on the event loop that the program uses."""
-
-    @functools.wraps(test)
-    def run_test(*args: TestParameters.args, **kwargs: TestParameters.kwargs) -> None:
-        run(test(*args, **kwargs))
-
-    return run_test
-
-
-async def wait_until(condition: Callable[[], object]) -> None:
-    """Wait until a condition holds. It is checked at once, then in every turn of the event loop."""
-    loop = asyncio.get_running_loop()
-    holds = loop.create_future()
-
-    def check() -> None:
-        if holds.done():
-            return
-        try:
-            if condition():
-                holds.set_result(None)
-            else:
-                loop.call_soon(check)
-        except Exception as error:
-            holds.set_exception(error)
-
-    check()
-    await holds
 
 
 async def retry_until_result(
