Let errors on invalid fields share one base class

Cause: ConfigurationError and MalformedEndpointListError had the same constructor and text, written twice. Change: InvalidFieldError in errors.py; a doc comment on the last function without one.

--- a/balancer/errors.py
+++ b/balancer/errors.py
@@ -11,11 +11,11 @@
     """Base class of the errors of this package."""
 
 
-class ConfigurationError(BalancerError):
-    """The configuration or the settings are missing or invalid.
+class InvalidFieldError(BalancerError):
+    """A field of a document is missing or invalid.
 
     Attributes:
-        key: What is wrong: a key of the file, or the environment variable that names the file.
+        key: The name of the field.
         problem: What is wrong with it, as the rest of a sentence that begins with the key.
         value: The invalid value; None where it is missing or is not a single value.
     """
@@ -30,6 +30,13 @@
         return f"{self.key} {self.problem}"
 
 
+class ConfigurationError(InvalidFieldError):
+    """The configuration or the settings are missing or invalid.
+
+    The key is one of the file, or the environment variable that names the file.
+    """
+
+
 class DiscoveryError(BalancerError):
     """A call to discovery brought no usable endpoint list."""
 
--- a/balancer/sidecar/endpoint_list.py
+++ b/balancer/sidecar/endpoint_list.py
@@ -11,7 +11,7 @@
 from hashlib import blake2b
 from typing import TypeVar
 
-from balancer.errors import ProtocolError
+from balancer.errors import InvalidFieldError, ProtocolError
 from balancer.json_object import JsonObject, is_integer, is_list, is_object
 from balancer.policy_api import Endpoint, EndpointHealth, EndpointId
 from balancer.sidecar.address import Address, parse_address
@@ -34,23 +34,8 @@
 _HEALTH_BY_NAME = {"up": EndpointHealth.READY, **_DEPARTING_HEALTH_BY_NAME}
 
 
-class MalformedEndpointListError(ProtocolError):
-    """An endpoint list does not have discovery's form.
-
-    Attributes:
-        key: The invalid field.
-        problem: What is wrong with it, as the rest of a sentence that begins with the key.
-        value: Its value.
-    """
-
-    def __init__(self, key: str, problem: str, value: object) -> None:
-        super().__init__(key, problem, value)
-        self.key = key
-        self.problem = problem
-        self.value = value
-
-    def __str__(self) -> str:
-        return f"{self.key} {self.problem}"
+class MalformedEndpointListError(InvalidFieldError, ProtocolError):
+    """An endpoint list does not have discovery's form."""
 
 
 class InvalidEndpointEntryError(MalformedEndpointListError):
--- a/balancer/sidecar/upstream/manager.py
+++ b/balancer/sidecar/upstream/manager.py
@@ -124,6 +124,7 @@
         """Ask an endpoint whether it is alive and, if it tells, for its load."""
 
         def on_ended(ended: HealthCheck, event: HealthCheckCompleted) -> None:
+            """Forget the health check and report its result."""
             self._health_checks.discard(ended)
             on_completed(event)
 
