Failing tests: steps of the wall clock, and accepting without a free descriptor

Cause: ages of endpoints are taken from a clock that is anchored to the wall clock once, so an endpoint born after a step of the wall clock is cold for an hour or warm at its birth. A connection that finds no free descriptor (EMFILE, ENFILE) is accepted and closed unread by the event loop, and the request on it is lost. No behaviour is changed.

--- a/tests/sidecar/test_lifecycle.py
+++ b/tests/sidecar/test_lifecycle.py
@@ -446,3 +446,30 @@
         assert await process.wait() == 0
         assert process.stderr is not None
         assert await process.stderr.read() == b""
+
+
+@async_test
+async def test_request_on_new_connection_waits_for_free_descriptor_and_is_answered(
+    configuration_file: ConfigurationFile,
+) -> None:
+    listen_address = configuration_file.listen_address
+    async with run_endpoint(answer_ok) as endpoint:
+        configuration_file.write(endpoint.address)
+        process = await start_process(configuration_file.path, stderr=asyncio.subprocess.PIPE)
+        open_client = await connect(listen_address)
+        assert (await open_client.exchange(request_bytes()))[0] == 200
+        limits = resource.prlimit(process.pid, resource.RLIMIT_NOFILE)
+        resource.prlimit(process.pid, resource.RLIMIT_NOFILE, (max(open_descriptors(process)) + 1, limits[1]))
+        fillers = [
+            await connect(listen_address) for _ in range(MAX_DESCRIPTORS)
+        ]  # a few descriptors are free
+        client = await connect(listen_address)
+        response = asyncio.ensure_future(client.exchange(request_bytes()))
+        await open_client.exchange(request_bytes())  # the process has seen the connection by now
+        assert not response.done()
+        resource.prlimit(process.pid, resource.RLIMIT_NOFILE, limits)
+        assert (await response)[0] == 200
+        for other in (*fillers, open_client, client):
+            other.writer.close()
+        process.terminate()
+        assert await process.wait() == 0
--- /dev/null
+++ b/tests/sidecar/test_wall_clock_steps.py
@@ -0,0 +1,81 @@
+"""Slow start while the wall clock is stepped: `born_ms` is wall clock time, ages are real time."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Sequence
+
+import pytest
+
+from balancer.policy_api import Action, EndpointUpdate, EndpointUpdateKind, Event
+from balancer.sidecar.clock import Clock
+from balancer.sidecar.configuration import parse_configuration
+from balancer.sidecar.dispatcher import Dispatcher
+from balancer.sidecar.endpoint_list import parse_endpoint_list
+from balancer.time_units import MILLISECOND_NS, SECOND_NS
+from tests.sidecar.harness import async_test, configuration, endpoint_entry, endpoint_list
+
+HOUR_SECONDS = 3600
+MAX_ERROR_NS = SECOND_NS // 2
+"""Of an age; the tests themselves take a few milliseconds."""
+
+
+class RecordingPolicy:
+    """A policy that decides nothing and remembers the ages at which it is told of endpoints."""
+
+    def __init__(self) -> None:
+        self.ages_ns: list[int] = []
+
+    def handle(self, now_ns: int, event: Event) -> Sequence[Action]:
+        """Note the age of each endpoint in an endpoint update."""
+        if isinstance(event, EndpointUpdate):
+            self.ages_ns += [now_ns - endpoint.started_at_ns for endpoint in event.endpoints]
+        return ()
+
+
+class SteppedWallClock:
+    """Replaces `time.time_ns`."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        self._real_time_ns = time.time_ns
+        self._offset_ns = 0
+        monkeypatch.setattr(time, "time_ns", self.time_ns)
+
+    def time_ns(self) -> int:
+        """Return the stepped time."""
+        return self._real_time_ns() + self._offset_ns
+
+    def step(self, seconds: float) -> None:
+        """Step the clock by this much."""
+        self._offset_ns += int(seconds * SECOND_NS)
+
+
+class Sidecar:
+    """A dispatcher with a policy that records ages."""
+
+    def __init__(self) -> None:
+        self._config = parse_configuration(configuration())
+        self.policy = RecordingPolicy()
+        loop = asyncio.get_running_loop()
+        self._dispatcher = Dispatcher(self._config, loop, Clock(), self.policy)
+
+    def hear_of(
+        self, born_ns: int, name: str = "s-new", kind: EndpointUpdateKind = EndpointUpdateKind.DELTA
+    ) -> int:
+        """Take an endpoint update with one endpoint, and return the age that the policy sees."""
+        entry = endpoint_entry(name, "127.0.0.1:9") | {"born_ms": born_ns // MILLISECOND_NS}
+        update = parse_endpoint_list(endpoint_list(2, entry, whole=False), self._config.name_indices)
+        self._dispatcher.on_endpoint_update(update, kind)
+        return self.policy.ages_ns[-1]
+
+
+@pytest.mark.parametrize("step_seconds", [HOUR_SECONDS, -HOUR_SECONDS, 5, -5])
+@async_test
+async def test_endpoint_born_after_step_is_new(step_seconds: int) -> None:
+    with pytest.MonkeyPatch.context() as monkeypatch:
+        wall_clock = SteppedWallClock(monkeypatch)
+        sidecar = Sidecar()
+        wall_clock.step(step_seconds)
+        age_ns = sidecar.hear_of(born_ns=wall_clock.time_ns())
+        assert 0 <= age_ns < MAX_ERROR_NS
