Translate start times of endpoints by the wall clock's offset of now, not of the sidecar's start

Cause: `Clock` is anchored to the wall clock once. After a step forward an endpoint's start lay in the future and it stayed cold for as long as the step; after a step back it was as old as the step at its birth and got full load. Change: `StartTimeTranslator` remembers the offsets that the wall clock has had. A start that is new takes the one by which the endpoint is youngest; a known start keeps its translation. Ages then run by the monotonic clock, as before. Policy and constants are as they were. Not covered: a sidecar that starts after a step forward cannot tell that an endpoint born before the step is young.

--- a/balancer/sidecar/clock.py
+++ b/balancer/sidecar/clock.py
@@ -8,8 +8,8 @@
 class Clock:
     """Monotonic time, anchored once to the wall clock.
 
-    All sidecars agree on it closely enough to share hours and the start times of endpoints, and it never
-    jumps as the wall clock may.
+    All sidecars agree on it closely enough to share hours, and it never jumps as the wall clock may. Start
+    times of endpoints are wall clock time: `StartTimeTranslator` brings them to this clock.
     """
 
     def __init__(self) -> None:
--- a/balancer/sidecar/dispatcher.py
+++ b/balancer/sidecar/dispatcher.py
@@ -47,6 +47,7 @@
 from balancer.sidecar.http_message import HttpResponse
 from balancer.sidecar.ports import EndpointDiscovery, GossipSender, Policy
 from balancer.sidecar.request_ledger import InFlightRequest, RequestLedger
+from balancer.sidecar.start_times import StartTimeTranslator
 from balancer.sidecar.timers import OneShotTimer
 from balancer.sidecar.upstream.manager import UpstreamManager
 from balancer.time_units import MILLISECOND_NS, SECOND_NS
@@ -92,6 +93,7 @@
         self._action_handlers: dict[type[object], Callable[[Action], None]] = {}
         self._register_action_handlers()
         self.now_ns = clock.now_ns
+        self._start_times = StartTimeTranslator(clock.now_ns)
         self.upstream = UpstreamManager(config, loop, clock.now_ns)
         self.ledger = RequestLedger(config.settings, loop)
         self.has_endpoints = False
@@ -115,8 +117,12 @@
     def on_endpoint_update(self, update: EndpointListUpdate, kind: EndpointUpdateKind) -> None:
         """Take up a new endpoint list or a change of it."""
         self.has_endpoints = self.has_endpoints or bool(update.endpoints)
-        self.upstream.update_endpoints(update.endpoints, is_snapshot=kind != EndpointUpdateKind.DELTA)
-        self.dispatch(EndpointUpdate(kind, tuple(discovered.endpoint for discovered in update.endpoints)))
+        is_snapshot = kind != EndpointUpdateKind.DELTA
+        self.upstream.update_endpoints(update.endpoints, is_snapshot)
+        if is_snapshot:
+            self._start_times.forget_all_but({discovered.endpoint.id for discovered in update.endpoints})
+        endpoints = tuple(self._start_times.translate(discovered.endpoint) for discovered in update.endpoints)
+        self.dispatch(EndpointUpdate(kind, endpoints))
 
     def dispatch(self, event: Event) -> None:
         """Handle an event; one that an action brings about waits until the other actions are carried out."""
@@ -380,7 +386,11 @@
 
     def _set_timer(self, action: SetTimer) -> None:
         # The policy has any number of timers at once and never cancels one.
-        self._loop.call_later(action.delay_ns / SECOND_NS, self.dispatch, TimerFired(action.token))
+        self._loop.call_later(action.delay_ns / SECOND_NS, self._on_policy_timer, TimerFired(action.token))
+
+    def _on_policy_timer(self, event: TimerFired) -> None:
+        self._start_times.observe_wall_clock()  # the policy's cycle is short enough to see each step
+        self.dispatch(event)
 
     def _start_health_check(self, action: StartHealthCheck) -> None:
         self.upstream.start_health_check(action.endpoint_id, self.dispatch)
--- /dev/null
+++ b/balancer/sidecar/start_times.py
@@ -0,0 +1,83 @@
+"""Start times of endpoints, translated from the wall clock to the sidecar's clock, which is never stepped.
+
+Discovery gives the start of an endpoint as wall clock time. The wall clock may be stepped, by seconds or an
+hour, before or after that start; the age of an endpoint, which slow start goes by, is real time.
+"""
+
+from __future__ import annotations
+
+import time
+from collections import deque
+from collections.abc import Callable
+from typing import NamedTuple
+
+from balancer.policy_api import Endpoint, EndpointHealth, EndpointId
+from balancer.time_units import MILLISECOND_NS, SECOND_NS
+
+MIN_STEP_NS = 50 * MILLISECOND_NS
+"""A change of the wall clock against the sidecar's that counts as a step; two readings differ by less."""
+
+MAX_OFFSETS = 8
+"""How many offsets are remembered: a start time may be of any of them."""
+
+START_TOLERANCE_NS = SECOND_NS
+"""A start this far in the future is one of this moment; beyond, it is of another offset."""
+
+
+class _KnownStart(NamedTuple):
+    """What was made of a start time, to be kept while the entry is the same."""
+
+    wall_time_ns: int
+    started_at_ns: int
+
+
+class StartTimeTranslator:
+    """Translates the start times of endpoint lists as they come.
+
+    A start time does not tell by which offset of the wall clock it was taken: that before or after a step. Of
+    all offsets seen so far, the one that makes the endpoint youngest counts. Taken for younger than it is, an
+    endpoint warms up for longer; taken for older, it gets more than it can do.
+
+    Args:
+        now_ns: the sidecar's clock, in nanoseconds.
+        wall_time_ns: the wall clock, in nanoseconds since the Unix epoch.
+    """
+
+    def __init__(self, now_ns: Callable[[], int], wall_time_ns: Callable[[], int] | None = None) -> None:
+        self._now_ns = now_ns
+        self._wall_time_ns = wall_time_ns if wall_time_ns is not None else lambda: time.time_ns()
+        self._offsets_ns: deque[int] = deque(maxlen=MAX_OFFSETS)
+        self._known_starts: dict[EndpointId, _KnownStart] = {}
+        self.observe_wall_clock()
+
+    def observe_wall_clock(self) -> None:
+        """Remember the present offset of the wall clock, if it is not known yet."""
+        offset_ns = self._wall_time_ns() - self._now_ns()
+        if all(abs(offset_ns - known_ns) >= MIN_STEP_NS for known_ns in self._offsets_ns):
+            self._offsets_ns.append(offset_ns)
+
+    def translate(self, endpoint: Endpoint) -> Endpoint:
+        """Return an entry of an endpoint list with its start time by the sidecar's clock; 0 stays 0.
+
+        The start of an endpoint that is known stays as it was first translated, whatever the wall clock does.
+        """
+        if not endpoint.started_at_ns or endpoint.health == EndpointHealth.REMOVED:
+            self._known_starts.pop(endpoint.id, None)
+            return endpoint
+        known = self._known_starts.get(endpoint.id)
+        if known is None or known.wall_time_ns != endpoint.started_at_ns:
+            known = _KnownStart(endpoint.started_at_ns, self._started_at_ns(endpoint.started_at_ns))
+            self._known_starts[endpoint.id] = known
+        return endpoint._replace(started_at_ns=known.started_at_ns)
+
+    def forget_all_but(self, endpoint_ids: set[EndpointId]) -> None:
+        """Forget the endpoints that a snapshot does not list."""
+        for endpoint_id in self._known_starts.keys() - endpoint_ids:
+            del self._known_starts[endpoint_id]
+
+    def _started_at_ns(self, wall_time_ns: int) -> int:
+        self.observe_wall_clock()
+        now_ns = self._now_ns()
+        ages_ns = (now_ns + offset_ns - wall_time_ns for offset_ns in self._offsets_ns)
+        possible_ages_ns = [max(0, age_ns) for age_ns in ages_ns if age_ns >= -START_TOLERANCE_NS]
+        return now_ns - min(possible_ages_ns, default=0)
--- a/tests/sidecar/test_wall_clock_steps.py
+++ b/tests/sidecar/test_wall_clock_steps.py
@@ -79,3 +79,53 @@
         wall_clock.step(step_seconds)
         age_ns = sidecar.hear_of(born_ns=wall_clock.time_ns())
         assert 0 <= age_ns < MAX_ERROR_NS
+
+
+@pytest.mark.parametrize("step_seconds", [HOUR_SECONDS, -HOUR_SECONDS, 5, -5])
+@async_test
+async def test_endpoint_that_is_known_keeps_its_age_over_step(step_seconds: int) -> None:
+    with pytest.MonkeyPatch.context() as monkeypatch:
+        wall_clock = SteppedWallClock(monkeypatch)
+        sidecar = Sidecar()
+        born_ns = wall_clock.time_ns() - 3 * SECOND_NS
+        sidecar.hear_of(born_ns)
+        wall_clock.step(step_seconds)
+        age_ns = sidecar.hear_of(born_ns)
+        assert 3 * SECOND_NS <= age_ns < 3 * SECOND_NS + MAX_ERROR_NS
+
+
+@pytest.mark.parametrize("step_seconds", [HOUR_SECONDS, -HOUR_SECONDS, 5, -5])
+@async_test
+async def test_endpoint_born_before_step_and_listed_after_it_is_not_taken_for_older(
+    step_seconds: int,
+) -> None:
+    with pytest.MonkeyPatch.context() as monkeypatch:
+        wall_clock = SteppedWallClock(monkeypatch)
+        sidecar = Sidecar()
+        born_ns = wall_clock.time_ns() - 3 * SECOND_NS
+        wall_clock.step(step_seconds)
+        assert 0 <= sidecar.hear_of(born_ns) < 3 * SECOND_NS + MAX_ERROR_NS
+
+
+@async_test
+async def test_restart_of_endpoint_after_step_makes_it_new() -> None:
+    with pytest.MonkeyPatch.context() as monkeypatch:
+        wall_clock = SteppedWallClock(monkeypatch)
+        sidecar = Sidecar()
+        sidecar.hear_of(wall_clock.time_ns() - 60 * SECOND_NS)
+        wall_clock.step(-HOUR_SECONDS)
+        assert 0 <= sidecar.hear_of(wall_clock.time_ns()) < MAX_ERROR_NS
+
+
+@async_test
+async def test_start_in_the_future_counts_from_when_it_is_heard_of() -> None:
+    """A sidecar that started after a step back, and an endpoint from before it."""
+    sidecar = Sidecar()
+    age_ns = sidecar.hear_of(time.time_ns() + HOUR_SECONDS * SECOND_NS, kind=EndpointUpdateKind.SNAPSHOT)
+    assert 0 <= age_ns < MAX_ERROR_NS
+
+
+@async_test
+async def test_start_long_ago_stays_unknown() -> None:
+    sidecar = Sidecar()
+    assert sidecar.hear_of(born_ns=0) > HOUR_SECONDS * SECOND_NS
