Leave new connections in the backlog while no descriptor is free, instead of closing them

Cause: where accept(2) fails with EMFILE or ENFILE, the event loop's server accepts the connection on a spare descriptor and closes it unread. The request that its client has written is lost. Change: `Acceptor` accepts by itself and retries 10 ms after a failure; the connections wait in the backlog. ECONNABORTED goes on at once. At shutdown it accepts what waits and has attached it before the process looks whether clients are left.

--- a/balancer/sidecar/lifecycle.py
+++ b/balancer/sidecar/lifecycle.py
@@ -13,15 +13,13 @@
 from balancer.sidecar.configuration import SidecarConfiguration, load_configuration
 from balancer.sidecar.discovery_client import DiscoveryClient
 from balancer.sidecar.dispatcher import Dispatcher
+from balancer.sidecar.downstream.acceptor import Acceptor, open_listening_socket
 from balancer.sidecar.downstream.connection import DownstreamConnection
 from balancer.sidecar.downstream.listener import Listener
 from balancer.sidecar.gossip_transport import GossipTransport
 from balancer.sidecar.timers import OneShotTimer
 from balancer.time_units import SECOND_NS
 
-LISTEN_BACKLOG = 512
-"""Connections that may wait to be accepted."""
-
 RELOAD_DELAY_SECONDS = 0.02
 """From a SIGHUP to the reload: the signals of a burst cause one reload, and leave the loop time to serve."""
 
@@ -104,11 +102,11 @@
         config: SidecarConfiguration,
         dispatcher: Dispatcher,
         listener: Listener,
-        server: asyncio.AbstractServer,
+        acceptor: Acceptor,
     ) -> None:
         self._dispatcher = dispatcher
         self._listener = listener
-        self._server = server
+        self._acceptor = acceptor
         self._loop = asyncio.get_running_loop()
         self._exit_delay_seconds = _exit_delay_seconds(config)
 
@@ -118,7 +116,7 @@
         self._dispatcher.expire_all_within(self._exit_delay_seconds - LAST_RESPONSES_BEFORE_EXIT_SECONDS)
         self._listener.begin_shutdown()
         await asyncio.sleep(ACCEPT_NEW_CONNECTIONS_SECONDS)
-        self._server.close()
+        await self._acceptor.close()
         await self._wait_for_clients(exit_at - DRAIN_BEFORE_EXIT_SECONDS)
         self._listener.begin_draining()
         await self._wait_for_clients(exit_at - CLOSE_IDLE_BEFORE_EXIT_SECONDS)
@@ -164,12 +162,12 @@
     reloader = ConfigurationReloader(discovery, loop)
     loop.add_signal_handler(signal.SIGHUP, reloader.request_reload)
     discovery.start()
-    server = await loop.create_server(
-        lambda: DownstreamConnection(listener), *config.listen_address, backlog=LISTEN_BACKLOG
-    )
+    listening = open_listening_socket(config.listen_address)
+    acceptor = Acceptor(listening, loop, lambda: DownstreamConnection(listener))
+    acceptor.start()
     unblock_signals()  # the threads that resolve names run by now, and keep them blocked
     await shutdown_requested.wait()
-    await GracefulShutdown(config, dispatcher, listener, server).run()
+    await GracefulShutdown(config, dispatcher, listener, acceptor).run()
     reloader.cancel()
     await discovery.stop()
     # The interpreter restores the default actions of signals as it ends: one that comes then must not kill.
--- /dev/null
+++ b/tests/sidecar/downstream/test_acceptor.py
@@ -0,0 +1,96 @@
+"""The listening socket: connections are accepted in spite of accept(2) failing as Linux documents."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import socket
+from typing import Any, cast
+
+import pytest
+
+from balancer.sidecar.downstream.acceptor import Acceptor, open_listening_socket
+from tests.sidecar.harness import async_test
+
+
+class FailingSocket:
+    """A listening socket whose next calls of `accept` fail with these errors, one each."""
+
+    def __init__(self, listening: socket.socket, *errors: int) -> None:
+        self._listening = listening
+        self._errors = list(errors)
+
+    def accept(self) -> Any:
+        """Fail as long as there are errors, then accept."""
+        if self._errors:
+            number = self._errors.pop(0)
+            raise OSError(number, errno.errorcode[number])
+        return self._listening.accept()
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._listening, name)
+
+
+class Greeter(asyncio.Protocol):
+    """Says that it has been attached to a connection."""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Greet the client."""
+        cast(asyncio.Transport, transport).write(b"hello")
+
+
+async def greeting_at(address: tuple[str, int]) -> bytes:
+    """Connect, and return the first bytes that come."""
+    reader, writer = await asyncio.open_connection(*address)
+    try:
+        return await reader.readexactly(5)
+    finally:
+        writer.close()
+
+
+@pytest.mark.parametrize(
+    "number",
+    [
+        errno.ECONNABORTED,
+        errno.EMFILE,
+        errno.ENFILE,
+        errno.ENOBUFS,
+        errno.ENOMEM,
+        errno.EPROTO,
+        errno.ENETDOWN,
+        errno.EHOSTUNREACH,
+        errno.ENETUNREACH,
+        errno.EPERM,
+        errno.EINTR,
+    ],
+)
+@async_test
+async def test_connection_is_accepted_after_failures(number: int) -> None:
+    listening = open_listening_socket(("127.0.0.1", 0))
+    failing = cast(socket.socket, FailingSocket(listening, number, number))
+    acceptor = Acceptor(failing, asyncio.get_running_loop(), Greeter)
+    acceptor.start()
+    assert await greeting_at(listening.getsockname()) == b"hello"
+    await acceptor.close()
+
+
+@async_test
+async def test_close_attaches_connections_that_wait_already() -> None:
+    listening = open_listening_socket(("127.0.0.1", 0))
+    acceptor = Acceptor(listening, asyncio.get_running_loop(), Greeter)
+    client = socket.create_connection(listening.getsockname())
+    await acceptor.close()
+    with client:
+        assert await asyncio.to_thread(client.recv, 5) == b"hello"
+
+
+@async_test
+async def test_close_while_accepting_fails_ends_at_once() -> None:
+    listening = open_listening_socket(("127.0.0.1", 0))
+    failing = cast(socket.socket, FailingSocket(listening, *[errno.ENFILE] * 3))
+    acceptor = Acceptor(failing, asyncio.get_running_loop(), Greeter)
+    acceptor.start()
+    with socket.create_connection(listening.getsockname()):
+        await acceptor.close()
+        await acceptor.close()
+    assert listening.fileno() == -1
