--- a/balancer/sidecar/downstream/acceptor.py
+++ b/balancer/sidecar/downstream/acceptor.py
@@ -1,4 +1,4 @@
-"""The listening socket: accepts connections, and goes on where accept(2) fails (see its section on errors)."""
+"""The listening socket: accepts connections, and goes on where accept(2) fails."""
 
 from __future__ import annotations
 
