--- a/tests/sidecar/downstream/test_connection.py
+++ b/tests/sidecar/downstream/test_connection.py
@@ -63,6 +63,30 @@
         assert 1 <= max_in_flight <= MAX_PIPELINED_REQUESTS
 
 
+@async_test
+async def test_pipelined_request_that_waited_for_room_has_less_time_left() -> None:
+    released = asyncio.Event()
+
+    async def answer_when_released(_request: ReceivedRequest) -> bytes:
+        await released.wait()
+        return ok_response()
+
+    async with (
+        run_endpoint(answer_when_released) as endpoint,
+        run_sidecar_without_sweeps(endpoint.address) as sidecar,
+    ):
+        set_time(sidecar, 100.0)
+        client = await sidecar.connect_client()
+        client.writer.write(b"".join(request_bytes(deadline="8") for _ in range(MAX_PIPELINED_REQUESTS + 1)))
+        await wait_until(lambda: len(endpoint.received_requests) == MAX_PIPELINED_REQUESTS)
+        set_time(sidecar, 103.0)
+        released.set()
+        await wait_until(lambda: len(endpoint.received_requests) > MAX_PIPELINED_REQUESTS)
+        told = [float(request.headers[b"req-deadline"]) for request in endpoint.received_requests]
+        assert 7 < told[0] < 8
+        assert 4 < told[-1] < 5
+
+
 # ---- time limits
 
 
--- a/tests/sidecar/test_lifecycle.py
+++ b/tests/sidecar/test_lifecycle.py
@@ -4,11 +4,13 @@
 
 import asyncio
 import contextlib
+import errno
 import json
 import os
 import resource
 import signal
 import subprocess
+import sys
 from collections.abc import AsyncIterator, Callable
 from pathlib import Path
 from socket import create_connection
@@ -174,6 +176,26 @@
     return await exiting
 
 
+@async_test
+async def test_reload_is_repeated_until_the_file_can_be_read(configuration_file: ConfigurationFile) -> None:
+    async def answer_snapshot(_received: ReceivedRequest) -> bytes:
+        return ok_response(json.dumps({"seq": 1, "whole": True, "hosts": []}).encode())
+
+    async with run_endpoint(answer_snapshot) as new_discovery:
+        configuration_file.write("127.0.0.1:9", discovery=unreachable_address())
+        process = await start_process(configuration_file.path, stderr=asyncio.subprocess.PIPE)
+        client = await connect(configuration_file.listen_address)
+        configuration_file.path.unlink()
+        process.send_signal(signal.SIGHUP)
+        assert process.stderr is not None
+        assert KEPT_CONFIGURATION_LINE in await process.stderr.readline()
+        configuration_file.write("127.0.0.1:9", discovery=new_discovery.address)
+        await new_discovery.request_arrived.wait()
+        client.writer.close()
+        process.terminate()
+        assert await process.wait() == 0
+
+
 @async_test
 async def test_reload_rejects_invalid_file_and_moves_to_new_discovery_address(
     configuration_file: ConfigurationFile,
@@ -406,6 +428,47 @@
         assert (await (await connect(listen_address)).exchange(request_bytes()))[0] == 503
 
 
+FAILING_START = """
+import errno, os, socket, sys
+from balancer.__main__ import main
+
+create_server, failures = socket.create_server, [int(sys.argv[1])] * 3
+
+def fail_at_first(*arguments, **options):
+    if failures:
+        number = failures.pop()
+        raise OSError(number, os.strerror(number))
+    return create_server(*arguments, **options)
+
+socket.create_server = fail_at_first
+sys.exit(main())
+"""
+"""A program in which the first three calls for a listening socket fail."""
+
+
+@pytest.mark.parametrize("number", [errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM])
+@async_test
+async def test_start_waits_until_there_is_a_socket_to_listen_with(
+    configuration_file: ConfigurationFile, number: int
+) -> None:
+    async with run_endpoint(answer_ok) as endpoint:
+        configuration_file.write(endpoint.address)
+        process = await asyncio.create_subprocess_exec(
+            *(sys.executable, "-c", FAILING_START, str(number)),
+            env=os.environ | {"PROXY_CONFIG": str(configuration_file.path)},
+            cwd=REPOSITORY_ROOT,
+        )
+        connecting = asyncio.ensure_future(connect(configuration_file.listen_address))
+        ending = asyncio.ensure_future(process.wait())
+        await asyncio.wait((connecting, ending), return_when=asyncio.FIRST_COMPLETED)
+        assert not ending.done(), "the process has ended instead of listening"
+        client = await connecting
+        assert (await client.exchange(request_bytes()))[0] == 200
+        client.writer.close()
+        process.terminate()
+        assert await ending == 0
+
+
 @async_test
 async def test_without_free_descriptors_new_connections_wait_and_are_answered_once_there_are(
     configuration_file: ConfigurationFile,
