Count a request's time from when it arrived, also where it waits for room on its connection

Cause: the deadline of a request was set when it was taken. Behind sixteen pipelined requests, or while the client does not read its responses, it had waited before in the buffer or in the socket: its attempt told the endpoint more time than the client had left, and its answer came too late. Change: RequestReader keeps when its bytes arrived; bytes read after a pause count from the begin of the pause. The dispatcher sets the deadline from there; where no time is left the request is answered at once.

--- a/balancer/sidecar/dispatcher.py
+++ b/balancer/sidecar/dispatcher.py
@@ -152,17 +152,23 @@
         """Whether a request with this id is in flight, or may have been executed and must not be again."""
         return self.ledger.is_duplicate(client_request_id, self.now_ns())
 
-    def submit(self, sink: ResponseSink, client_request: ClientRequest) -> int:
+    def submit(self, sink: ResponseSink, client_request: ClientRequest, waited_seconds: float = 0.0) -> int:
         """Take a request and return its request id.
 
         The sink gets exactly one final answer, perhaps before this returns, unless
         `on_client_disconnected` tells that the client left.
+
+        Args:
+            sink: where the answer goes.
+            client_request: the request.
+            waited_seconds: for how long the request had arrived before: its client's time counts from then.
         """
         now_ns = self.now_ns()
-        expires_at_ns = self._request_deadline_ns(client_request.timeout_ns, now_ns)
+        timeout_ns = client_request.timeout_ns - int(waited_seconds * SECOND_NS)
+        expires_at_ns = self._request_deadline_ns(timeout_ns, now_ns)
         request = self.ledger.add(sink, client_request, expires_at_ns)
         request.deadline_timer.start(
-            (expires_at_ns - now_ns) / SECOND_NS, partial(self._on_request_deadline, request)
+            max(0, expires_at_ns - now_ns) / SECOND_NS, partial(self._on_request_deadline, request)
         )
         self.dispatch(
             RequestReceived(
@@ -178,7 +184,7 @@
         return request.request_id
 
     def _request_deadline_ns(self, client_timeout_ns: int, now_ns: int) -> int:
-        margin_ns = min(MAX_DEADLINE_MARGIN_NS, int(client_timeout_ns * MAX_DEADLINE_MARGIN_SHARE))
+        margin_ns = max(0, min(MAX_DEADLINE_MARGIN_NS, int(client_timeout_ns * MAX_DEADLINE_MARGIN_SHARE)))
         deadline_ns = now_ns + client_timeout_ns - margin_ns
         if self._shutdown_deadline_ns is None:
             return deadline_ns
--- a/balancer/sidecar/downstream/connection.py
+++ b/balancer/sidecar/downstream/connection.py
@@ -10,7 +10,11 @@
 from balancer.sidecar.downstream.client_transport import ClientTransport
 from balancer.sidecar.downstream.exchange import Exchange, ExchangeQueue
 from balancer.sidecar.downstream.interfaces import RequestDispatcher
-from balancer.sidecar.downstream.request_reader import ReceivedRequest, RequestReader
+from balancer.sidecar.downstream.request_reader import (
+    ARRIVAL_RESOLUTION_SECONDS,
+    ReceivedRequest,
+    RequestReader,
+)
 from balancer.sidecar.downstream.response import CONTINUE_RESPONSE, encode_response, request_error_response
 from balancer.sidecar.downstream.timeouts import DownstreamTimeouts
 from balancer.sidecar.http_message import MAX_REQUEST_BODY_BYTES, HttpResponse
@@ -88,6 +92,8 @@
         self._is_write_blocked = False
         self._discarded_bytes = 0
         self._waiting_since_seconds = 0.0
+        self._unread_since_seconds: float | None = None
+        """Since when bytes may have waited in the socket, where it is not read as they arrive."""
 
     @property
     def is_connected(self) -> bool:
@@ -167,7 +173,7 @@
             return
         if self.is_idle:
             self._restart_wait()
-        self._reader.feed(data)
+        self._reader.feed(data, self._arrival_time_seconds())
         self._process_requests()
 
     def eof_received(self) -> None:
@@ -195,6 +201,16 @@
 
     # Requests
 
+    def _arrival_time_seconds(self) -> float:
+        """Return when the bytes just read had arrived; the earliest time where that is not known."""
+        now_seconds = self._manager.now_seconds()
+        if self._unread_since_seconds is None:
+            return now_seconds
+        arrived_at_seconds = self._unread_since_seconds
+        if not self.has_unread_bytes():
+            self._unread_since_seconds = None
+        return arrived_at_seconds
+
     def _process_requests(self) -> None:
         """Take the requests that are whole, as far as there is room for them."""
         if self._is_parsing:  # a response that came at once has made room: the loop below goes on
@@ -223,15 +239,18 @@
             self._transport.write(CONTINUE_RESPONSE)
 
     def _handle_request(self, request: ReceivedRequest) -> None:
-        head, body = request
+        head = request.head
         if head.method == READINESS_METHOD and head.path == READINESS_PATH:
             self._open_exchange(is_last=not head.keeps_alive).respond(self._manager.readiness_response())
             return
-        client_request = self._manager.validate_request(head, body)
+        client_request = self._manager.validate_request(head, request.body)
+        waited_seconds = self._manager.now_seconds() - request.arrived_at_seconds
+        if waited_seconds < ARRIVAL_RESOLUTION_SECONDS:
+            waited_seconds = 0.0
         self.has_sent_request = True
         self._manager.on_request_accepted(self)
         exchange = self._open_exchange(is_last=not head.keeps_alive)
-        exchange.request_id = self._manager.dispatcher.submit(exchange, client_request)
+        exchange.request_id = self._manager.dispatcher.submit(exchange, client_request, waited_seconds)
 
     def _open_exchange(self, is_last: bool) -> Exchange:
         exchange = Exchange(self, is_last)
@@ -298,6 +317,8 @@
         else:
             limit = MAX_DISCARDED_BYTES_LINGERING if self._is_lingering else MAX_DISCARDED_BYTES
             paused = self._discarded_bytes > limit
+        if paused and self._unread_since_seconds is None:
+            self._unread_since_seconds = self._manager.now_seconds()
         self._transport.set_reading_paused(paused)
 
     # Time limits
--- a/balancer/sidecar/downstream/interfaces.py
+++ b/balancer/sidecar/downstream/interfaces.py
@@ -16,8 +16,11 @@
     def is_duplicate(self, client_request_id: bytes, /) -> bool:
         """Whether a request with this id is in flight, or may have been executed and must not be again."""
 
-    def submit(self, response_sink: ResponseSink, request: ClientRequest, /) -> int:
-        """Take a request and return its id. The response may come before this returns."""
+    def submit(self, response_sink: ResponseSink, request: ClientRequest, waited_seconds: float, /) -> int:
+        """Take a request that arrived so long ago, and return its id.
+
+        The response may come before this returns.
+        """
 
     def on_client_disconnected(self, request_id: int, /) -> None:
         """Abandon a request whose client has left."""
--- a/balancer/sidecar/downstream/request_reader.py
+++ b/balancer/sidecar/downstream/request_reader.py
@@ -2,25 +2,51 @@
 
 from __future__ import annotations
 
+from collections import deque
 from typing import NamedTuple
 
 from balancer.sidecar.http_request import END_OF_HEAD, RequestHead, check_partial_head, parse_request_head
 
+ARRIVAL_RESOLUTION_SECONDS = 0.01
+"""Bytes that arrive within this time count as arrived together: a client may send them one by one."""
+
 
 class ReceivedRequest(NamedTuple):
     """A whole request, valid by its grammar."""
 
     head: RequestHead
     body: bytes
+    arrived_at_seconds: float
+    """When its last byte had arrived at the latest, by the time that `RequestReader.feed` was given."""
+
+
+class _Segment(NamedTuple):
+    """Bytes that arrived together."""
+
+    end_position: int
+    """Of all bytes that were fed."""
+    arrived_at_seconds: float
 
 
 class RequestReader:
     """Holds what has arrived on a connection and is not part of a whole request yet."""
 
-    __slots__ = ("_buffer", "_head", "_is_continue_expected", "_search_start")
+    __slots__ = (
+        "_buffer",
+        "_fed_bytes",
+        "_head",
+        "_is_continue_expected",
+        "_search_start",
+        "_segments",
+        "_taken_bytes",
+    )
 
     def __init__(self) -> None:
         self._buffer = bytearray()
+        self._segments: deque[_Segment] = deque()
+        """Those that are not taken whole, oldest first."""
+        self._fed_bytes = 0
+        self._taken_bytes = 0
         self._search_start = 0
         """The end of the head is not in the buffer before this position."""
         self._head: RequestHead | None = None
@@ -37,13 +63,22 @@
         """Whether bytes are held that `next_request` may find a request in."""
         return bool(self._buffer)
 
-    def feed(self, data: bytes) -> None:
-        """Add what has arrived."""
+    def feed(self, data: bytes, arrived_at_seconds: float) -> None:
+        """Add what has arrived, and when."""
         self._buffer += data
+        self._fed_bytes += len(data)
+        if self._segments:
+            last_arrival_seconds = self._segments[-1].arrived_at_seconds
+            if arrived_at_seconds - last_arrival_seconds < ARRIVAL_RESOLUTION_SECONDS:
+                self._segments.pop()
+                arrived_at_seconds = last_arrival_seconds
+        self._segments.append(_Segment(self._fed_bytes, arrived_at_seconds))
 
     def clear(self) -> None:
         """Drop what is held."""
         self._buffer.clear()
+        self._segments.clear()
+        self._taken_bytes = self._fed_bytes
         self._search_start = 0
         self._head = None
         self._is_continue_expected = False
@@ -60,9 +95,9 @@
                 self._is_continue_expected = head.expects_continue
             return None
         body = bytes(buffer[: head.content_length])
-        del buffer[: head.content_length]
+        arrived_at_seconds = self._take(head.content_length)
         self._head = None
-        return ReceivedRequest(head, body)
+        return ReceivedRequest(head, body, arrived_at_seconds)
 
     def take_continue_expectation(self) -> bool:
         """Whether a client waits for 100 (Continue) before it sends the rest of its request.
@@ -82,6 +117,15 @@
             return None
         end += len(END_OF_HEAD)
         head = parse_request_head(bytes(buffer[:end]))
-        del buffer[:end]
+        self._take(end)
         self._search_start = 0
         return head
+
+    def _take(self, size_bytes: int) -> float:
+        """Remove bytes from the buffer, and return when the last byte taken so far had arrived."""
+        del self._buffer[:size_bytes]
+        self._taken_bytes += size_bytes
+        segments = self._segments
+        while segments[0].end_position < self._taken_bytes:
+            segments.popleft()
+        return segments[0].arrived_at_seconds
--- a/tests/sidecar/downstream/test_connection.py
+++ b/tests/sidecar/downstream/test_connection.py
@@ -87,6 +87,62 @@
         assert 4 < told[-1] < 5
 
 
+@async_test
+async def test_request_read_after_a_pause_counts_from_the_begin_of_the_pause() -> None:
+    """Its bytes wait in the socket, and nothing tells when they came."""
+    released = asyncio.Event()
+
+    async def answer_when_released(_request: ReceivedRequest) -> bytes:
+        await released.wait()
+        return ok_response()
+
+    async with (
+        run_endpoint(answer_when_released) as endpoint,
+        run_sidecar_without_sweeps(endpoint.address) as sidecar,
+    ):
+        set_time(sidecar, 100.0)
+        client = await sidecar.connect_client()
+        client.writer.write(b"".join(request_bytes(deadline="8") for _ in range(MAX_PIPELINED_REQUESTS)))
+        await wait_until(lambda: len(endpoint.received_requests) == MAX_PIPELINED_REQUESTS)
+        [connection] = sidecar.listener.accepting_connections
+        assert connection.is_reading_paused
+        set_time(sidecar, 102.0)
+        client.writer.write(request_bytes(deadline="8"))
+        await wait_until(connection.has_unread_bytes)
+        set_time(sidecar, 103.0)
+        released.set()
+        await wait_until(lambda: len(endpoint.received_requests) > MAX_PIPELINED_REQUESTS)
+        assert 4 < float(endpoint.received_requests[-1].headers[b"req-deadline"]) < 5
+        for _ in range(MAX_PIPELINED_REQUESTS + 1):
+            assert (await client.read_response())[0] == 200
+        client.writer.write(request_bytes(deadline="8"))  # no longer behind the pause
+        assert (await client.read_response())[0] == 200
+        assert 7 < float(endpoint.received_requests[-1].headers[b"req-deadline"]) < 8
+
+
+@async_test
+async def test_pipelined_request_whose_time_is_over_is_answered_and_not_sent() -> None:
+    released = asyncio.Event()
+
+    async def answer_when_released(_request: ReceivedRequest) -> bytes:
+        await released.wait()
+        return ok_response()
+
+    async with (
+        run_endpoint(answer_when_released) as endpoint,
+        run_sidecar_without_sweeps(endpoint.address) as sidecar,
+    ):
+        set_time(sidecar, 100.0)
+        client = await sidecar.connect_client()
+        client.writer.write(b"".join(request_bytes(deadline="8") for _ in range(MAX_PIPELINED_REQUESTS + 1)))
+        await wait_until(lambda: len(endpoint.received_requests) == MAX_PIPELINED_REQUESTS)
+        set_time(sidecar, 109.0)
+        released.set()
+        statuses = [(await client.read_response())[0] for _ in range(MAX_PIPELINED_REQUESTS + 1)]
+        assert statuses == [200] * MAX_PIPELINED_REQUESTS + [503]
+        assert len(endpoint.received_requests) == MAX_PIPELINED_REQUESTS
+
+
 # ---- time limits
 
 
--- /dev/null
+++ b/tests/sidecar/downstream/test_request_reader.py
@@ -0,0 +1,51 @@
+"""Cutting the bytes of a connection into requests, and when these had arrived."""
+
+from __future__ import annotations
+
+from balancer.sidecar.downstream.request_reader import ARRIVAL_RESOLUTION_SECONDS, RequestReader
+from tests.sidecar.harness import request_bytes
+
+
+def arrival_times(reader: RequestReader) -> list[float]:
+    """Take all whole requests, and return when each had arrived."""
+    times = []
+    while reader.has_unparsed_bytes and (request := reader.next_request()) is not None:
+        times.append(request.arrived_at_seconds)
+    return times
+
+
+def test_request_arrives_with_its_last_byte() -> None:
+    reader = RequestReader()
+    raw = request_bytes("post", body=b"x" * 10)
+    reader.feed(raw[:-1], 1.0)
+    assert arrival_times(reader) == []
+    reader.feed(raw[-1:] + request_bytes(), 2.0)
+    reader.feed(request_bytes()[:5], 3.0)
+    assert arrival_times(reader) == [2.0, 2.0]
+
+
+def test_requests_that_are_taken_later_keep_their_times() -> None:
+    reader = RequestReader()
+    reader.feed(request_bytes() + request_bytes()[:7], 1.0)
+    reader.feed(request_bytes()[7:], 2.0)
+    reader.feed(request_bytes(), 3.0)
+    assert arrival_times(reader) == [1.0, 2.0, 3.0]
+
+
+def test_bytes_one_by_one_count_from_their_first_within_the_resolution() -> None:
+    reader = RequestReader()
+    raw = request_bytes()
+    step = 2 * ARRIVAL_RESOLUTION_SECONDS / len(raw)
+    for index in range(len(raw)):
+        reader.feed(raw[index : index + 1], index * step)
+    [arrived_at] = arrival_times(reader)
+    end = (len(raw) - 1) * step
+    assert end - ARRIVAL_RESOLUTION_SECONDS <= arrived_at <= end
+
+
+def test_cleared_bytes_leave_no_time() -> None:
+    reader = RequestReader()
+    reader.feed(request_bytes()[:9], 1.0)
+    reader.clear()
+    reader.feed(request_bytes(), 2.0)
+    assert arrival_times(reader) == [2.0]
