Count the time of requests on connections that could not be accepted at once

Change: the acceptor tells each connection that had to wait since when; its first bytes count from there. Result: test_connections_that_had_to_wait_are_told_since_when fails without it.

--- a/balancer/sidecar/downstream/acceptor.py
+++ b/balancer/sidecar/downstream/acceptor.py
@@ -6,7 +6,8 @@
 import logging
 import socket
 from collections.abc import Callable
-from typing import cast
+from functools import partial
+from typing import TypeAlias
 
 from balancer.sidecar.address import Address
 from balancer.sidecar.timers import OneShotTimer
@@ -20,6 +21,8 @@
 RETRY_DELAY_SECONDS = 0.01
 """After a failure to accept. Connections that wait are neither closed nor answered until then."""
 
+ProtocolFactory: TypeAlias = Callable[[float | None], asyncio.Protocol]
+
 log = logging.getLogger(__name__)
 
 
@@ -41,14 +44,15 @@
     Args:
         listening: the socket; this object owns it.
         loop: the event loop.
-        make_protocol: makes the protocol of each connection.
+        make_protocol: makes the protocol of each connection. It is given since when its bytes may have waited
+            (by the loop's time) where the connection had to wait, else None.
     """
 
     def __init__(
         self,
         listening: socket.socket,
         loop: asyncio.AbstractEventLoop,
-        make_protocol: Callable[[], asyncio.BaseProtocol],
+        make_protocol: ProtocolFactory,
     ) -> None:
         self._listening = listening
         self._loop = loop
@@ -56,6 +60,7 @@
         self._retry_timer = OneShotTimer(loop)
         self._opening_tasks: set[asyncio.Task[None]] = set()
         self._is_closed = False
+        self._blocked_since_seconds: float | None = None
         self.failure_count = 0
         """How often accepting has failed for want of resources or otherwise."""
 
@@ -86,6 +91,7 @@
             try:
                 connection, _address = self._listening.accept()
             except (BlockingIOError, InterruptedError):
+                self._blocked_since_seconds = None
                 return
             except ConnectionAbortedError:
                 continue  # this client has left; others may wait
@@ -97,6 +103,8 @@
     def _retry_later(self, error: OSError) -> None:
         """Leave the connections in the backlog for a moment: the socket stays readable, and would spin."""
         self.failure_count += 1
+        if self._blocked_since_seconds is None:
+            self._blocked_since_seconds = self._loop.time()
         log.info("accepting failed, retried in %.2f s: %s", RETRY_DELAY_SECONDS, error)
         self._loop.remove_reader(self._listening)
         self._retry_timer.start(RETRY_DELAY_SECONDS, self._resume)
@@ -106,16 +114,16 @@
             self.start()
 
     def _open(self, connection: socket.socket) -> None:
-        task = self._loop.create_task(self._attach_protocol(connection))
+        make_protocol = partial(self._make_protocol, self._blocked_since_seconds)
+        task = self._loop.create_task(self._attach(connection, make_protocol))
         self._opening_tasks.add(task)
         task.add_done_callback(self._opening_tasks.discard)
 
-    async def _attach_protocol(self, connection: socket.socket) -> None:
+    async def _attach(self, connection: socket.socket, make_protocol: Callable[[], asyncio.Protocol]) -> None:
         connection.setblocking(False)
         try:
             # Small writes must not wait for the acknowledgement of earlier ones.
             connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            make_protocol = cast(Callable[[], asyncio.Protocol], self._make_protocol)
             await self._loop.connect_accepted_socket(make_protocol, connection)
         except OSError as error:  # the client has reset the connection meanwhile
             log.info("a connection was lost as it was accepted: %s", error)
--- a/balancer/sidecar/downstream/connection.py
+++ b/balancer/sidecar/downstream/connection.py
@@ -76,11 +76,16 @@
     its own side is closed, and what the client still sends is discarded until the client closes too. Closed
     at once over bytes that have arrived unread, the connection would be reset and a response under way lost.
 
+    Args:
+        manager: the listener.
+        unread_since_seconds: since when bytes may have waited in the socket, where the connection could not
+            be accepted at once.
+
     Attributes:
         has_sent_request: whether a valid request has come.
     """
 
-    def __init__(self, manager: ConnectionManager) -> None:
+    def __init__(self, manager: ConnectionManager, unread_since_seconds: float | None = None) -> None:
         self.has_sent_request = False
         self._manager = manager
         self._transport = ClientTransport()
@@ -92,8 +97,7 @@
         self._is_write_blocked = False
         self._discarded_bytes = 0
         self._waiting_since_seconds = 0.0
-        self._unread_since_seconds: float | None = None
-        """Since when bytes may have waited in the socket, where it is not read as they arrive."""
+        self._unread_since_seconds = unread_since_seconds
 
     @property
     def is_connected(self) -> bool:
--- a/balancer/sidecar/lifecycle.py
+++ b/balancer/sidecar/lifecycle.py
@@ -7,6 +7,7 @@
 import logging
 import os
 import signal
+from functools import partial
 
 from balancer.errors import ConfigurationError
 from balancer.sidecar.clock import Clock
@@ -163,7 +164,7 @@
     loop.add_signal_handler(signal.SIGHUP, reloader.request_reload)
     discovery.start()
     listening = open_listening_socket(config.listen_address)
-    acceptor = Acceptor(listening, loop, lambda: DownstreamConnection(listener))
+    acceptor = Acceptor(listening, loop, partial(DownstreamConnection, listener))
     acceptor.start()
     unblock_signals()  # the threads that resolve names run by now, and keep them blocked
     await shutdown_requested.wait()
--- a/tests/sidecar/downstream/test_acceptor.py
+++ b/tests/sidecar/downstream/test_acceptor.py
@@ -34,6 +34,9 @@
 class Greeter(asyncio.Protocol):
     """Says that it has been attached to a connection."""
 
+    def __init__(self, unread_since_seconds: float | None) -> None:
+        self.unread_since_seconds = unread_since_seconds
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Greet the client."""
         cast(asyncio.Transport, transport).write(b"hello")
@@ -94,3 +97,26 @@
         await acceptor.close()
         await acceptor.close()
     assert listening.fileno() == -1
+
+
+@async_test
+async def test_connections_that_had_to_wait_are_told_since_when() -> None:
+    loop = asyncio.get_running_loop()
+    waited_since: list[float | None] = []
+
+    def make_greeter(unread_since_seconds: float | None) -> Greeter:
+        waited_since.append(unread_since_seconds)
+        return Greeter(unread_since_seconds)
+
+    listening = open_listening_socket(("127.0.0.1", 0))
+    failing = cast(socket.socket, FailingSocket(listening, errno.ENFILE, errno.ENFILE))
+    acceptor = Acceptor(failing, loop, make_greeter)
+    started_at = loop.time()
+    acceptor.start()
+    for _ in range(2):
+        assert await greeting_at(listening.getsockname()) == b"hello"
+    first, second = waited_since
+    assert first is not None
+    assert started_at <= first <= loop.time()
+    assert second is None
+    await acceptor.close()
