Wait out a shortage of descriptors at the start, and an unreadable file at a reload

Cause: a process whose listening socket could not be made (EMFILE, ENFILE, ENOBUFS, ENOMEM) ended with status 1, which is a refusal to start. A SIGHUP whose file could not be read for a moment was dropped, and with it the new address of discovery. Change: main starts again every 50 ms, up to 25 s; the configuration is read again where an error may be over soon. An invalid file is still refused at once.

--- a/balancer/__main__.py
+++ b/balancer/__main__.py
@@ -2,26 +2,40 @@
 
 from __future__ import annotations
 
+import errno
 import gc
 import logging
 import os
 import sys
+import time
 
 import uvloop
 
 from balancer.errors import ConfigurationError
-from balancer.sidecar.configuration import load_configuration
+from balancer.sidecar.configuration import (
+    SidecarConfiguration,
+    UnreadableConfigurationError,
+    load_configuration,
+)
 from balancer.sidecar.lifecycle import block_signals, run_sidecar
+from balancer.sidecar.sockets import RESOURCE_SHORTAGE_ERRNOS
 
 EXIT_OS_ERROR = 1
 EXIT_CONFIGURATION_ERROR = 2
 
+MAX_START_SECONDS = 25.0
+"""From the start until a shortage ends the process: a sidecar that is not ready in 30 s has failed."""
+START_RETRY_SECONDS = 0.05
+TRANSIENT_READ_ERRNOS = RESOURCE_SHORTAGE_ERRNOS | {errno.EIO, errno.EAGAIN}
+"""Errors of reading the configuration that may be over soon; a file that is missing is not."""
+
 
 def main() -> int:
     """Run a sidecar until it is told to stop, and return the exit code of the process."""
     logging.basicConfig(level=logging.WARNING, format="%(levelname)s %(name)s: %(message)s")
+    start_deadline = time.monotonic() + MAX_START_SECONDS
     try:
-        config = load_configuration(os.environ)
+        config = _load_configuration(start_deadline)
     except ConfigurationError as error:
         print(f"balancer: {error}", file=sys.stderr)
         return EXIT_CONFIGURATION_ERROR
@@ -30,12 +44,36 @@
     block_signals()
     gc.freeze()  # what is loaded by now stays: the collector need not go over it again
     try:
-        uvloop.run(run_sidecar(config))
+        _run(config, start_deadline)
     except OSError as error:
         print(f"balancer: {error}", file=sys.stderr)
         return EXIT_OS_ERROR
     return 0
 
 
+def _load_configuration(start_deadline: float) -> SidecarConfiguration:
+    """Load the configuration, once more after an error that may be over soon. Raises ConfigurationError."""
+    while True:
+        try:
+            return load_configuration(os.environ)
+        except UnreadableConfigurationError as error:
+            if error.error_number not in TRANSIENT_READ_ERRNOS or time.monotonic() >= start_deadline:
+                raise
+        time.sleep(START_RETRY_SECONDS)
+
+
+def _run(config: SidecarConfiguration, start_deadline: float) -> None:
+    """Run the sidecar; where it has no descriptors or memory to start with, start it again. Raises OSError."""
+    while True:
+        try:
+            uvloop.run(run_sidecar(config))
+        except OSError as error:
+            if error.errno not in RESOURCE_SHORTAGE_ERRNOS or time.monotonic() >= start_deadline:
+                raise
+        else:
+            return
+        time.sleep(START_RETRY_SECONDS)
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- a/balancer/sidecar/configuration.py
+++ b/balancer/sidecar/configuration.py
@@ -36,6 +36,18 @@
 """Keys that PROXY_NAME and so on stand in for where the file leaves them out."""
 
 
+class UnreadableConfigurationError(ConfigurationError):
+    """The file could not be read, which says nothing of what is in it.
+
+    Attributes:
+        error_number: The errno.
+    """
+
+    def __init__(self, path: str, error: OSError) -> None:
+        super().__init__("PROXY_CONFIG", f"cannot be read: {error.strerror}: {path}", path)
+        self.error_number = error.errno
+
+
 @dataclass(frozen=True, slots=True)
 class SidecarConfiguration:
     """What a sidecar is configured with."""
@@ -66,7 +78,8 @@
 def load_configuration(environ: Mapping[str, str]) -> SidecarConfiguration:
     """Read the configuration that the environment names.
 
-    Raises ConfigurationError, which says in one plain line what is wrong.
+    Raises ConfigurationError, which says in one plain line what is wrong; UnreadableConfigurationError where
+    the file could not be read.
     """
     fields = _read_file(environ)
     for key in _ENVIRONMENT_KEYS:
@@ -120,7 +133,7 @@
         with open(path, "rb") as file:
             fields = json.load(file)
     except OSError as error:
-        raise ConfigurationError("PROXY_CONFIG", f"cannot be read: {error.strerror}: {path}", path) from None
+        raise UnreadableConfigurationError(path, error) from None
     except (ValueError, RecursionError) as error:
         raise ConfigurationError("PROXY_CONFIG", f"is not JSON: {error}", path) from None
     if not is_object(fields):
--- a/balancer/sidecar/lifecycle.py
+++ b/balancer/sidecar/lifecycle.py
@@ -11,7 +11,11 @@
 
 from balancer.errors import ConfigurationError
 from balancer.sidecar.clock import Clock
-from balancer.sidecar.configuration import SidecarConfiguration, load_configuration
+from balancer.sidecar.configuration import (
+    SidecarConfiguration,
+    UnreadableConfigurationError,
+    load_configuration,
+)
 from balancer.sidecar.discovery_client import DiscoveryClient
 from balancer.sidecar.dispatcher import Dispatcher
 from balancer.sidecar.downstream.acceptor import Acceptor, open_listening_socket
@@ -24,6 +28,12 @@
 RELOAD_DELAY_SECONDS = 0.02
 """From a SIGHUP to the reload: the signals of a burst cause one reload, and leave the loop time to serve."""
 
+RELOAD_RETRY_SECONDS = 0.1
+"""Until a file that could not be read is tried again."""
+
+MAX_RELOAD_ATTEMPTS = 30
+"""Of one reload: what the new address of discovery has counts as known 4 s after the SIGHUP."""
+
 # The phases of a shutdown. Clients use the connections that they have until these close, and where sidecars
 # restart in turn no other may be running: so one serves on for nearly as long as it may live.
 
@@ -66,15 +76,18 @@
 class ConfigurationReloader:
     """Reads the configuration again on request. Only the address of discovery can change in service.
 
-    A burst of requests causes one reload: one for each would keep the loop from everything else.
+    A burst of requests causes one reload: one for each would keep the loop from everything else. A file that
+    cannot be read is tried again for a while.
     """
 
     def __init__(self, discovery: DiscoveryClient, loop: asyncio.AbstractEventLoop) -> None:
         self._discovery = discovery
         self._timer = OneShotTimer(loop)
+        self._attempts_left = 0
 
     def request_reload(self) -> None:
         """Reload soon, unless that is pending already."""
+        self._attempts_left = MAX_RELOAD_ATTEMPTS
         if not self._timer.is_running:
             self._timer.start(RELOAD_DELAY_SECONDS, self._reload)
 
@@ -83,12 +96,23 @@
         self._timer.cancel()
 
     def _reload(self) -> None:
+        is_first_attempt = self._attempts_left == MAX_RELOAD_ATTEMPTS
+        self._attempts_left -= 1
         try:
             config = load_configuration(os.environ)
+        except UnreadableConfigurationError as error:
+            if is_first_attempt:
+                _log_failed_reload(error)
+            if self._attempts_left:
+                self._timer.start(RELOAD_RETRY_SECONDS, self._reload)
         except ConfigurationError as error:
-            log.error("reload failed, the old configuration stays: %s: %s", type(error).__name__, error)
-            return
-        self._discovery.change_address(config.discovery_address)
+            _log_failed_reload(error)
+        else:
+            self._discovery.change_address(config.discovery_address)
+
+
+def _log_failed_reload(error: ConfigurationError) -> None:
+    log.error("reload failed, the old configuration stays: %s: %s", type(error).__name__, error)
 
 
 class GracefulShutdown:
--- a/balancer/sidecar/upstream/attempt.py
+++ b/balancer/sidecar/upstream/attempt.py
@@ -13,6 +13,7 @@
 from balancer.policy_api import AttemptOutcome
 from balancer.sidecar.address import Address
 from balancer.sidecar.http_message import HttpResponse
+from balancer.sidecar.sockets import RESOURCE_SHORTAGE_ERRNOS
 from balancer.sidecar.timers import OneShotTimer
 from balancer.sidecar.upstream.connection import UpstreamConnection
 from balancer.sidecar.upstream.pool import EndpointPool
@@ -31,9 +32,7 @@
 )
 
 # Failures to connect that speak of this machine, not of the endpoint.
-LOCAL_RESOURCE_ERRNOS = frozenset(
-    (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL)
-)
+LOCAL_RESOURCE_ERRNOS = RESOURCE_SHORTAGE_ERRNOS | {errno.EADDRNOTAVAIL}
 
 
 class ConnectError(UpstreamConnectionError):
