Give the soak's account servers cores and a queue, so that their capacity is real

The servers answered whatever came at once: one warm server did 85 requests a second where the oracle took 40 for its capacity, and the sidecars earn what a cold one gets from that. The settings allowed no more than the bare capacity either (multiple 1.0; the sites have 3). Change: a server has two cores and a queue, slower while cold; the settings have a multiple of 1.5, a colder start (0.05) and a longer warm-up (9 s). A full load at birth (72 in 3 s) is still over the budget (51).

--- a/balancer/__main__.py
+++ b/balancer/__main__.py
@@ -63,7 +63,7 @@
 
 
 def _run(config: SidecarConfiguration, start_deadline: float) -> None:
-    """Run the sidecar; where it has no descriptors or memory to start with, start it again. Raises OSError."""
+    """Run the sidecar; where a shortage keeps it from starting, start it again. Raises OSError."""
     while True:
         try:
             uvloop.run(run_sidecar(config))
--- a/soak/account_server.py
+++ b/soak/account_server.py
@@ -3,16 +3,20 @@
 from __future__ import annotations
 
 import asyncio
+from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import StrEnum
 from random import Random
 from typing import cast
 
+from soak.deployment import Deployment
 from soak.fault_proxy import FaultProxy, Ingress, reset_transport
 from soak.history import Attempt, EndOfAttempt, HarnessClock, History, ServerLife
 
-MEAN_SERVICE_SECONDS = 0.02
-SLOW_SERVICE_SECONDS = 0.6
+CORES = 2
+SLOW_FACTOR = 8.0
+"""By which a slow server is slower."""
 SECOND_ANSWER_DELAY_SECONDS = 0.003
 MAX_FILLER_BYTES = 6000
 
@@ -55,7 +59,6 @@
         self._transport: asyncio.Transport | None = None
         self._attempt: Attempt | None = None
         self._known_ingress: Ingress | None = None
-        self._answer_timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Take the transport."""
@@ -77,8 +80,6 @@
     def connection_lost(self, _error: Exception | None) -> None:
         """End the attempt that is in work."""
         self._server.connections.discard(self)
-        if self._answer_timer is not None:
-            self._answer_timer.cancel()
         ingress = self._ingress()
         if self._attempt is not None:
             was_abandoned = (
@@ -129,9 +130,7 @@
             self._write(b"HTTP/1.1 503 No\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n")
             self._end_attempt(EndOfAttempt.DECLINED)
             return
-        mean = SLOW_SERVICE_SECONDS if fault == ServerFault.SLOW else MEAN_SERVICE_SECONDS
-        delay = self._server.random.expovariate(1 / mean)
-        self._answer_timer = self._server.loop.call_later(delay, self._answer)
+        self._server.work_queue.add(self._answer)
 
     def _answer(self) -> None:
         attempt = self._attempt
@@ -179,13 +178,44 @@
             self._attempt = None
 
 
+class WorkQueue:
+    """What a server has to do, on a few cores; cold or slow, each piece of work takes longer."""
+
+    def __init__(self, server: AccountServer) -> None:
+        self._server = server
+        self._waiting: deque[Callable[[], None]] = deque()
+        self._busy_cores = 0
+
+    def add(self, finish: Callable[[], None]) -> None:
+        """Do a piece of work once a core is free, and call `finish` then."""
+        self._waiting.append(finish)
+        self._begin_work()
+
+    def _begin_work(self) -> None:
+        while self._waiting and self._busy_cores < CORES:
+            self._busy_cores += 1
+            finish = self._waiting.popleft()
+            self._server.loop.call_later(self._server.draw_service_seconds(), self._end_work, finish)
+
+    def _end_work(self, finish: Callable[[], None]) -> None:
+        self._busy_cores -= 1
+        finish()
+        self._begin_work()
+
+
 class AccountServer:
     """One account server with its proxy; it can be stopped and started again, as another process."""
 
     def __init__(
-        self, identity: ServerIdentity, clock: HarnessClock, history: History, random: Random
+        self,
+        identity: ServerIdentity,
+        deployment: Deployment,
+        clock: HarnessClock,
+        history: History,
+        random: Random,
     ) -> None:
         self.identity = identity
+        self._deployment = deployment
         self.clock = clock
         self.history = history
         self.random = random
@@ -194,6 +224,7 @@
         self.fault = ServerFault.NONE
         self.connections: set[_ServerConnection] = set()
         self.life: ServerLife | None = None
+        self.work_queue = WorkQueue(self)
         self.born_ms = 0
         self._listener: asyncio.Server | None = None
         self._connection_count = 0
@@ -204,6 +235,7 @@
         self._listener = await self.loop.create_server(self._make_connection, "127.0.0.1", 0)
         self.proxy.backend = self._listener.sockets[0].getsockname()[:2]
         await self.proxy.start()
+        self.work_queue = WorkQueue(self)
         now = self.clock.now()
         self.born_ms = self.clock.wall_time_ns() // 1_000_000 if is_cold else 0
         self.life = ServerLife(
@@ -233,6 +265,15 @@
         if self.life is not None:
             self.life.is_healthy_since = self.clock.now()
 
+    def draw_service_seconds(self) -> float:
+        """Draw how long one request takes on one core now."""
+        mean = CORES / self._deployment.server_requests_per_second
+        if self.life is not None and self.life.is_cold:
+            mean /= self._deployment.warmth(self.clock.now() - self.life.started_at)
+        if self.fault == ServerFault.SLOW:
+            mean *= SLOW_FACTOR
+        return self.random.expovariate(1 / mean)
+
     def next_execution(self) -> str:
         """Return a name for an execution, which stands in the body of its answer."""
         self._execution_count += 1
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -58,6 +58,11 @@
         """The longest time that any client waits."""
         return max(kind.timeout_seconds for kind in self.kinds)
 
+    def warmth(self, age_seconds: float) -> float:
+        """Return the capacity of a server of this age as a share of its full capacity."""
+        share = min(1.0, age_seconds / self.warm_up_seconds)
+        return self.cold_share + (1 - self.cold_share) * share
+
     def kind(self, name: str) -> RequestKind:
         """Return the class of this name."""
         return next(kind for kind in self.kinds if kind.name == name)
@@ -119,9 +124,10 @@
         requests_per_second=190 / sidecar_count,
         is_discovery_polled=random.random() < 0.25,
         drain_grace_seconds=random.choice((0.5, 1.0)),
-        cold_share=0.15,
-        warm_up_seconds=6.0,
-        overload_multiple=1.0,
+        # A server that gets its full load at birth is over its budget, one that warms up is far below it.
+        cold_share=0.05,
+        warm_up_seconds=9.0,
+        overload_multiple=1.5,
         overload_window_seconds=3.0,
         server_requests_per_second=40.0,
     )
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -99,7 +99,9 @@
         return f"127.2.{index // 250}.{index % 250 + 1}"
 
     async def _add(self, identity: ServerIdentity, is_cold: bool) -> AccountServer:
-        server = AccountServer(identity, self.clock, self.history, Random(self._random.random()))
+        server = AccountServer(
+            identity, self.deployment, self.clock, self.history, Random(self._random.random())
+        )
         await server.start(is_cold)
         self.servers.append(server)
         self._all_servers.append(server)
