Stop counting a connection whose connect is cancelled in the turn in which it is made

Cause: after such a cancel the event loop closes the transport without reporting its loss, and the connection stayed counted against the limit on upstream connections for ever. Change: the manager holds the open connections as a set; a connect that fails takes its connection out. Result: test_connect_cancelled_as_it_is_made_is_not_counted counted 1 before and 0 now.

--- a/balancer/sidecar/upstream/manager.py
+++ b/balancer/sidecar/upstream/manager.py
@@ -47,7 +47,7 @@
         self._connect_timeout_seconds = config.connect_timeout_ns / SECOND_NS
         self._load_report_fields = config.settings.load_report_fields
         self._health_check_request = build_health_check_request(config.load_reports_enabled)
-        self._open_connection_count = 0
+        self._open_connections: set[UpstreamConnection] = set()
         self._pools: dict[EndpointId, EndpointPool] = {}
         self._health_checks: set[HealthCheck] = set()
 
@@ -59,7 +59,7 @@
     @property
     def open_connection_count(self) -> int:
         """How many connections are being made or not lost yet."""
-        return self._open_connection_count
+        return len(self._open_connections)
 
     # ---- endpoints
 
@@ -159,7 +159,7 @@
 
     def make_room(self) -> bool:
         """Return whether one more connection may be opened; the longest idle one makes room if need be."""
-        if self._open_connection_count < self.max_connections:
+        if self.open_connection_count < self.max_connections:
             return True
         pools = [pool for pool in self._pools.values() if pool.idle_connections]
         if not pools:
@@ -171,23 +171,22 @@
     async def connect(self, pool: EndpointPool) -> UpstreamConnection:
         """Open a connection to the endpoint of this pool. Raises OSError; a timeout is one.
 
-        The connection counts until it is lost, which may be before this returns.
+        The connection counts until it is lost, which may be before this returns, or until this fails.
         """
         connection = UpstreamConnection(partial(self._on_connection_lost, pool), self.buffer_budget)
         connection.address = pool.address
         host, port = pool.address
-        self._open_connection_count += 1
+        self._open_connections.add(connection)
         try:
             async with asyncio.timeout(self._connect_timeout_seconds):
                 await self.loop.create_connection(lambda: connection, host, port)
         except BaseException:
-            if connection.is_established:
-                connection.close()
-            else:
-                self._open_connection_count -= 1  # its loss will not be reported
+            # Its loss may be reported or not, by what the event loop has done before it was cancelled.
+            connection.close()
+            self._open_connections.discard(connection)
             raise
         return connection
 
     def _on_connection_lost(self, pool: EndpointPool, connection: UpstreamConnection) -> None:
-        self._open_connection_count -= 1
+        self._open_connections.discard(connection)
         pool.discard(connection)
--- a/tests/sidecar/upstream/test_manager.py
+++ b/tests/sidecar/upstream/test_manager.py
@@ -71,6 +71,49 @@
         assert connection.send(request_bytes(), lambda _response: None) is False
 
 
+class CancellingLoop:
+    """Cancels the task that waits for a connection in the very turn in which the connection is made."""
+
+    def __init__(self) -> None:
+        self._loop = asyncio.get_running_loop()
+
+    async def create_connection(
+        self, factory: Callable[[], UpstreamConnection], *address: Any
+    ) -> tuple[asyncio.BaseTransport, UpstreamConnection]:
+        """Make a connection for a task that is cancelled as soon as its protocol knows of it."""
+        waiting_task = asyncio.current_task()
+        assert waiting_task is not None
+
+        def make_connection() -> UpstreamConnection:
+            connection = factory()
+            take_transport = connection.connection_made
+
+            def take_transport_and_cancel(transport: asyncio.BaseTransport) -> None:
+                take_transport(transport)
+                waiting_task.cancel()
+
+            connection.connection_made = take_transport_and_cancel  # type: ignore[method-assign]
+            return connection
+
+        return await self._loop.create_connection(make_connection, *address)
+
+
+@async_test
+async def test_connect_cancelled_as_it_is_made_is_not_counted() -> None:
+    async with run_endpoint(answer_ok) as endpoint:
+        config = parse_configuration(configuration(endpoint.address))
+        loop = cast(asyncio.AbstractEventLoop, CancellingLoop())
+        upstream = UpstreamManager(config, loop, lambda: SECOND_NS)
+        upstream.update_endpoints(config.known_endpoints.endpoints, is_snapshot=True)
+        [pool] = upstream.pools.values()
+        connecting = asyncio.ensure_future(upstream.connect(pool))
+        await asyncio.wait((connecting,))
+        assert connecting.cancelled()
+        for _ in range(10):  # the loss of the connection, if it is reported at all
+            await asyncio.sleep(0)
+        assert upstream.open_connection_count == 0
+
+
 @async_test
 async def test_idle_connection_makes_room_at_limit_else_attempt_ends_unsent() -> None:
     async with (
