Leave what follows a response out of it, and count headers and body apart

Change: callbacks after a complete response do nothing; trailers have the limit of a head, bodies their own.

--- a/balancer/sidecar/upstream/response_parser.py
+++ b/balancer/sidecar/upstream/response_parser.py
@@ -81,7 +81,8 @@
         self._headers: Headers = []
         self._body_chunks: list[bytes] = []
         self._max_received_bytes = MAX_HEAD_BYTES  # until the head is complete
-        self._parsed_bytes = 0  # of the current head; then of the body and its trailers
+        self._header_bytes = 0  # of the current head; then of the trailers
+        self._body_bytes = 0
         self._is_ended_by_connection = False
         self.received_bytes = 0
         self.keeps_connection = False  # valid once the response is complete
@@ -131,16 +132,20 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Take a header of the head or a trailer of a chunked body."""
-        self._parsed_bytes += len(name) + len(value)
-        if self._parsed_bytes > MAX_HEAD_BYTES:
-            raise ResponseTooLargeError(self._parsed_bytes, MAX_HEAD_BYTES)
+        if self._response is not None:
+            return  # of a response that follows
+        self._header_bytes += len(name) + len(value)
+        if self._header_bytes > MAX_HEAD_BYTES:
+            raise ResponseTooLargeError(self._header_bytes, MAX_HEAD_BYTES)
         self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
         """Decide how the body ends, and refuse at the head what states an unusable length."""
+        if self._response is not None:
+            return
         self._status = self._http_parser.get_status_code()
-        self._parsed_bytes = 0
-        if self._status < FIRST_FINAL_STATUS or self._response is not None:
+        self._header_bytes = 0
+        if self._status < FIRST_FINAL_STATUS:
             return
         self._max_received_bytes = MAX_HEAD_BYTES + MAX_WIRE_BYTES_PER_BODY_BYTE * self._max_body_bytes
         lengths = [value for name, value in self._headers if name in FRAMING_HEADERS]
@@ -167,10 +172,12 @@
 
     def on_body(self, body: bytes) -> None:
         """Buffer a part of the body."""
+        if self._response is not None:
+            return  # of a response that follows, or after a head that counts alone
         size_bytes = len(body)
-        self._parsed_bytes += size_bytes
-        if self._parsed_bytes > self._max_body_bytes:
-            raise ResponseTooLargeError(self._parsed_bytes, self._max_body_bytes)
+        self._body_bytes += size_bytes
+        if self._body_bytes > self._max_body_bytes:
+            raise ResponseTooLargeError(self._body_bytes, self._max_body_bytes)
         if not self.budget.reserve(size_bytes):
             raise BufferBudgetExceededError(size_bytes, self.budget)
         self._reserved_bytes += size_bytes
@@ -178,9 +185,11 @@
 
     def on_message_complete(self) -> None:
         """Complete the response, unless this was an interim one or follows it."""
+        if self._response is not None:
+            return
         if self._status < FIRST_FINAL_STATUS:
             self._headers = []
-        elif self._response is None:
+        else:
             self._response = self._build_response()
             # Asked after this callback, httptools has forgotten the length and always says no.
             self.keeps_connection = self._http_parser.should_keep_alive()
--- a/tests/sidecar/upstream/test_response_parser.py
+++ b/tests/sidecar/upstream/test_response_parser.py
@@ -136,3 +136,23 @@
     parser.feed_data(ok_response())
     assert answers == [True]
     assert not parser.should_keep_alive()
+
+
+def test_second_response_in_same_segment_adds_nothing_to_the_first() -> None:
+    second = b"HTTP/1.1 500 Late\r\nX-Other: 1\r\nContent-Length: 5\r\n\r\nother"
+    response = parser_of_next_response().feed(COMPLETE + second)
+    assert response == HttpResponse(200, [(b"x-shard", b"7"), (b"content-length", b"4")], b"done")
+
+
+def test_trailer_after_a_body_larger_than_a_head_is_taken() -> None:
+    parser = ResponseParser(BufferBudget(10 * MAX_HEAD_BYTES))
+    parser.begin_response(2 * MAX_HEAD_BYTES)
+    size = MAX_HEAD_BYTES + 1
+    response = parser.feed(CHUNKED + b"%x\r\n%s\r\n0\r\nX-Sum: 1\r\n\r\n" % (size, b"x" * size))
+    assert response is not None
+    assert len(response.body) == size
+
+
+def test_trailers_larger_than_a_head_are_refused() -> None:
+    with pytest.raises(ResponseTooLargeError):
+        parser_of_next_response().feed(CHUNKED + b"0\r\nA: " + b"x" * MAX_HEAD_BYTES + b"\r\n\r\n")
