Skip a departing entry whose host cannot be encoded, and keep the rest of the list

Cause: the second look at an invalid entry, for its host and health alone, raised the same error again, which rejected the whole list; another entry may have said that an endpoint drains. Change: such an entry is skipped, as one that does not depart is. Result: test_departing_entry_whose_host_cannot_be_encoded_hides_no_other failed before and passes.

--- a/balancer/sidecar/endpoint_list.py
+++ b/balancer/sidecar/endpoint_list.py
@@ -150,8 +150,12 @@
     health = entry.get("health")
     if not isinstance(host, str) or not isinstance(health, str) or health not in _DEPARTING_HEALTH_BY_NAME:
         return None
+    try:
+        endpoint_id = derive_endpoint_id(host)
+    except InvalidEndpointEntryError:
+        return None  # no endpoint can have become known under this host
     endpoint = Endpoint(
-        id=derive_endpoint_id(host),
+        id=endpoint_id,
         zone=0,
         machine_class=0,
         cell=0,
--- a/tests/sidecar/test_endpoint_list.py
+++ b/tests/sidecar/test_endpoint_list.py
@@ -18,7 +18,7 @@
     derive_endpoint_id,
     parse_endpoint_list,
 )
-from tests.sidecar.harness import SETTINGS, configuration
+from tests.sidecar.harness import SETTINGS, configuration, endpoint_entry, endpoint_list
 
 STORED_LIST = """{
   "seq": 41,
@@ -143,3 +143,11 @@
     assert parsed.endpoint.cell == 12
     assert parsed.endpoint.weight == 0.5
     assert parsed.endpoint.started_at_ns == 2_000_000
+
+
+@pytest.mark.parametrize("health", ["draining", "removed"])
+def test_departing_entry_whose_host_cannot_be_encoded_hides_no_other(health: str) -> None:
+    unencodable = endpoint_entry("s-\ud800", "127.0.0.1:9", health)
+    document = endpoint_list(7, unencodable, endpoint_entry("s-1", "127.0.0.1:9", "draining"))
+    [other] = parse_endpoint_list(document, NAMES).endpoints
+    assert other.endpoint.id == derive_endpoint_id("s-1")
