Guard each attempt and rejection in one place, and count violations of invariants

Change: AttemptGuard says whether an attempt may start and whether a request may be rejected, from what the sidecar has done and not from what the policy believes; a forbidden repeat is not sent, a rejection after a possible execution becomes a failure. DownstreamConnection.close is the one place where our side is closed in order and takes its reason. Metrics counts requests, answers, attempts by outcome, refusals, closes by reason and violations; SIGUSR1 logs them, PROXY_LOG_LEVEL=DEBUG logs why each request was answered by the sidecar. A fault in one action no longer keeps the others of its event from being carried out.

--- a/balancer/__main__.py
+++ b/balancer/__main__.py
@@ -20,6 +20,10 @@
 from balancer.sidecar.lifecycle import block_signals, run_sidecar
 from balancer.sidecar.sockets import RESOURCE_SHORTAGE_ERRNOS
 
+LOG_FORMAT = "%(levelname)s %(name)s: %(message)s"
+LOG_LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
+DEFAULT_LOG_LEVEL = "WARNING"
+
 EXIT_OS_ERROR = 1
 EXIT_CONFIGURATION_ERROR = 2
 
@@ -32,7 +36,7 @@
 
 def main() -> int:
     """Run a sidecar until it is told to stop, and return the exit code of the process."""
-    logging.basicConfig(level=logging.WARNING, format="%(levelname)s %(name)s: %(message)s")
+    logging.basicConfig(level=_log_level(os.environ.get("PROXY_LOG_LEVEL", "")), format=LOG_FORMAT)
     start_deadline = time.monotonic() + MAX_START_SECONDS
     try:
         config = _load_configuration(start_deadline)
@@ -51,6 +55,11 @@
     return 0
 
 
+def _log_level(name: str) -> str:
+    """Return the log level of this name; another name counts as none, as the program must start."""
+    return name.upper() if name.upper() in LOG_LEVELS else DEFAULT_LOG_LEVEL
+
+
 def _load_configuration(start_deadline: float) -> SidecarConfiguration:
     """Load the configuration, once more after an error that may be over soon. Raises ConfigurationError."""
     while True:
--- a/balancer/sidecar/dispatcher.py
+++ b/balancer/sidecar/dispatcher.py
@@ -15,13 +15,13 @@
 
 from balancer.policy.balancer import Balancer
 from balancer.policy_api import (
-    OUTCOMES_NEVER_EXECUTED,
     Action,
     AttemptCompleted,
     AttemptOutcome,
     CancelAttempt,
     ClientDisconnected,
     CloseIdleConnections,
+    EndpointId,
     EndpointUpdate,
     EndpointUpdateKind,
     Event,
@@ -40,11 +40,13 @@
     WatchEndpoints,
     WriteLog,
 )
+from balancer.sidecar.attempt_guard import AttemptGuard
 from balancer.sidecar.client_request import ClientRequest, ResponseSink
 from balancer.sidecar.clock import Clock
 from balancer.sidecar.configuration import SidecarConfiguration
 from balancer.sidecar.endpoint_list import EndpointListUpdate
 from balancer.sidecar.http_message import HttpResponse
+from balancer.sidecar.metrics import Invariant, Metric, Metrics
 from balancer.sidecar.ports import EndpointDiscovery, GossipSender, Policy
 from balancer.sidecar.request_ledger import InFlightRequest, RequestLedger
 from balancer.sidecar.start_times import StartTimeTranslator
@@ -94,6 +96,8 @@
         self._register_action_handlers()
         self.now_ns = clock.now_ns
         self._start_times = StartTimeTranslator(clock.now_ns)
+        self.metrics = Metrics()
+        self._guard = AttemptGuard(config.settings, self.metrics)
         self.upstream = UpstreamManager(config, loop, clock.now_ns)
         self.ledger = RequestLedger(config.settings, loop)
         self.has_endpoints = False
@@ -122,6 +126,8 @@
         if is_snapshot:
             self._start_times.forget_all_but({discovered.endpoint.id for discovered in update.endpoints})
         endpoints = tuple(self._start_times.translate(discovered.endpoint) for discovered in update.endpoints)
+        self._guard.update_endpoints(endpoints, is_snapshot)
+        self.metrics.count(Metric.ENDPOINT_UPDATES, kind.name.lower())
         self.dispatch(EndpointUpdate(kind, endpoints))
 
     def dispatch(self, event: Event) -> None:
@@ -144,7 +150,14 @@
             log.exception("policy failed: event %s, error %s", _describe_event(event), type(error).__name__)
             return
         for action in actions:
+            self._execute_guarded(action)
+
+    def _execute_guarded(self, action: Action) -> None:
+        """Carry out an action; a fault in one must not keep the others from being carried out."""
+        try:
             self.execute(action)
+        except Exception as error:
+            log.exception("action failed: %s, error %s", type(action).__name__, type(error).__name__)
 
     # ---- requests
 
@@ -167,6 +180,7 @@
         timeout_ns = client_request.timeout_ns - int(waited_seconds * SECOND_NS)
         expires_at_ns = self._request_deadline_ns(timeout_ns, now_ns)
         request = self.ledger.add(sink, client_request, expires_at_ns)
+        self.metrics.count(Metric.REQUESTS)
         request.deadline_timer.start(
             max(0, expires_at_ns - now_ns) / SECOND_NS, partial(self._on_request_deadline, request)
         )
@@ -212,6 +226,7 @@
         request = self.ledger.mark_answered(request_id)
         if request is None:
             return
+        self.metrics.count(Metric.CLIENTS_LEFT)
         self.ledger.forget_if_finished(request, self.now_ns())
         self.dispatch(ClientDisconnected(request_id))
         if request.attempt is not None:
@@ -229,12 +244,11 @@
         self._continue_attempt_in_background(request)
         if not request.answered:
             # The policy should have answered when the attempt ended. Whatever kept it, no request is lost.
-            log.error(
-                "deadline exceeded without a final answer: request %d, last endpoint %s, attempts %d",
-                request.request_id,
-                request.endpoint_id.hex() or "none",
-                request.attempt_count,
+            detail = (
+                f"request {request.request_id}, last endpoint {request.endpoint_id.hex() or 'none'}, "
+                f"attempts {request.attempt_count}"
             )
+            self.metrics.record_violation(Invariant.ANSWER_BY_DEADLINE, detail)
             self._fail_request(FailRequest(request.request_id))
             self.dispatch(ClientDisconnected(request.request_id))
 
@@ -262,7 +276,7 @@
     def _start_attempt(self, action: StartAttempt) -> None:
         request = self.ledger.in_flight.get(action.request_id)
         now_ns = self.now_ns()
-        if request is None or not self._may_start_attempt(request, now_ns):
+        if request is None or not self._may_start_attempt(request, action.endpoint_id, now_ns):
             self._report_attempt_not_started(action, request)
             return
         attempt_index = request.attempt_count
@@ -270,6 +284,7 @@
         request.attempt_started_at_ns = now_ns
         request.attempt_deadline_ns = _attempt_deadline_ns(action, request, now_ns)
         request.endpoint_id = action.endpoint_id
+        request.attempt_group = self._guard.group_of(action.endpoint_id)
         on_completed = partial(self._on_attempt_completed, request, attempt_index)
         # The connection may be established after this time and before the loop has called the timer.
         start_before_ns = min(
@@ -286,13 +301,13 @@
             request.attempt_timer.start(action.timeout_ns / SECOND_NS, attempt.expire)
         attempt.start()
 
-    def _may_start_attempt(self, request: InFlightRequest, now_ns: int) -> bool:
-        if request.answered or request.attempt is not None or now_ns >= request.expires_at_ns:
-            return False
-        if request.attempt_count >= self._settings.max_attempts:
-            return False
-        self._detect_client_disconnect(request)
-        return not request.answered
+    def _may_start_attempt(self, request: InFlightRequest, endpoint_id: EndpointId, now_ns: int) -> bool:
+        refusal = self._guard.refusal(request, endpoint_id, now_ns, self._detect_client_disconnect)
+        if refusal is None:
+            return True
+        self.metrics.count(Metric.ATTEMPTS_REFUSED, refusal)
+        log.debug("attempt of request %d refused: %s", request.request_id, refusal)
+        return False
 
     def _report_attempt_not_started(self, action: StartAttempt, request: InFlightRequest | None) -> None:
         self.dispatch(
@@ -322,10 +337,8 @@
         outcome: AttemptOutcome,
         response: HttpResponse | None,
     ) -> None:
-        request.attempt = None
-        request.attempt_timer.cancel()
-        request.last_outcome = outcome
-        request.may_have_run |= outcome not in OUTCOMES_NEVER_EXECUTED
+        request.record_outcome(outcome)
+        self.metrics.count(Metric.ATTEMPTS, outcome.name.lower())
         if outcome == AttemptOutcome.SUCCESS and response is not None:
             self._send_response(request, response)
         now_ns = self.now_ns()
@@ -346,6 +359,7 @@
 
     def _send_response(self, request: InFlightRequest, response: HttpResponse) -> None:
         if self.ledger.mark_answered(request.request_id) is not None:
+            self.metrics.count(Metric.RESPONSES, "served")
             request.response_sink.send_response(response)
 
     # ---- actions
@@ -379,17 +393,37 @@
             request.attempt.abort(AttemptOutcome.CANCELLED)
 
     def _reject_request(self, action: RejectRequest) -> None:
+        in_flight = self.ledger.in_flight.get(action.request_id)
+        if in_flight is not None and not in_flight.answered and not self._guard.may_reject(in_flight):
+            self._fail_request(FailRequest(action.request_id))
+            return
         request = self.ledger.mark_answered(action.request_id)
         if request is not None:
+            self._record_answer(request, "rejected")
             request.response_sink.reject(action.retry_after_ns)
             self.ledger.forget_if_finished(request, self.now_ns())
 
     def _fail_request(self, action: FailRequest) -> None:
         request = self.ledger.mark_answered(action.request_id)
         if request is not None:
+            self._record_answer(request, "failed")
             request.response_sink.fail(request.last_outcome == AttemptOutcome.TIMEOUT)
             self.ledger.forget_if_finished(request, self.now_ns())
 
+    def _record_answer(self, request: InFlightRequest, answer: str) -> None:
+        """Count an answer of the sidecar's own and log why it was given."""
+        self.metrics.count(Metric.RESPONSES, answer)
+        log.debug(
+            "request %d %s: client id %r, attempts %d, last endpoint %s, last outcome %s, may have run %s",
+            request.request_id,
+            answer,
+            request.client_request.client_request_id,
+            request.attempt_count,
+            request.endpoint_id.hex() or "none",
+            request.last_outcome.name if request.last_outcome is not None else "none",
+            request.may_have_run,
+        )
+
     def _set_timer(self, action: SetTimer) -> None:
         # The policy has any number of timers at once and never cancels one.
         self._loop.call_later(action.delay_ns / SECOND_NS, self._on_policy_timer, TimerFired(action.token))
--- a/balancer/sidecar/downstream/connection.py
+++ b/balancer/sidecar/downstream/connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from enum import StrEnum
 from http import HTTPStatus
 from typing import Protocol
 
@@ -19,6 +20,7 @@
 from balancer.sidecar.downstream.timeouts import DownstreamTimeouts
 from balancer.sidecar.http_message import MAX_REQUEST_BODY_BYTES, HttpResponse
 from balancer.sidecar.http_request import HttpRequestError, RequestHead
+from balancer.sidecar.metrics import Invariant, Metric
 
 READINESS_METHOD = b"GET"
 READINESS_PATH = b"/up"
@@ -29,6 +31,24 @@
 """The same after the last request, while its response is still to come."""
 
 
+class CloseReason(StrEnum):
+    """Why our side of a connection is closed."""
+
+    LAST_RESPONSE = "last_response"
+    """The client asked for it, or its request could not be read."""
+    DRAINING = "draining"
+    """The process ends."""
+    IDLE = "idle"
+    EVICTED = "evicted"
+    """To make room for a new connection."""
+    CLIENT_LEFT = "client_left"
+    """Noticed by no event."""
+    UNREAD_RESPONSES = "unread_responses"
+    """The client does not read."""
+    LINGERED = "lingered"
+    """The client did not close its side in time."""
+
+
 class ConnectionManager(Protocol):
     """What a connection needs of the listener that accepted it."""
 
@@ -88,6 +108,7 @@
     def __init__(self, manager: ConnectionManager, unread_since_seconds: float | None = None) -> None:
         self.has_sent_request = False
         self._manager = manager
+        self._metrics = manager.dispatcher.metrics
         self._transport = ClientTransport()
         self._reader = RequestReader()
         self._exchanges = ExchangeQueue()
@@ -167,6 +188,7 @@
         """Begin with a connection that has been accepted."""
         self._transport.attach(transport)
         self._restart_wait()
+        self._metrics.count(Metric.DOWNSTREAM_CONNECTIONS)
         self._manager.on_connection_opened(self)
 
     def data_received(self, data: bytes) -> None:
@@ -265,6 +287,7 @@
 
     def _reject(self, error: HttpRequestError) -> None:
         """Respond in its turn and end the connection, as the client would send on."""
+        self._metrics.count(Metric.REQUESTS_REFUSED, str(error.status.value))
         self._reader.clear()
         self._open_exchange(is_last=True).respond(request_error_response(error))
 
@@ -286,29 +309,37 @@
             is_last = exchange.is_last or (self._manager.is_draining and self.is_idle)
             self._transport.write(encode_response(response, close=is_last))
             if is_last:
-                self.close()
+                self.close(CloseReason.LAST_RESPONSE if exchange.is_last else CloseReason.DRAINING)
         self._process_requests()
 
     # Closing
 
-    def close(self) -> None:
-        """Close our side, and the connection once the client has closed its own or the time is over."""
+    def close(self, reason: CloseReason) -> None:
+        """Close our side, and the connection once the client has closed its own or the time is over.
+
+        The one place where our side is closed in order; nothing that was requested may be unanswered then.
+        """
         self._accepts_requests = False
         if self._is_lingering or not self._transport.is_open():
             return
+        if self._exchanges:
+            detail = f"{len(self._exchanges)} requests unanswered, closed as {reason}"
+            self._metrics.record_violation(Invariant.CLOSE_AFTER_ANSWERS, detail)
+        self._metrics.count(Metric.DOWNSTREAM_CLOSES, reason)
         self._is_lingering = True
         self._restart_wait()
         self._transport.close_sending_side()
         self._manager.on_connection_lingering(self)
         self._update_reading()
 
-    def close_unless_unread(self) -> None:
+    def close_unless_unread(self, reason: CloseReason) -> None:
         """Close between requests. What has arrived unread may be one, which is answered first."""
         if not self.has_unread_bytes():
-            self.close()
+            self.close(reason)
 
-    def abort(self) -> None:
+    def abort(self, reason: CloseReason) -> None:
         """Close both sides at once."""
+        self._metrics.count(Metric.DOWNSTREAM_CLOSES, reason)
         self._transport.abort()
 
     def _update_reading(self) -> None:
@@ -340,18 +371,18 @@
         if not self._transport.is_connected:
             return
         if self._has_left_unnoticed():
-            self.abort()
+            self.abort(CloseReason.CLIENT_LEFT)
             return
         waited = self.seconds_waited(now_seconds)
         if self._is_lingering or not self._transport.is_open():
             if waited > self._manager.linger_timeout_seconds:
-                self.abort()
+                self.abort(CloseReason.LINGERED)
         elif self._is_write_blocked:
             if waited > self._manager.timeouts.unread_response_seconds:
-                self.abort()
+                self.abort(CloseReason.UNREAD_RESPONSES)
         elif self.is_idle:
             if waited > self._idle_timeout_seconds(idle_timeout_seconds):
-                self.close_unless_unread()
+                self.close_unless_unread(CloseReason.IDLE)
         elif not self.has_pending_responses and waited > self._request_timeout_seconds():
             self._reject(HttpRequestError(HTTPStatus.REQUEST_TIMEOUT))
 
--- a/balancer/sidecar/downstream/interfaces.py
+++ b/balancer/sidecar/downstream/interfaces.py
@@ -5,6 +5,7 @@
 from typing import Protocol
 
 from balancer.sidecar.client_request import ClientRequest, ResponseSink
+from balancer.sidecar.metrics import Metrics
 
 
 class RequestDispatcher(Protocol):
@@ -12,6 +13,8 @@
 
     has_endpoints: bool
     """Whether any endpoint is known."""
+    metrics: Metrics
+    """The counters of the sidecar."""
 
     def is_duplicate(self, client_request_id: bytes, /) -> bool:
         """Whether a request with this id is in flight, or may have been executed and must not be again."""
--- a/balancer/sidecar/downstream/listener.py
+++ b/balancer/sidecar/downstream/listener.py
@@ -7,7 +7,7 @@
 
 from balancer.sidecar.client_request import ClientRequest
 from balancer.sidecar.configuration import SidecarConfiguration
-from balancer.sidecar.downstream.connection import DownstreamConnection
+from balancer.sidecar.downstream.connection import CloseReason, DownstreamConnection
 from balancer.sidecar.downstream.connection_registry import ConnectionRegistry
 from balancer.sidecar.downstream.interfaces import RequestDispatcher
 from balancer.sidecar.downstream.timeouts import DEFAULT_TIMEOUTS, DownstreamTimeouts
@@ -113,10 +113,11 @@
         excess = self._connections.excess
         aborted = self._connections.pop_lingering(excess)
         for connection in aborted:
-            connection.abort()
+            connection.abort(CloseReason.LINGERED)
         if excess > len(aborted):
             grace_seconds = self.timeouts.eviction_grace_seconds
-            self._connections.select_eviction(newcomer, self.now_seconds(), grace_seconds).close()
+            evicted = self._connections.select_eviction(newcomer, self.now_seconds(), grace_seconds)
+            evicted.close(CloseReason.EVICTED)
 
     def sweep(self) -> None:
         """Close the connections that have waited for too long, and do so again after the sweep interval."""
@@ -143,7 +144,7 @@
         """Close the connections on which no request is under way."""
         for connection in self._connections.accepting():
             if connection.is_idle:
-                connection.close_unless_unread()
+                connection.close_unless_unread(CloseReason.DRAINING)
 
     async def wait_until_closed(self) -> None:
         """Wait until every response has left and its connection is closed."""
--- a/balancer/sidecar/lifecycle.py
+++ b/balancer/sidecar/lifecycle.py
@@ -22,6 +22,7 @@
 from balancer.sidecar.downstream.connection import DownstreamConnection
 from balancer.sidecar.downstream.listener import Listener
 from balancer.sidecar.gossip_transport import GossipTransport
+from balancer.sidecar.metrics import Metrics
 from balancer.sidecar.timers import OneShotTimer
 from balancer.time_units import SECOND_NS
 
@@ -58,7 +59,7 @@
 LAST_RESPONSES_BEFORE_EXIT_SECONDS = 0.1
 """This long before the end, every request that is still in flight is answered."""
 
-HANDLED_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+HANDLED_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP, signal.SIGUSR1)
 
 log = logging.getLogger(__name__)
 
@@ -108,6 +109,7 @@
         except ConfigurationError as error:
             _log_failed_reload(error)
         else:
+            log.info("reloaded: discovery at %s:%d", *config.discovery_address)
             self._discovery.change_address(config.discovery_address)
 
 
@@ -186,19 +188,31 @@
     discovery = DiscoveryClient(config, dispatcher, loop)
     reloader = ConfigurationReloader(discovery, loop)
     loop.add_signal_handler(signal.SIGHUP, reloader.request_reload)
+    loop.add_signal_handler(signal.SIGUSR1, _log_metrics, dispatcher.metrics, logging.WARNING)
     discovery.start()
     listening = open_listening_socket(config.listen_address)
     acceptor = Acceptor(listening, loop, partial(DownstreamConnection, listener))
     acceptor.start()
     unblock_signals()  # the threads that resolve names run by now, and keep them blocked
+    log.info("ready to serve at %s:%d", *config.listen_address)
     await shutdown_requested.wait()
+    log.info(
+        "shutdown begins: %d connections, %d requests in flight",
+        len(listener),
+        len(dispatcher.ledger.in_flight),
+    )
     await GracefulShutdown(config, dispatcher, listener, acceptor).run()
     reloader.cancel()
     await discovery.stop()
+    _log_metrics(dispatcher.metrics, logging.INFO)
     # The interpreter restores the default actions of signals as it ends: one that comes then must not kill.
     block_signals()
 
 
+def _log_metrics(metrics: Metrics, level: int) -> None:
+    log.log(level, "metrics %s", metrics.to_json())
+
+
 async def _open_gossip(config: SidecarConfiguration, dispatcher: Dispatcher) -> None:
     if config.gossip_listen_address is None or not config.settings.gossip_enabled:
         return
--- a/balancer/sidecar/request_ledger.py
+++ b/balancer/sidecar/request_ledger.py
@@ -4,14 +4,28 @@
 
 import asyncio
 from dataclasses import dataclass
-
-from balancer.policy_api import AttemptOutcome, EndpointId, Idempotency, Settings
+from typing import NamedTuple
+
+from balancer.policy_api import (
+    OUTCOMES_NEVER_EXECUTED,
+    AttemptOutcome,
+    EndpointId,
+    Idempotency,
+    Settings,
+)
 from balancer.sidecar.client_request import ClientRequest, ResponseSink
 from balancer.sidecar.timers import OneShotTimer
 from balancer.sidecar.upstream.attempt import Attempt
 from balancer.time_units import SECOND_NS
 
 
+class EndpointGroup(NamedTuple):
+    """What of an endpoint's place decides which repeats of a request it drops."""
+
+    zone: int
+    cell: int
+
+
 @dataclass(slots=True, eq=False)
 class InFlightRequest:
     """A request that is owed its final answer or still has an attempt in flight."""
@@ -37,14 +51,31 @@
     endpoint_id: EndpointId = b""
     """The endpoint of the last attempt."""
     last_outcome: AttemptOutcome | None = None
+    attempt_group: EndpointGroup | None = None
+    """The group of that endpoint, if it was listed."""
     may_have_run: bool = False
     """Whether any attempt so far may have been executed."""
+    executed_at_ns: int = 0
+    """When the first such attempt was started."""
+    executing_group: EndpointGroup | None = None
+    """The group of the endpoint of that attempt."""
 
     @property
     def is_finished(self) -> bool:
         """Whether nothing is left to do: no answer is owed and no attempt is in flight."""
         return self.answered and self.attempt is None and not self.has_background_attempt
 
+    def record_outcome(self, outcome: AttemptOutcome) -> None:
+        """Take in how the current attempt ended."""
+        self.attempt = None
+        self.attempt_timer.cancel()
+        self.last_outcome = outcome
+        if outcome in OUTCOMES_NEVER_EXECUTED or self.may_have_run:
+            return
+        self.may_have_run = True
+        self.executed_at_ns = self.attempt_started_at_ns
+        self.executing_group = self.attempt_group
+
     def encode(self, now_ns: int) -> bytes:
         """Return the HTTP message of the current attempt, with the time that is left for it."""
         # Shutdown may bring the expiry of the request forward after the attempt has started.
--- a/tests/sidecar/downstream/test_connection.py
+++ b/tests/sidecar/downstream/test_connection.py
@@ -8,7 +8,11 @@
 
 import pytest
 
-from balancer.sidecar.downstream.connection import MAX_DISCARDED_BYTES_LINGERING, DownstreamConnection
+from balancer.sidecar.downstream.connection import (
+    MAX_DISCARDED_BYTES_LINGERING,
+    CloseReason,
+    DownstreamConnection,
+)
 from balancer.sidecar.downstream.exchange import MAX_PIPELINED_REQUESTS
 from balancer.sidecar.downstream.timeouts import DownstreamTimeouts
 from tests.sidecar.downstream.harness import (
@@ -335,7 +339,7 @@
         if is_rejecting:
             session.connection.data_received(MALFORMED_REQUEST)
         else:
-            session.connection.close()
+            session.connection.close(CloseReason.IDLE)
         await wait_until(lambda: not len(session.sidecar.listener))
         assert not errors
 
--- /dev/null
+++ b/tests/sidecar/test_attempt_guard.py
@@ -0,0 +1,207 @@
+"""The guard in front of each attempt and each rejection, whatever the policy says."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from typing import Any, cast
+
+import pytest
+
+from balancer.policy_api import (
+    AttemptOutcome,
+    DeduplicationScope,
+    Endpoint,
+    EndpointHealth,
+    Idempotency,
+    RequestClass,
+    Settings,
+)
+from balancer.sidecar.attempt_guard import HELD_UP_NS, AttemptGuard, AttemptRefusal
+from balancer.sidecar.client_request import ClientRequest, ResponseSink
+from balancer.sidecar.metrics import Invariant, Metric, Metrics
+from balancer.sidecar.request_ledger import InFlightRequest
+from balancer.sidecar.timers import OneShotTimer
+from balancer.sidecar.upstream.attempt import Attempt
+from balancer.time_units import SECOND_NS
+from tests.sidecar.harness import async_test
+
+WINDOW_NS = SECOND_NS // 2
+CLASSES = {
+    "read": RequestClass("read", SECOND_NS, 9 * SECOND_NS, 1.0),
+    "write": RequestClass("write", SECOND_NS, 9 * SECOND_NS, 1.0, idempotency=Idempotency.NOT_IDEMPOTENT),
+    **{
+        scope.name.lower(): RequestClass(
+            scope.name.lower(),
+            SECOND_NS,
+            9 * SECOND_NS,
+            1.0,
+            idempotency=Idempotency.IDEMPOTENCY_KEY,
+            deduplication_scope=scope,
+            deduplication_window_ns=WINDOW_NS,
+        )
+        for scope in DeduplicationScope
+    },
+}
+CLASS_NAMES = list(CLASSES)
+SETTINGS = Settings(classes=tuple(CLASSES.values()), max_attempts=3)
+ENDPOINTS = {
+    b"first": (0, 0),
+    b"same cell": (0, 0),
+    b"same zone": (0, 1),
+    b"elsewhere": (1, 0),
+}
+
+
+def do_not_look(_request: InFlightRequest) -> None:
+    """The client has not left."""
+
+
+@dataclass(slots=True)
+class Situation:
+    """A guard and a request of one class."""
+
+    guard: AttemptGuard
+    metrics: Metrics
+    request: InFlightRequest
+
+    def refusal(self, endpoint_id: bytes = b"first", now_ns: int = 0) -> AttemptRefusal | None:
+        """Ask the guard whether an attempt may start."""
+        return self.guard.refusal(self.request, endpoint_id, now_ns, do_not_look)
+
+    def complete_attempt(self, outcome: AttemptOutcome) -> None:
+        """Make and end an attempt at the first endpoint, at time 0."""
+        self.request.attempt_count += 1
+        self.request.attempt_group = self.guard.group_of(b"first")
+        self.request.record_outcome(outcome)
+
+    def violations(self, invariant: Invariant) -> int:
+        """Return how many violations were counted."""
+        return self.metrics.value(Metric.VIOLATIONS, invariant)
+
+
+def situation(class_name: str = "read") -> Situation:
+    """Return a guard that knows the endpoints, and a request that no attempt was made for."""
+    metrics = Metrics()
+    guard = AttemptGuard(SETTINGS, metrics)
+    guard.update_endpoints(
+        (
+            Endpoint(name, zone, 0, cell, EndpointHealth.READY, 1.0, 0)
+            for name, (zone, cell) in ENDPOINTS.items()
+        ),
+        is_snapshot=True,
+    )
+    loop = asyncio.get_running_loop()
+    client_request = ClientRequest(
+        b"id", CLASS_NAMES.index(class_name), 0, 0, 9 * SECOND_NS, 0, False, b"", b""
+    )
+    request = InFlightRequest(
+        1,
+        cast(ResponseSink, None),
+        client_request,
+        9 * SECOND_NS,
+        OneShotTimer(loop),
+        OneShotTimer(loop),
+    )
+    return Situation(guard, metrics, request)
+
+
+@async_test
+async def test_first_attempt_may_start() -> None:
+    assert situation("write").refusal() is None
+
+
+@pytest.mark.parametrize(
+    ("changes", "expected"),
+    [
+        ({"answered": True}, AttemptRefusal.ANSWERED),
+        ({"expires_at_ns": 0}, AttemptRefusal.EXPIRED),
+        ({"attempt_count": 3}, AttemptRefusal.ATTEMPTS_EXHAUSTED),
+        ({"attempt": cast(Attempt, object())}, AttemptRefusal.IN_FLIGHT),
+        ({"has_background_attempt": True}, AttemptRefusal.IN_FLIGHT),
+    ],
+)
+@async_test
+async def test_attempt_may_not_start(changes: dict[str, Any], expected: AttemptRefusal) -> None:
+    refused = situation()
+    for name, value in changes.items():
+        setattr(refused.request, name, value)
+    assert refused.refusal() == expected
+    assert refused.violations(Invariant.ONE_ATTEMPT) == (expected == AttemptRefusal.IN_FLIGHT)
+
+
+@async_test
+async def test_attempt_may_not_start_for_client_that_left() -> None:
+    left = situation()
+
+    def notice(request: InFlightRequest) -> None:
+        request.answered = True
+
+    assert left.guard.refusal(left.request, b"first", 0, notice) == AttemptRefusal.CLIENT_LEFT
+
+
+@pytest.mark.parametrize("outcome", list(AttemptOutcome))
+@async_test
+async def test_request_that_must_not_repeat_goes_again_only_if_never_executed(
+    outcome: AttemptOutcome,
+) -> None:
+    repeated = situation("write")
+    repeated.complete_attempt(outcome)
+    never_executed = outcome in (
+        AttemptOutcome.REJECTED,
+        AttemptOutcome.CONNECT_FAILED,
+        AttemptOutcome.NOT_SENT,
+    )
+    assert (repeated.refusal() is None) == never_executed
+    assert repeated.violations(Invariant.REPEAT_ALLOWED) == (not never_executed)
+    assert repeated.guard.may_reject(repeated.request) == never_executed
+
+
+@pytest.mark.parametrize(
+    ("class_name", "allowed"),
+    [
+        ("read", set(ENDPOINTS)),
+        ("all", set(ENDPOINTS)),
+        ("zone", {b"first", b"same cell", b"same zone"}),
+        ("cell", {b"first", b"same cell"}),
+        ("write", set()),
+    ],
+)
+@async_test
+async def test_repeat_goes_only_where_it_is_dropped(class_name: str, allowed: set[bytes]) -> None:
+    repeated = situation(class_name)
+    repeated.complete_attempt(AttemptOutcome.TIMEOUT)
+    assert {name for name in ENDPOINTS if repeated.refusal(name) is None} == allowed
+
+
+@async_test
+async def test_group_of_first_endpoint_is_remembered_after_it_is_removed() -> None:
+    repeated = situation("cell")
+    repeated.complete_attempt(AttemptOutcome.CONNECTION_RESET)
+    remaining = Endpoint(b"same cell", 0, 0, 0, EndpointHealth.READY, 1.0, 0)
+    repeated.guard.update_endpoints([remaining], is_snapshot=True)
+    assert repeated.refusal(b"same cell") is None
+    assert repeated.refusal(b"first") == AttemptRefusal.REPEAT_FORBIDDEN
+
+
+@async_test
+async def test_repeat_after_its_window_is_refused_and_is_a_violation_only_if_it_is_far_over() -> None:
+    repeated = situation("all")
+    repeated.complete_attempt(AttemptOutcome.TIMEOUT)
+    assert repeated.refusal(now_ns=WINDOW_NS - 1) is None
+    assert repeated.refusal(now_ns=WINDOW_NS) == AttemptRefusal.REPEAT_FORBIDDEN
+    assert repeated.violations(Invariant.REPEAT_ALLOWED) == 0
+    assert repeated.refusal(now_ns=WINDOW_NS + HELD_UP_NS) == AttemptRefusal.REPEAT_FORBIDDEN
+    assert repeated.violations(Invariant.REPEAT_ALLOWED) == 1
+
+
+@pytest.mark.parametrize(
+    ("class_name", "is_harmless"),
+    [("read", True), ("all", True), ("zone", False), ("cell", False), ("write", False)],
+)
+@async_test
+async def test_rejection_after_possible_execution(class_name: str, is_harmless: bool) -> None:
+    executed = situation(class_name)
+    executed.complete_attempt(AttemptOutcome.SERVER_ERROR)
+    assert executed.guard.may_reject(executed.request) == is_harmless
+    assert executed.violations(Invariant.REJECTION_HARMLESS) == (not is_harmless)
--- a/tests/sidecar/test_dispatcher.py
+++ b/tests/sidecar/test_dispatcher.py
@@ -3,17 +3,26 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
+from typing import cast
 
 import pytest
 
+from balancer.policy.balancer import Balancer
 from balancer.policy_api import (
+    Action,
     AttemptCompleted,
     AttemptOutcome,
     ClientDisconnected,
+    Event,
+    FailRequest,
+    RejectRequest,
     RequestReceived,
     StartAttempt,
     TimerFired,
 )
+from balancer.sidecar.endpoint_list import derive_endpoint_id
+from balancer.sidecar.metrics import Invariant, Metric
 from balancer.time_units import MILLISECOND_NS, SECOND_NS
 from tests.sidecar.harness import (
     ReceivedRequest,
@@ -26,6 +35,7 @@
     request_bytes,
     run_endpoint,
     run_sidecar,
+    status_response,
     wait_until,
 )
 
@@ -213,3 +223,94 @@
         for state in states:
             assert (state.failure_rate, state.consecutive_failures, state.in_flight) == (0.0, 0, 0)
         assert len(states) == 2
+
+
+# ---- a policy that breaks the rules
+
+
+class RecklessPolicy:
+    """Sends each request to one endpoint, and does a forbidden thing with what may have been executed."""
+
+    def __init__(self, endpoint_id: bytes, after_attempt: Callable[[int], Action]) -> None:
+        self._endpoint_id = endpoint_id
+        self._after_attempt = after_attempt
+
+    def handle(self, _now_ns: int, event: Event) -> list[Action]:
+        """Start an attempt for a request; do the forbidden thing once it has ended, then give up."""
+        if isinstance(event, RequestReceived):
+            return [self.start_attempt(event.request_id)]
+        if not isinstance(event, AttemptCompleted) or event.request_finished:
+            return []
+        if event.outcome == AttemptOutcome.NOT_SENT:
+            return [FailRequest(event.request_id)]
+        return [self._after_attempt(event.request_id)]
+
+    def start_attempt(self, request_id: int) -> StartAttempt:
+        """Return an attempt of the request."""
+        return StartAttempt(request_id, self._endpoint_id, 0, 0)
+
+
+async def answer_error(_request: ReceivedRequest) -> bytes:
+    """Script: answer that something went wrong."""
+    return status_response(500)
+
+
+@async_test
+async def test_rejection_of_what_may_have_run_is_turned_into_failure_and_counted() -> None:
+    async with run_endpoint(answer_error) as endpoint, run_sidecar(endpoint.address) as sidecar:
+        policy = RecklessPolicy(derive_endpoint_id("s-0"), lambda request_id: RejectRequest(request_id, 0))
+        sidecar.balancer = cast(Balancer, policy)
+        client = await sidecar.connect_client()
+        assert (await client.exchange(request_bytes("post"))).status == 502
+        assert sidecar.dispatcher.metrics.value(Metric.VIOLATIONS, Invariant.REJECTION_HARMLESS) == 1
+
+
+@async_test
+async def test_forbidden_repeat_is_not_sent_and_counted() -> None:
+    async with run_endpoint(answer_error) as endpoint, run_sidecar(endpoint.address) as sidecar:
+        endpoint_id = derive_endpoint_id("s-0")
+        policy = RecklessPolicy(endpoint_id, lambda request_id: StartAttempt(request_id, endpoint_id, 0, 0))
+        sidecar.balancer = cast(Balancer, policy)
+        client = await sidecar.connect_client()
+        assert (await client.exchange(request_bytes("post"))).status == 502
+        assert len(endpoint.received_requests) == 1
+        assert sidecar.dispatcher.metrics.value(Metric.VIOLATIONS, Invariant.REPEAT_ALLOWED) == 1
+
+
+@async_test
+async def test_action_that_cannot_be_carried_out_keeps_no_other_from_it() -> None:
+    async with run_endpoint(answer_ok) as endpoint, run_sidecar(endpoint.address) as sidecar:
+        unknown_action = cast(Action, object())
+        endpoint_id = derive_endpoint_id("s-0")
+
+        class FaultyPolicy:
+            def handle(self, _now_ns: int, event: Event) -> list[Action]:
+                if isinstance(event, RequestReceived):
+                    return [unknown_action, StartAttempt(event.request_id, endpoint_id, 0, 0)]
+                return []
+
+        sidecar.balancer = cast(Balancer, FaultyPolicy())
+        client = await sidecar.connect_client()
+        assert (await client.exchange(request_bytes())).status == 200
+
+
+@async_test
+async def test_repeat_within_the_group_of_the_first_endpoint_is_sent() -> None:
+    """The guard knows from the endpoint list where the endpoints are."""
+    answers = [status_response(500), ok_response()]
+
+    async def answer_error_first(_request: ReceivedRequest) -> bytes:
+        return answers.pop(0)
+
+    keyed = {"Name": "post", "Effect": "dedup", "KeyScope": "cell", "WindowNs": 5 * SECOND_NS}
+    async with (
+        run_endpoint(answer_error_first) as endpoint,
+        run_sidecar(endpoint.address, settings=change_classes({}, keyed)) as sidecar,
+    ):
+        endpoint_id = derive_endpoint_id("s-0")
+        policy = RecklessPolicy(endpoint_id, lambda request_id: StartAttempt(request_id, endpoint_id, 0, 0))
+        sidecar.balancer = cast(Balancer, policy)
+        client = await sidecar.connect_client()
+        raw = request_bytes("post", extra_headers=b"Idempotency-Key: 7\r\n")
+        assert (await client.exchange(raw)).status == 200
+        assert sidecar.dispatcher.metrics.value(Metric.VIOLATIONS, Invariant.REPEAT_ALLOWED) == 0
--- a/tests/sidecar/test_lifecycle.py
+++ b/tests/sidecar/test_lifecycle.py
@@ -496,3 +496,23 @@
         assert await process.wait() == 0
         assert process.stderr is not None
         assert await process.stderr.read() == b""
+
+
+# ---- metrics
+
+
+@async_test
+async def test_sigusr1_writes_the_counters_to_the_log(configuration_file: ConfigurationFile) -> None:
+    async with run_endpoint(answer_ok) as endpoint:
+        configuration_file.write(endpoint.address)
+        process = await start_process(configuration_file.path, stderr=asyncio.subprocess.PIPE)
+        client = await connect(configuration_file.listen_address)
+        assert (await client.exchange(request_bytes()))[0] == 200
+        process.send_signal(signal.SIGUSR1)
+        assert process.stderr is not None
+        _, _, counters = (await process.stderr.readline()).partition(b"metrics ")
+        assert json.loads(counters)["requests"] == 1
+        assert json.loads(counters)["responses"] == {"served": 1}
+        client.writer.close()
+        process.terminate()
+        assert await process.wait() == 0
