Soak: bursts, removed servers that answer on, earlier notices and a longer quiet end

An attempt whose connection the proxy broke ends then, not when the server notices; a request on a connection that its client closes while writing has left. Both were false alarms.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -34,7 +34,7 @@
 def _parse(arguments: Sequence[str] | None) -> argparse.Namespace:
     parser = argparse.ArgumentParser(prog="soak", description="Run sidecars under overlapping faults.")
     parser.add_argument("--seed", type=int, default=1, help="what deployment, load and faults are drawn from")
-    parser.add_argument("--seconds", type=_seconds, default=20.0, help="length of the soak, real time")
+    parser.add_argument("--seconds", type=_seconds, default=32.0, help="length of the soak, real time")
     parser.add_argument("--json", type=Path, metavar="FILE", help="write the report here as JSON")
     parser.add_argument(
         "--keep", type=Path, metavar="DIR", help="keep configurations and logs in this folder"
--- a/soak/account_server.py
+++ b/soak/account_server.py
@@ -17,7 +17,8 @@
 CORES = 2
 SLOW_FACTOR = 8.0
 """By which a slow server is slower."""
-SECOND_ANSWER_DELAY_SECONDS = 0.003
+MAX_SECOND_ANSWER_DELAY_SECONDS = 0.006
+"""A second answer comes some milliseconds late at most."""
 MAX_FILLER_BYTES = 6000
 
 
@@ -81,12 +82,8 @@
         """End the attempt that is in work."""
         self._server.connections.discard(self)
         ingress = self._ingress()
-        if self._attempt is not None:
-            was_abandoned = (
-                ingress is not None and ingress.closed_at is not None and ingress.broken_at is None
-            )
-            at = ingress.closed_at if ingress is not None and was_abandoned else None
-            self._end_attempt(EndOfAttempt.ABANDONED if was_abandoned else EndOfAttempt.BROKEN, at)
+        was_abandoned = ingress is not None and ingress.closed_at is not None and ingress.broken_at is None
+        self._end_attempt(EndOfAttempt.ABANDONED if was_abandoned else EndOfAttempt.BROKEN)
 
     def abort(self) -> None:
         """Reset the connection."""
@@ -157,7 +154,8 @@
             self._write(whole)
             if fault == ServerFault.SECOND_ANSWER:
                 late = whole.replace(b"x", b"y")
-                self._server.loop.call_later(SECOND_ANSWER_DELAY_SECONDS, self._write, late)
+                delay = self._server.random.random() * MAX_SECOND_ANSWER_DELAY_SECONDS
+                self._server.loop.call_later(delay, self._write, late)
             elif fault == ServerFault.CLOSE_IDLE:
                 self._close()
         self._end_attempt(EndOfAttempt.ANSWERED)
@@ -171,11 +169,15 @@
         if self._transport is not None:
             self._transport.close()
 
-    def _end_attempt(self, end: EndOfAttempt, at: float | None = None) -> None:
-        if self._attempt is not None:
-            self._attempt.end = end
-            self._attempt.ended_at = at if at is not None else self._server.clock.now()
-            self._attempt = None
+    def _end_attempt(self, end: EndOfAttempt) -> None:
+        if self._attempt is None:
+            return
+        ingress = self._ingress()
+        known_ends = (ingress.closed_at, ingress.broken_at) if ingress is not None else ()
+        ends = [at for at in known_ends if at is not None]
+        self._attempt.end = end
+        self._attempt.ended_at = min([self._server.clock.now(), *ends])
+        self._attempt = None
 
 
 class WorkQueue:
--- a/soak/client_connection.py
+++ b/soak/client_connection.py
@@ -26,6 +26,8 @@
         idle_since: when the last answer came, or the connection was made.
         request_count: how many requests were written.
         is_open: whether neither side has ended the connection.
+        has_left: whether the client has closed it.
+        first_bytes: the first that the sidecar sent.
     """
 
     def __init__(self, clock: HarnessClock) -> None:
@@ -38,6 +40,7 @@
         self.idle_since = clock.now()
         self.request_count = 0
         self.is_open = False
+        self.has_left = False
         self.first_bytes = b""
 
     @classmethod
@@ -95,7 +98,9 @@
         self._awaited.append(_Awaited(request, is_done))
         self.write(last_bytes)
         request.sent_at = self._clock.now()
-        if not self.is_open:
+        if self.has_left:
+            self.leave(by_reset=False)
+        elif not self.is_open:
             self._end_awaited(EndOfConnection.CLOSED)
         return is_done
 
@@ -103,6 +108,7 @@
         """Close the connection as a client that has gone."""
         now = self._clock.now()
         self.is_open = False
+        self.has_left = True
         for awaited in self._awaited:
             awaited.request.left_at = now
             if not awaited.is_done.done():
--- a/soak/client_load.py
+++ b/soak/client_load.py
@@ -23,6 +23,9 @@
 MAX_IDLE_CONNECTIONS = 20
 MAX_SLOW_WRITE_SECONDS = 0.3
 KEY_COUNT = 200
+BURSTS = (1, 1, 1, 1, 1, 1, 2, 2, 4, 6)
+"""Requests that come at once, drawn with equal chances."""
+MEAN_BURST = sum(BURSTS) / len(BURSTS)
 MAX_BODY_BYTES = 20_000
 
 
@@ -97,11 +100,13 @@
 
     async def run(self) -> None:
         """Send requests at random times until cancelled; what is under way then goes on."""
+        bursts_per_second = self._deployment.requests_per_second / MEAN_BURST
         while True:
-            await asyncio.sleep(self._random.expovariate(self._deployment.requests_per_second))
-            task = asyncio.create_task(self._run_client(self.profile.draw(self._random)))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+            await asyncio.sleep(self._random.expovariate(bursts_per_second))
+            for _ in range(self._random.choice(BURSTS)):
+                task = asyncio.create_task(self._run_client(self.profile.draw(self._random)))
+                self._tasks.add(task)
+                task.add_done_callback(self._tasks.discard)
 
     async def finish(self) -> None:
         """Wait for the clients that are under way."""
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -26,6 +26,8 @@
     timeout_seconds: float
     share: float
     """Of all requests."""
+    late_worth: float = 0.3
+    """Of an answer after the objective; where it is 0 an attempt is given up then."""
     key_scope: str = "all"
     window_seconds: float = 5.0
 
@@ -107,13 +109,14 @@
     sidecar_count = random.randint(10, 18)
     return Deployment(
         kinds=(
-            RequestKind("read", SAFE, 0.3, 1.2, share=0.4),
+            RequestKind("read", SAFE, 0.3, 1.2, share=0.4, late_worth=random.choice((0.0, 0.3))),
             RequestKind(
                 "change",
                 KEYED,
                 0.3,
                 random.choice((0.6, 1.0)),
                 share=0.35,
+                late_worth=random.choice((0.0, 0.3)),
                 key_scope=random.choice(("all", "zone", "cell")),
                 window_seconds=random.choice((0.3, 0.75)),
             ),
@@ -140,7 +143,7 @@
         "AimNs": _nanoseconds(kind.objective_seconds),
         "HardLimitNs": _nanoseconds(kind.timeout_seconds),
         "Importance": 5.0 if kind.effect == UNSAFE else 3.0,
-        "LateWorth": 0.3,
+        "LateWorth": kind.late_worth,
         "KeyScope": kind.key_scope,
         "WindowNs": _nanoseconds(kind.window_seconds),
         "Stream": False,
--- a/soak/discovery_agent.py
+++ b/soak/discovery_agent.py
@@ -17,7 +17,9 @@
 from soak.history import HarnessClock, History, Notice
 
 SILENT_WATCH_SECONDS = 6.0
-"""A change that a silent watch does not bring counts as told this long after."""
+"""What a silent watch does not bring counts as told this long after it fell silent, or after the change."""
+NEW_ADDRESS_SECONDS = 4.0
+"""What a new address has counts as told this long after the SIGHUP."""
 WHOLE_LIST_PROBABILITY = 0.2
 """That a watch answers with the whole list, from which draining servers are left out."""
 OLD_ADDRESS_SECONDS = 1.5
@@ -165,6 +167,7 @@
         self,
         sidecar: str,
         host: str,
+        is_polled: bool,
         directory: EndpointDirectory,
         clock: HarnessClock,
         history: History,
@@ -172,6 +175,8 @@
     ) -> None:
         self.sidecar = sidecar
         self._host = host
+        self._is_polled = is_polled
+        self._due_not_before = 0.0
         self.directory = directory
         self.random = random
         self.connections: set[_AgentConnection] = set()
@@ -198,6 +203,7 @@
 
         Only while discovery is not down.
         """
+        self._due_not_before = max(self._due_not_before, self._clock.now() + NEW_ADDRESS_SECONDS)
         old_listener, old_connections = self._listener, set(self.connections)
         await self.start()
         if old_listener is not None:
@@ -206,6 +212,7 @@
 
     def silence(self) -> None:
         """Let the open connections never answer again; new ones are answered."""
+        self._due_not_before = max(self._due_not_before, self._clock.now() + SILENT_WATCH_SECONDS)
         for connection in self.connections:
             connection.is_silent = True
 
@@ -228,8 +235,8 @@
         if self.is_down:
             return
         self._listener = await self._listen(self.address)
-        now = self._clock.now()
-        self._untold = {name: (health, now) for name, (health, _) in self._untold.items()}
+        due_at = self._due_at()
+        self._untold = {name: (health, due_at) for name, (health, _) in self._untold.items()}
 
     def note_told(self) -> None:
         """Note that the list as it is now was written to the sidecar."""
@@ -240,22 +247,18 @@
 
     def note_process_start(self) -> None:
         """Note that a new process counts as told of what the agent has, from its first moment."""
-        now = self._clock.now()
+        due_at = self._due_at()
         for server, health in self.directory.departing().items():
-            if self.is_down:
-                self._untold[server] = (health, now)
-            else:
-                self._history.notices.append(Notice(self.sidecar, server, health.value, now))
+            self._untold[server] = (health, due_at)
 
     def note_overdue(self) -> None:
         """Note what counts as told by now though it was never written."""
         if self.is_down:
             return
         now = self._clock.now()
-        for server, (health, changed_at) in list(self._untold.items()):
-            told_at = changed_at + SILENT_WATCH_SECONDS
-            if told_at <= now:
-                self._history.notices.append(Notice(self.sidecar, server, health.value, told_at))
+        for server, (health, due_at) in list(self._untold.items()):
+            if due_at <= now:
+                self._history.notices.append(Notice(self.sidecar, server, health.value, due_at))
                 del self._untold[server]
 
     async def _listen(self, address: Address) -> asyncio.Server:
@@ -264,7 +267,15 @@
 
     def _note_change(self, server: str, health: Health) -> None:
         self.note_overdue()
-        self._untold[server] = (health, self._clock.now())
+        self._untold[server] = (health, self._due_at())
+
+    def _due_at(self) -> float:
+        """Return when what changes now counts as told at the latest.
+
+        What the agent has counts at once where lists are pushed; where they are polled, calls take time.
+        """
+        patience = SILENT_WATCH_SECONDS if self._is_polled else 0.0
+        return max(self._clock.now() + patience, self._due_not_before)
 
 
 def _close_all(connections: set[_AgentConnection]) -> None:
--- a/soak/fault_injector.py
+++ b/soak/fault_injector.py
@@ -232,9 +232,7 @@
         await asyncio.sleep(DRAIN_SECONDS * fault.strength)
         self._fleet.directory.set_health(server, Health.REMOVED)
         await self._fleet.add_server(like=server)
-        await asyncio.sleep(DRAIN_SECONDS)
-        server.stop()
-        return server.identity.name
+        return f"{server.identity.name}, which answers on"
 
     async def _silence_network(self, fault: PlannedFault) -> str:
         return await self._change_network(fault, ProxyMode(is_black_hole=True))
--- a/soak/fault_plan.py
+++ b/soak/fault_plan.py
@@ -10,8 +10,8 @@
 
 WARM_UP_SECONDS = 2.5
 """Without faults, so that connections and estimates are there to be disturbed."""
-QUIET_SECONDS = 5.0
-"""Without faults at the end, in which the fleet has to recover."""
+QUIET_SECONDS = 12.0
+"""Without faults at the end, in which the fleet has to recover: longer than a server takes to warm up."""
 MAX_FAULT_SECONDS = 3.0
 CLUSTER_INTERVAL_SECONDS = 0.5
 """On average between two clusters of faults that overlap."""
--- a/soak/fault_proxy.py
+++ b/soak/fault_proxy.py
@@ -194,6 +194,8 @@
         """Reset both ends."""
         if self.ingress.broken_at is None:
             self.ingress.broken_at = self._proxy.clock.now()
+        if self._connect_task is not None and self._connect_task is not asyncio.current_task():
+            self._connect_task.cancel()
         for transport in (self._sidecar, self._server):
             if transport is not None:
                 reset_transport(transport)
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -111,7 +111,15 @@
     async def _make_member(self, index: int, fault_library: Path) -> Member:
         name = f"n{index}"
         random = Random(self._random.random())
-        agent = DiscoveryAgent(name, f"127.3.0.{index + 1}", self.directory, self.clock, self.history, random)
+        agent = DiscoveryAgent(
+            name,
+            f"127.3.0.{index + 1}",
+            self.deployment.is_discovery_polled,
+            self.directory,
+            self.clock,
+            self.history,
+            random,
+        )
         await agent.start()
         sidecar = SidecarProcess(
             index,
--- a/soak/guard_trials.py
+++ b/soak/guard_trials.py
@@ -64,6 +64,12 @@
         "if not request.answered and request.response_sink.is_disconnected():",
         "if False:",
     ),
+    GuardBreak(
+        "a client that leaves ends its requests",
+        "balancer/sidecar/downstream/connection.py",
+        "            self._manager.dispatcher.on_client_disconnected(request_id)",
+        "            del request_id",
+    ),
     GuardBreak(
         "an attempt that still connects is given up with its client",
         "balancer/sidecar/dispatcher.py",
@@ -214,7 +220,7 @@
     parser = argparse.ArgumentParser(prog="soak.guard_trials", description="Break guards one at a time.")
     parser.add_argument("words", nargs="*", help="only guards whose name has one of these words")
     parser.add_argument("--seeds", type=int, nargs="+", default=[1, 2, 3, 4], help="tried in this order")
-    parser.add_argument("--seconds", type=float, default=25.0, help="length of each soak")
+    parser.add_argument("--seconds", type=float, default=32.0, help="length of each soak")
     parser.add_argument("--jobs", type=int, default=1, help="soaks at the same time")
     options = parser.parse_args(arguments)
     unnoticed = 0
