Count a request that is read in small parts from when the socket had it

Change: where a part of a request has been read and the socket holds more, the rest has arrived by then. Result: test_request_that_is_read_in_small_parts_counts_from_when_it_had_arrived: 7.99 s told before where less than 5 were left, passes now.

--- a/balancer/sidecar/downstream/connection.py
+++ b/balancer/sidecar/downstream/connection.py
@@ -201,6 +201,8 @@
             self._restart_wait()
         self._reader.feed(data, self._arrival_time_seconds())
         self._process_requests()
+        if not self._reader.is_empty:
+            self._note_unread_bytes()
 
     def eof_received(self) -> None:
         """Let the loop close the connection, though not before responses that may never be read have left."""
@@ -237,6 +239,11 @@
             self._unread_since_seconds = None
         return arrived_at_seconds
 
+    def _note_unread_bytes(self) -> None:
+        """Remember that the rest of a request has arrived by now: a read may return less than there is."""
+        if self._unread_since_seconds is None and self.has_unread_bytes():
+            self._unread_since_seconds = self._manager.now_seconds()
+
     def _process_requests(self) -> None:
         """Take the requests that are whole, as far as there is room for them."""
         if self._is_parsing:  # a response that came at once has made room: the loop below goes on
--- a/tests/sidecar/downstream/test_connection.py
+++ b/tests/sidecar/downstream/test_connection.py
@@ -124,6 +124,21 @@
         assert 7 < float(endpoint.received_requests[-1].headers[b"req-deadline"]) < 8
 
 
+@async_test
+async def test_request_that_is_read_in_small_parts_counts_from_when_it_had_arrived() -> None:
+    """The socket had all of it when its first part was read; a read may return less than there is."""
+    async with run_client_session() as session:
+        session.client.sendall(b"x" * 10)
+        assert session.connection.has_unread_bytes()
+        raw = request_bytes(deadline="8")
+        set_time(session.sidecar, 100.0)
+        session.connection.data_received(raw[:10])
+        set_time(session.sidecar, 103.0)
+        session.connection.data_received(raw[10:])
+        await wait_until(lambda: session.endpoint.received_requests)
+        assert 4 < float(session.endpoint.received_requests[0].headers[b"req-deadline"]) < 5
+
+
 @async_test
 async def test_pipelined_request_whose_time_is_over_is_answered_and_not_sent() -> None:
     released = asyncio.Event()
