Send no further part of a request whose client has left, and end attempts that fail to connect

Cause: an attempt of which a part was unsent as its client left went on: the endpoint got the rest whenever it read on, up to the deadline, and the attempt began then. A connect that failed with anything but OSError ended its task, and the attempt stayed in the background for ever. Change: give_up_unsent ends both kinds of attempt that were not sent whole; the unexpected error is logged and ends the attempt as not sent.

--- a/balancer/sidecar/dispatcher.py
+++ b/balancer/sidecar/dispatcher.py
@@ -221,7 +221,7 @@
         """Give the request up, as its client left.
 
         An attempt that was sent goes on, as ending it would cost its connection. One that still waits for
-        its connection must not be sent, as nobody wants the answer.
+        its connection must not be sent, nor the rest of one that was sent in part: nobody wants the answer.
         """
         request = self.ledger.mark_answered(request_id)
         if request is None:
@@ -230,7 +230,7 @@
         self.ledger.forget_if_finished(request, self.now_ns())
         self.dispatch(ClientDisconnected(request_id))
         if request.attempt is not None:
-            request.attempt.detach()
+            request.attempt.give_up_unsent()
 
     def _detect_client_disconnect(self, request: InFlightRequest) -> None:
         """Ask whether the client has left; done before an attempt is sent, as no event may have told yet."""
--- a/balancer/sidecar/upstream/attempt.py
+++ b/balancer/sidecar/upstream/attempt.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import errno
+import logging
 from collections.abc import Callable
 from enum import Enum, auto
 from http import HTTPStatus
@@ -34,6 +35,8 @@
 # Failures to connect that speak of this machine, not of the endpoint.
 LOCAL_RESOURCE_ERRNOS = RESOURCE_SHORTAGE_ERRNOS | {errno.EADDRNOTAVAIL}
 
+log = logging.getLogger(__name__)
+
 
 class ConnectError(UpstreamConnectionError):
     """An attempt has got no connection, which ends it with `attempt_outcome`."""
@@ -104,8 +107,8 @@
       connection (CONNECTING), else ends, as there is no room for one.
     - CONNECTING: a task waits until the reuse delay of a used connection is over, or a new one is made. Once
       there is one the request is written (IN_FLIGHT), unless there is none, it is too late or the endpoint
-      takes nothing new any more, which ends the attempt. `detach`, `expire` and `continue_in_background`
-      report that nothing was sent (DETACHED).
+      takes nothing new any more, which ends the attempt. `give_up_unsent`, `expire` and
+      `continue_in_background` report that nothing was sent (DETACHED).
     - DETACHED: reported, while the connection is still being made. It goes to the pool, which ends the
       attempt.
     - IN_FLIGHT: the request is written, or a part of it. A response or the loss of the connection ends the
@@ -182,21 +185,23 @@
             self._connection.close()
         self._end(outcome)
 
-    def detach(self) -> None:
-        """End the attempt if it is still connecting. The pool gets the connection that is being made."""
-        if self._state is not AttemptState.CONNECTING:
-            return
-        self._state = AttemptState.DETACHED
-        self._provider.background_attempts.add(self)
-        self._on_completed(AttemptOutcome.NOT_SENT, None)
+    def give_up_unsent(self) -> bool:
+        """End the attempt unless its request was sent whole. Returns whether it is ended or about to end.
 
-    def expire(self) -> None:
-        """End the attempt as its own time is over, which may be while it is still connecting."""
+        While it is still connecting, the pool gets the connection that is being made. Where a part was sent,
+        the connection is closed: the rest would go out whenever the endpoint reads on.
+        """
         if self._connect_task is not None:
-            self.detach()
-        elif self._has_unsent_bytes:
+            self._detach()
+            return True
+        if self._has_unsent_bytes:
             self.abort(AttemptOutcome.NOT_SENT)
-        else:
+            return True
+        return False
+
+    def expire(self) -> None:
+        """End the attempt as its own time is over."""
+        if not self.give_up_unsent():
             self.abort(AttemptOutcome.TIMEOUT)
 
     def continue_in_background(self, seconds: float, on_released: Callable[[], None]) -> None:
@@ -219,6 +224,13 @@
 
     # ---- connecting
 
+    def _detach(self) -> None:
+        if self._state is not AttemptState.CONNECTING:
+            return
+        self._state = AttemptState.DETACHED
+        self._provider.background_attempts.add(self)
+        self._on_completed(AttemptOutcome.NOT_SENT, None)
+
     async def _connect_and_send(self, reuse_delay_seconds: float) -> None:
         connection: UpstreamConnection | None = None
         failure_outcome = AttemptOutcome.NOT_SENT
@@ -226,6 +238,9 @@
             connection = await self._obtain_connection(reuse_delay_seconds)
         except ConnectError as error:
             failure_outcome = error.attempt_outcome
+        except Exception:
+            # Whatever it is, the request must not wait for an attempt that nobody works on any more.
+            log.exception("connecting to %s:%d failed unexpectedly", *self._pool.address)
         self._connect_task = None
         if self._state is not AttemptState.CONNECTING:
             self._end_detached(connection)
--- a/soak/guard_trials.py
+++ b/soak/guard_trials.py
@@ -71,9 +71,9 @@
         "            del request_id",
     ),
     GuardBreak(
-        "an attempt that still connects is given up with its client",
+        "an attempt that was not sent whole is given up with its client",
         "balancer/sidecar/dispatcher.py",
-        "            request.attempt.detach()",
+        "            request.attempt.give_up_unsent()",
         "            pass",
     ),
     GuardBreak(
--- a/tests/sidecar/upstream/test_attempt.py
+++ b/tests/sidecar/upstream/test_attempt.py
@@ -8,6 +8,7 @@
 import socket
 from collections.abc import AsyncIterator
 from enum import Enum, auto
+from typing import cast
 from unittest.mock import AsyncMock
 
 import pytest
@@ -568,3 +569,47 @@
         assert not upstream.background_attempts
         assert not sidecar.dispatcher.ledger.in_flight
         assert receive_all(server) < 60_000
+
+
+@async_test
+async def test_partly_sent_request_goes_no_further_after_client_disconnected() -> None:
+    """The rest would reach the endpoint whenever that reads on, and begin an attempt that nobody wants."""
+    async with narrow_endpoint() as (server, address), run_sidecar(address) as sidecar:
+        upstream = sidecar.dispatcher.upstream
+        in_flight = sidecar.dispatcher.ledger.in_flight
+        narrow_send_buffers(upstream)
+        client = await sidecar.connect_client()
+        client.writer.write(request_bytes("post", body=b"x" * 60_000))
+        await wait_until(lambda: upstream.open_connection_count and in_flight)
+        [sent] = in_flight.values()
+        await wait_until(lambda: sent.attempt is not None and sent.attempt.state is AttemptState.IN_FLIGHT)
+        client.writer.close()
+        await sidecar.wait_for_event(lambda event: isinstance(event, ClientDisconnected))
+        assert not in_flight  # at once, not at the deadline
+        assert (await sidecar.wait_for_event(is_attempt_completed)).outcome == AttemptOutcome.NOT_SENT
+        await wait_until(lambda: not upstream.open_connection_count)
+        assert receive_all(server) < 60_000
+
+
+class BrokenLoop:
+    """Fails to make connections in a way that no code expects."""
+
+    async def create_connection(self, *_arguments: object) -> None:
+        """Raise what is no OSError."""
+        raise RuntimeError("unable to perform operation")
+
+
+@async_test
+async def test_unexpected_error_of_a_connect_ends_the_attempt() -> None:
+    async with run_endpoint(answer_ok) as endpoint, run_sidecar(endpoint.address) as sidecar:
+        upstream = sidecar.dispatcher.upstream
+        usual_create_task = upstream.loop.create_task
+        broken_loop = BrokenLoop()
+        broken_loop.create_task = usual_create_task  # type: ignore[attr-defined]
+        upstream.loop = cast(asyncio.AbstractEventLoop, broken_loop)
+        client = await sidecar.connect_client()
+        assert (await client.exchange(request_bytes())).status == 503
+        assert (await sidecar.wait_for_event(is_attempt_completed)).outcome == AttemptOutcome.NOT_SENT
+        assert not sidecar.dispatcher.ledger.in_flight
+        assert upstream.open_connection_count == 0
+        assert not upstream.background_attempts
