Soak: a budget of cold servers that tells slow start from none, and trials of paired guards

Drains and clients that left have two guards each, which cover for each other. The dispatcher counts a violation where the policy chooses an endpoint that it was told is departing.

--- a/balancer/sidecar/dispatcher.py
+++ b/balancer/sidecar/dispatcher.py
@@ -294,6 +294,7 @@
             action.endpoint_id, partial(self._build_payload, request), on_completed, start_before_ns
         )
         if attempt is None:
+            self._check_endpoint_update_pending(action)
             on_completed(AttemptOutcome.CONNECT_FAILED, None)
             return
         request.attempt = attempt
@@ -301,6 +302,12 @@
             request.attempt_timer.start(action.timeout_ns / SECOND_NS, attempt.expire)
         attempt.start()
 
+    def _check_endpoint_update_pending(self, action: StartAttempt) -> None:
+        """Check that the policy does not know yet that the endpoint takes nothing new."""
+        if not any(isinstance(event, EndpointUpdate) for event in self._events):
+            detail = f"request {action.request_id}, endpoint {action.endpoint_id.hex()}"
+            self.metrics.record_violation(Invariant.ENDPOINT_READY, detail)
+
     def _may_start_attempt(self, request: InFlightRequest, endpoint_id: EndpointId, now_ns: int) -> bool:
         refusal = self._guard.refusal(request, endpoint_id, now_ns, self._detect_client_disconnect)
         if refusal is None:
--- a/balancer/sidecar/metrics.py
+++ b/balancer/sidecar/metrics.py
@@ -51,6 +51,8 @@
     """A request is rejected only if a client's retry does no harm."""
     ONE_ATTEMPT = "one_attempt"
     """A request has one attempt in flight at most."""
+    ENDPOINT_READY = "endpoint_ready"
+    """The policy sends nothing to an endpoint that it was told is draining or removed."""
     CLOSE_AFTER_ANSWERS = "close_after_answers"
     """A connection is closed once all that was requested on it is answered."""
 
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -127,10 +127,11 @@
         requests_per_second=190 / sidecar_count,
         is_discovery_polled=random.random() < 0.25,
         drain_grace_seconds=random.choice((0.5, 1.0)),
-        # A server that gets its full load at birth is over its budget, one that warms up is far below it.
+        # Tighter than any site, where the multiple is 3: idle servers are preferred and a cold one is slow, so
+        # that even without slow start it gets less than others. Its budget has to tell the two apart.
         cold_share=0.05,
         warm_up_seconds=9.0,
-        overload_multiple=1.5,
+        overload_multiple=0.9,
         overload_window_seconds=3.0,
         server_requests_per_second=40.0,
     )
--- a/soak/fault_injector.py
+++ b/soak/fault_injector.py
@@ -19,6 +19,8 @@
 
 MAX_PAUSE_SECONDS = 0.15
 """The longest time that a sidecar may be held up."""
+MIN_TRANSFER_BYTES = 200
+"""Of short reads and writes: with one byte each, a request of 20 KB takes longer than its deadline allows for."""
 RESTART_DELAY_SECONDS = 0.3
 DRAIN_SECONDS = 2.0
 READY_TIMEOUT_SECONDS = 10.0
@@ -188,7 +190,8 @@
     async def _shorten_transfers(self, fault: PlannedFault) -> str:
         sidecar = self._member(fault).sidecar
         sidecar.faults.limit_transfers(
-            max_read_bytes=1 + int(400 * fault.strength), max_write_bytes=1 + int(400 * self._random.random())
+            max_read_bytes=MIN_TRANSFER_BYTES + int(1000 * fault.strength),
+            max_write_bytes=MIN_TRANSFER_BYTES + int(1000 * self._random.random()),
         )
         await asyncio.sleep(fault.seconds)
         sidecar.faults.limit_transfers()
