--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -127,8 +127,8 @@
         requests_per_second=190 / sidecar_count,
         is_discovery_polled=random.random() < 0.25,
         drain_grace_seconds=random.choice((0.5, 1.0)),
-        # Tighter than any site, where the multiple is 3: idle servers are preferred and a cold one is slow, so
-        # that even without slow start it gets less than others. Its budget has to tell the two apart.
+        # Tighter than any site, where the multiple is 3. Idle servers are preferred and a cold one is slow:
+        # even without slow start it gets less than others, and its budget has to tell the two apart.
         cold_share=0.05,
         warm_up_seconds=9.0,
         overload_multiple=0.9,
--- a/soak/fault_injector.py
+++ b/soak/fault_injector.py
@@ -20,7 +20,7 @@
 MAX_PAUSE_SECONDS = 0.15
 """The longest time that a sidecar may be held up."""
 MIN_TRANSFER_BYTES = 200
-"""Of short reads and writes: with one byte each, a request of 20 KB takes longer than its deadline allows for."""
+"""Of short reads and writes: with one byte each, a request of 20 KB takes longer than deadlines allow."""
 RESTART_DELAY_SECONDS = 0.3
 DRAIN_SECONDS = 2.0
 READY_TIMEOUT_SECONDS = 10.0
--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -382,9 +382,8 @@
     if request.is_first_on_connection:
         return False
     life = history.life_at(request.sidecar, request.sent_at)
-    may_close = request.connection_idle_seconds >= RESTING_SECONDS
-    may_close |= life is not None and life.stop_requested_at is not None
-    may_close |= life is None
+    is_stopping = life is None or (life.stop_requested_at or math.inf) <= ended_at
+    may_close = is_stopping or request.connection_idle_seconds >= RESTING_SECONDS
     limit = CROSSING_SECONDS + history.lag_within(request.sent_at, ended_at)
     return may_close and ended_at - request.sent_at <= limit
 
