Keep watching discovery after an update that could not be taken

Cause: an unexpected error while an update was taken ended the task of the watch, for ever where lists are pushed: not even a SIGHUP began another. The version had moved on, so the change would have been missed. Result: test_update_that_could_not_be_taken_is_fetched_again hung before (20 s, pushed and polled), passes now.

--- a/balancer/sidecar/discovery_client.py
+++ b/balancer/sidecar/discovery_client.py
@@ -20,6 +20,9 @@
 from balancer.sidecar.dispatcher import Dispatcher
 from balancer.sidecar.endpoint_list import EndpointListUpdate
 
+FAULT_PAUSE_SECONDS = 0.25
+"""After an update that could not be taken, by a fault of this program."""
+
 log = logging.getLogger(__name__)
 
 
@@ -110,7 +113,7 @@
         retry_policy = WatchRetryPolicy(self.profile, self._random)
         while True:
             try:
-                update = await self._call_for_changes()
+                is_new = self._deliver(await self._call_for_changes())
             except DiscoveryCallError as error:
                 _log_failure(error)
                 pause_seconds = retry_policy.pause_seconds_after(error, self._needs_snapshot)
@@ -118,9 +121,13 @@
                     self._watch_task = None  # so that the decisions can begin another at once
                     self._report_failure()
                     return
+            except Exception:
+                log.exception("an endpoint update could not be taken; a snapshot is fetched instead")
+                self._needs_snapshot = True
+                pause_seconds = FAULT_PAUSE_SECONDS
             else:
                 retry_policy.record_success()
-                pause_seconds = 0.0 if self._deliver(update) else UNCHANGED_PAUSE_SECONDS
+                pause_seconds = 0.0 if is_new else UNCHANGED_PAUSE_SECONDS
             if pause_seconds > 0:
                 await asyncio.sleep(pause_seconds)
 
@@ -130,6 +137,9 @@
         except DiscoveryCallError as error:
             _log_failure(error)
             self._report_failure()
+        except Exception:
+            log.exception("an endpoint update could not be taken")
+            self._report_failure()
 
     # ---- calls and their answers
 
--- a/tests/sidecar/test_discovery_client.py
+++ b/tests/sidecar/test_discovery_client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import re
 from dataclasses import dataclass
 from typing import Any
@@ -17,9 +18,12 @@
     MalformedDiscoveryResponseError,
 )
 from balancer.sidecar.discovery_profile import POLLED_DISCOVERY, PUSHED_DISCOVERY
+from balancer.sidecar.endpoint_list import EndpointListUpdate
 from balancer.time_units import SECOND_NS
 from tests.sidecar.harness import (
+    ReceivedRequest,
     Sidecar,
+    endpoint_entry,
     never_answer,
     ok_response,
     run,
@@ -286,3 +290,38 @@
             assert sidecar.discovery.caller.idle_connection is None
 
     run(test())
+
+
+# ---- faults in taking an update
+
+
+@pushed_and_polled
+def test_update_that_could_not_be_taken_is_fetched_again(polled: bool) -> None:
+    """Otherwise the watch would have ended for ever, with the change that it brought."""
+    snapshot = json.dumps(
+        {"seq": 2, "whole": True, "hosts": [endpoint_entry("s-0", "127.0.0.1:9", "draining")]}
+    ).encode()
+
+    async def answer_snapshot(_request: ReceivedRequest) -> bytes:
+        return ok_response(snapshot)
+
+    async def test() -> None:
+        settings = discovery_settings(polled)
+        async with (
+            run_endpoint(answer_snapshot) as discovery,
+            run_sidecar("127.0.0.1:9", discovery=discovery.address, settings=settings) as sidecar,
+        ):
+            take_update = sidecar.dispatcher.on_endpoint_update
+            failures = [RuntimeError("cannot take it")]
+
+            def fail_once(update: EndpointListUpdate, kind: EndpointUpdateKind) -> None:
+                if failures:
+                    raise failures.pop()
+                take_update(update, kind)
+
+            sidecar.dispatcher.on_endpoint_update = fail_once  # type: ignore[method-assign]
+            start_watching(sidecar, polled)
+            await sidecar.wait_for_event(is_drain_update)
+            assert discovery.received_requests[1].request_line == b"GET /discovery/hosts HTTP/1.1"
+
+    run(test())
