Connect again where this machine is short of descriptors or ports for a moment

Cause: a request whose connect failed with EMFILE, ENFILE, ENOBUFS, ENOMEM or EADDRNOTAVAIL was refused at once, though it had time left and the shortage may be over in milliseconds. Change: up to five more tries, 20 ms apart, within the time of the attempt; a connection to the endpoint that has become idle meanwhile is taken instead.

--- a/balancer/sidecar/upstream/attempt.py
+++ b/balancer/sidecar/upstream/attempt.py
@@ -35,6 +35,10 @@
 # Failures to connect that speak of this machine, not of the endpoint.
 LOCAL_RESOURCE_ERRNOS = RESOURCE_SHORTAGE_ERRNOS | {errno.EADDRNOTAVAIL}
 
+MAX_SHORTAGE_RETRIES = 5
+SHORTAGE_PAUSE_SECONDS = 0.02
+"""Between two tries to connect while this machine is short of something: a tenth of a second in all."""
+
 log = logging.getLogger(__name__)
 
 
@@ -270,15 +274,23 @@
         """Return a new connection. Raises ConnectError.
 
         What becomes of a connect to an address that the endpoint has left meanwhile says nothing of the
-        endpoint: the new address is tried.
+        endpoint: the new address is tried. Where this machine is short of something, it is tried again, and a
+        connection that has become idle meanwhile will do as well.
         """
+        retries_left = MAX_SHORTAGE_RETRIES
         while True:
             address = self._pool.address
             try:
                 connection = await self._provider.connect(self._pool)
             except OSError as error:  # a timeout is one, too
                 if address == self._pool.address:
-                    raise _connect_error(address, error) from error
+                    if error.errno not in LOCAL_RESOURCE_ERRNOS or not retries_left:
+                        raise _connect_error(address, error) from error
+                    retries_left -= 1
+                    await asyncio.sleep(SHORTAGE_PAUSE_SECONDS)
+                    idle_connection = self._pool.acquire(self._provider.now_ns())
+                    if idle_connection is not None:
+                        return idle_connection
             else:
                 if address == self._pool.address:
                     return connection
--- a/tests/sidecar/upstream/test_attempt.py
+++ b/tests/sidecar/upstream/test_attempt.py
@@ -122,6 +122,24 @@
         assert (await sidecar.wait_for_event(is_attempt_completed)).outcome == outcome
 
 
+@pytest.mark.parametrize("number", [errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.EADDRNOTAVAIL])
+@async_test
+async def test_connect_is_repeated_where_this_machine_is_short_for_a_moment(number: int) -> None:
+    async with run_endpoint(answer_ok) as endpoint, run_sidecar(endpoint.address) as sidecar:
+        upstream = sidecar.dispatcher.upstream
+        connect, failures = upstream.connect, [OSError(number, "short")] * 2
+
+        async def fail_at_first(pool: EndpointPool) -> UpstreamConnection:
+            if failures:
+                raise failures.pop()
+            return await connect(pool)
+
+        upstream.connect = fail_at_first  # type: ignore[method-assign]
+        client = await sidecar.connect_client()
+        assert (await client.exchange(request_bytes("post"))).status == 200
+        assert (await sidecar.wait_for_event(is_attempt_completed)).outcome == AttemptOutcome.SUCCESS
+
+
 @async_test
 async def test_refused_connection_ends_attempt_as_connect_failed() -> None:
     async with run_sidecar(unreachable_address()) as sidecar:
