--- a/balancer/sidecar/dispatcher.py
+++ b/balancer/sidecar/dispatcher.py
@@ -21,7 +21,6 @@
     CancelAttempt,
     ClientDisconnected,
     CloseIdleConnections,
-    EndpointId,
     EndpointUpdate,
     EndpointUpdateKind,
     Event,
@@ -41,11 +40,11 @@
     WriteLog,
 )
 from balancer.sidecar.attempt_guard import AttemptGuard
+from balancer.sidecar.attempt_runner import AttemptRunner
 from balancer.sidecar.client_request import ClientRequest, ResponseSink
 from balancer.sidecar.clock import Clock
 from balancer.sidecar.configuration import SidecarConfiguration
 from balancer.sidecar.endpoint_list import EndpointListUpdate
-from balancer.sidecar.http_message import HttpResponse
 from balancer.sidecar.metrics import Invariant, Metric, Metrics
 from balancer.sidecar.ports import EndpointDiscovery, GossipSender, Policy
 from balancer.sidecar.request_ledger import InFlightRequest, RequestLedger
@@ -83,7 +82,6 @@
         clock: Clock,
         policy: Policy | None = None,
     ) -> None:
-        self._settings = config.settings
         self._loop = loop
         self._policy = policy if policy is not None else Balancer(config.settings, config.seed)
         self._discovery: EndpointDiscovery | None = None
@@ -92,16 +90,19 @@
         self._is_dispatching = False
         self._shutdown_deadline_ns: int | None = None
         self._shutdown_timer = OneShotTimer(loop)
-        self._action_handlers: dict[type[object], Callable[[Action], None]] = {}
-        self._register_action_handlers()
         self.now_ns = clock.now_ns
         self._start_times = StartTimeTranslator(clock.now_ns)
         self.metrics = Metrics()
         self._guard = AttemptGuard(config.settings, self.metrics)
         self.upstream = UpstreamManager(config, loop, clock.now_ns)
         self.ledger = RequestLedger(config.settings, loop)
+        self._attempts = AttemptRunner(
+            config.settings, self, self.upstream, self.ledger, self._guard, self.metrics
+        )
         self.has_endpoints = False
         """Whether any endpoint has been known yet."""
+        self._action_handlers: dict[type[object], Callable[[Action], None]] = {}
+        self._register_action_handlers()
 
     def attach_discovery(self, discovery: EndpointDiscovery) -> None:
         """Let this client carry out what the policy asks of discovery; until then that is dropped."""
@@ -142,6 +143,10 @@
         finally:
             self._is_dispatching = False
 
+    def has_pending_endpoint_update(self) -> bool:
+        """Whether the policy has yet to be told of an endpoint update that has come."""
+        return any(isinstance(event, EndpointUpdate) for event in self._events)
+
     def _handle_event(self, event: Event) -> None:
         try:
             actions = self._policy.handle(self.now_ns(), event)
@@ -232,7 +237,7 @@
         if request.attempt is not None:
             request.attempt.give_up_unsent()
 
-    def _detect_client_disconnect(self, request: InFlightRequest) -> None:
+    def detect_client_disconnect(self, request: InFlightRequest) -> None:
         """Ask whether the client has left; done before an attempt is sent, as no event may have told yet."""
         if not request.answered and request.response_sink.is_disconnected():
             self.on_client_disconnected(request.request_id)
@@ -241,7 +246,7 @@
         # The loop rounds its timers to milliseconds and may call early. The request expires all the same, or
         # a further attempt could start beside the one that goes on in the background.
         request.expires_at_ns = min(request.expires_at_ns, self.now_ns())
-        self._continue_attempt_in_background(request)
+        self._attempts.continue_in_background(request)
         if not request.answered:
             # The policy should have answered when the attempt ended. Whatever kept it, no request is lost.
             detail = (
@@ -252,123 +257,6 @@
             self._fail_request(FailRequest(request.request_id))
             self.dispatch(ClientDisconnected(request.request_id))
 
-    def _continue_attempt_in_background(self, request: InFlightRequest) -> None:
-        """Let an attempt that was sent end by itself, but no later than at the latency objective.
-
-        Up to the objective an answer is still likely, and keeps the connection. After it the endpoint is
-        behind, and closing the connection may spare it the work.
-        """
-        if request.attempt is None:
-            return
-        request_class = self._settings.classes[request.client_request.class_index]
-        latest_end_ns = request.attempt_started_at_ns + request_class.latency_objective_ns
-        request.has_background_attempt = True
-        request.attempt.continue_in_background(
-            (latest_end_ns - self.now_ns()) / SECOND_NS, partial(self._on_background_attempt_ended, request)
-        )
-
-    def _on_background_attempt_ended(self, request: InFlightRequest) -> None:
-        request.has_background_attempt = False
-        self.ledger.forget_if_finished(request, self.now_ns())
-
-    # ---- attempts
-
-    def _start_attempt(self, action: StartAttempt) -> None:
-        request = self.ledger.in_flight.get(action.request_id)
-        now_ns = self.now_ns()
-        if request is None or not self._may_start_attempt(request, action.endpoint_id, now_ns):
-            self._report_attempt_not_started(action, request)
-            return
-        attempt_index = request.attempt_count
-        request.attempt_count += 1
-        request.attempt_started_at_ns = now_ns
-        request.attempt_deadline_ns = _attempt_deadline_ns(action, request, now_ns)
-        request.endpoint_id = action.endpoint_id
-        request.attempt_group = self._guard.group_of(action.endpoint_id)
-        on_completed = partial(self._on_attempt_completed, request, attempt_index)
-        # The connection may be established after this time and before the loop has called the timer.
-        start_before_ns = min(
-            action.start_before_ns or request.attempt_deadline_ns, request.attempt_deadline_ns
-        )
-        attempt = self.upstream.create_attempt(
-            action.endpoint_id, partial(self._build_payload, request), on_completed, start_before_ns
-        )
-        if attempt is None:
-            self._check_endpoint_update_pending(action)
-            on_completed(AttemptOutcome.CONNECT_FAILED, None)
-            return
-        request.attempt = attempt
-        if request.attempt_deadline_ns < request.expires_at_ns:
-            request.attempt_timer.start(action.timeout_ns / SECOND_NS, attempt.expire)
-        attempt.start()
-
-    def _check_endpoint_update_pending(self, action: StartAttempt) -> None:
-        """Check that the policy does not know yet that the endpoint takes nothing new."""
-        if not any(isinstance(event, EndpointUpdate) for event in self._events):
-            detail = f"request {action.request_id}, endpoint {action.endpoint_id.hex()}"
-            self.metrics.record_violation(Invariant.ENDPOINT_READY, detail)
-
-    def _may_start_attempt(self, request: InFlightRequest, endpoint_id: EndpointId, now_ns: int) -> bool:
-        refusal = self._guard.refusal(request, endpoint_id, now_ns, self._detect_client_disconnect)
-        if refusal is None:
-            return True
-        self.metrics.count(Metric.ATTEMPTS_REFUSED, refusal)
-        log.debug("attempt of request %d refused: %s", request.request_id, refusal)
-        return False
-
-    def _report_attempt_not_started(self, action: StartAttempt, request: InFlightRequest | None) -> None:
-        self.dispatch(
-            AttemptCompleted(
-                request_id=action.request_id,
-                attempt_index=request.attempt_count if request is not None else 0,
-                endpoint_id=action.endpoint_id,
-                outcome=AttemptOutcome.NOT_SENT,
-                duration_ns=0,
-                request_finished=request is None or request.answered,
-                load_report=(),
-            )
-        )
-
-    def _build_payload(self, request: InFlightRequest) -> bytes:
-        """Return the message of the current attempt, which is about to be written to its connection."""
-        # The client may have left while the connection was established: the attempt ends before any byte.
-        self._detect_client_disconnect(request)
-        if request.answered and request.attempt is not None:
-            request.attempt.abort(AttemptOutcome.NOT_SENT)
-        return request.encode(self.now_ns())
-
-    def _on_attempt_completed(
-        self,
-        request: InFlightRequest,
-        attempt_index: int,
-        outcome: AttemptOutcome,
-        response: HttpResponse | None,
-    ) -> None:
-        request.record_outcome(outcome)
-        self.metrics.count(Metric.ATTEMPTS, outcome.name.lower())
-        if outcome == AttemptOutcome.SUCCESS and response is not None:
-            self._send_response(request, response)
-        now_ns = self.now_ns()
-        self.ledger.forget_if_finished(request, now_ns)
-        duration_ns = now_ns - request.attempt_started_at_ns
-        load_report = self.upstream.parse_load_report(response)
-        self.dispatch(
-            AttemptCompleted(
-                request.request_id,
-                attempt_index,
-                request.endpoint_id,
-                outcome,
-                duration_ns,
-                request.answered,
-                load_report,
-            )
-        )
-
-    def _send_response(self, request: InFlightRequest, response: HttpResponse) -> None:
-        if self.ledger.mark_answered(request.request_id) is not None:
-            self.metrics.count(Metric.RESPONSES, "served")
-            request.response_sink.send_response(response)
-
     # ---- actions
 
     def execute(self, action: Action) -> None:
@@ -376,8 +264,8 @@
         self._action_handlers[type(action)](action)
 
     def _register_action_handlers(self) -> None:
-        self._register(StartAttempt, self._start_attempt)
-        self._register(CancelAttempt, self._cancel_attempt)
+        self._register(StartAttempt, self._attempts.start)
+        self._register(CancelAttempt, self._attempts.cancel)
         self._register(RejectRequest, self._reject_request)
         self._register(FailRequest, self._fail_request)
         self._register(SetTimer, self._set_timer)
@@ -392,13 +280,6 @@
         # `execute` looks a handler up by the exact type of the action, so it gets no action but its own.
         self._action_handlers[action_type] = cast(Callable[[Action], None], handler)
 
-    def _cancel_attempt(self, action: CancelAttempt) -> None:
-        request = self.ledger.in_flight.get(action.request_id)
-        if request is None or request.attempt is None:
-            return
-        if request.attempt_count - 1 == action.attempt_index:
-            request.attempt.abort(AttemptOutcome.CANCELLED)
-
     def _reject_request(self, action: RejectRequest) -> None:
         in_flight = self.ledger.in_flight.get(action.request_id)
         if in_flight is not None and not in_flight.answered and not self._guard.may_reject(in_flight):
@@ -461,12 +342,6 @@
         log.info("%s", action.text)
 
 
-def _attempt_deadline_ns(action: StartAttempt, request: InFlightRequest, now_ns: int) -> int:
-    if not action.timeout_ns:
-        return request.expires_at_ns
-    return min(request.expires_at_ns, now_ns + action.timeout_ns)
-
-
 def _describe_event(event: Event) -> str:
     """Name an event, its request and its endpoint, for a log line."""
     description = type(event).__name__
--- a/soak/guard_trials.py
+++ b/soak/guard_trials.py
@@ -78,7 +78,7 @@
     _single(
         "every request is answered at its deadline",
         "balancer/sidecar/dispatcher.py",
-        "self._continue_attempt_in_background(request)\n        if not request.answered:",
+        "self._attempts.continue_in_background(request)\n        if not request.answered:",
         "if False:",
     ),
     GuardBreak("nothing is sent for a client that left: asked before sending", (_LEFT_BEFORE_SENDING,)),
