--- a/balancer/sidecar/downstream/acceptor.py
+++ b/balancer/sidecar/downstream/acceptor.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import logging
 import socket
 from collections.abc import Callable
@@ -10,6 +11,7 @@
 from typing import TypeAlias
 
 from balancer.sidecar.address import Address
+from balancer.sidecar.metrics import Metric, Metrics
 from balancer.sidecar.timers import OneShotTimer
 
 LISTEN_BACKLOG = 512
@@ -46,6 +48,7 @@
         loop: the event loop.
         make_protocol: makes the protocol of each connection. It is given since when its bytes may have waited
             (by the loop's time) where the connection had to wait, else None.
+        metrics: counts the failures.
     """
 
     def __init__(
@@ -53,16 +56,16 @@
         listening: socket.socket,
         loop: asyncio.AbstractEventLoop,
         make_protocol: ProtocolFactory,
+        metrics: Metrics,
     ) -> None:
         self._listening = listening
         self._loop = loop
         self._make_protocol = make_protocol
+        self._metrics = metrics
         self._retry_timer = OneShotTimer(loop)
         self._opening_tasks: set[asyncio.Task[None]] = set()
         self._is_closed = False
         self._blocked_since_seconds: float | None = None
-        self.failure_count = 0
-        """How often accepting has failed for want of resources or otherwise."""
 
     def start(self) -> None:
         """Begin to accept."""
@@ -102,7 +105,7 @@
 
     def _retry_later(self, error: OSError) -> None:
         """Leave the connections in the backlog for a moment: the socket stays readable, and would spin."""
-        self.failure_count += 1
+        self._metrics.count(Metric.ACCEPT_FAILURES, errno.errorcode.get(error.errno or 0, "other"))
         if self._blocked_since_seconds is None:
             self._blocked_since_seconds = self._loop.time()
         log.info("accepting failed, retried in %.2f s: %s", RETRY_DELAY_SECONDS, error)
--- a/balancer/sidecar/lifecycle.py
+++ b/balancer/sidecar/lifecycle.py
@@ -191,7 +191,7 @@
     loop.add_signal_handler(signal.SIGUSR1, _log_metrics, dispatcher.metrics, logging.WARNING)
     discovery.start()
     listening = open_listening_socket(config.listen_address)
-    acceptor = Acceptor(listening, loop, partial(DownstreamConnection, listener))
+    acceptor = Acceptor(listening, loop, partial(DownstreamConnection, listener), dispatcher.metrics)
     acceptor.start()
     unblock_signals()  # the threads that resolve names run by now, and keep them blocked
     log.info("ready to serve at %s:%d", *config.listen_address)
--- a/balancer/sidecar/metrics.py
+++ b/balancer/sidecar/metrics.py
@@ -29,6 +29,8 @@
     """By the outcome."""
     ATTEMPTS_REFUSED = "attempts_refused"
     """Attempts of the policy that were not started, by the reason."""
+    ACCEPT_FAILURES = "accept_failures"
+    """By the error."""
     DOWNSTREAM_CONNECTIONS = "downstream_connections"
     DOWNSTREAM_CLOSES = "downstream_closes"
     """By the reason."""
--- a/tests/sidecar/downstream/test_acceptor.py
+++ b/tests/sidecar/downstream/test_acceptor.py
@@ -10,6 +10,7 @@
 import pytest
 
 from balancer.sidecar.downstream.acceptor import Acceptor, open_listening_socket
+from balancer.sidecar.metrics import Metric, Metrics
 from tests.sidecar.harness import async_test
 
 
@@ -71,7 +72,7 @@
 async def test_connection_is_accepted_after_failures(number: int) -> None:
     listening = open_listening_socket(("127.0.0.1", 0))
     failing = cast(socket.socket, FailingSocket(listening, number, number))
-    acceptor = Acceptor(failing, asyncio.get_running_loop(), Greeter)
+    acceptor = Acceptor(failing, asyncio.get_running_loop(), Greeter, Metrics())
     acceptor.start()
     assert await greeting_at(listening.getsockname()) == b"hello"
     await acceptor.close()
@@ -80,7 +81,7 @@
 @async_test
 async def test_close_attaches_connections_that_wait_already() -> None:
     listening = open_listening_socket(("127.0.0.1", 0))
-    acceptor = Acceptor(listening, asyncio.get_running_loop(), Greeter)
+    acceptor = Acceptor(listening, asyncio.get_running_loop(), Greeter, Metrics())
     client = socket.create_connection(listening.getsockname())
     await acceptor.close()
     with client:
@@ -91,7 +92,7 @@
 async def test_close_while_accepting_fails_ends_at_once() -> None:
     listening = open_listening_socket(("127.0.0.1", 0))
     failing = cast(socket.socket, FailingSocket(listening, *[errno.ENFILE] * 3))
-    acceptor = Acceptor(failing, asyncio.get_running_loop(), Greeter)
+    acceptor = Acceptor(failing, asyncio.get_running_loop(), Greeter, Metrics())
     acceptor.start()
     with socket.create_connection(listening.getsockname()):
         await acceptor.close()
@@ -110,7 +111,8 @@
 
     listening = open_listening_socket(("127.0.0.1", 0))
     failing = cast(socket.socket, FailingSocket(listening, errno.ENFILE, errno.ENFILE))
-    acceptor = Acceptor(failing, loop, make_greeter)
+    metrics = Metrics()
+    acceptor = Acceptor(failing, loop, make_greeter, metrics)
     started_at = loop.time()
     acceptor.start()
     for _ in range(2):
@@ -119,4 +121,5 @@
     assert first is not None
     assert started_at <= first <= loop.time()
     assert second is None
+    assert metrics.value(Metric.ACCEPT_FAILURES, "ENFILE") == 2
     await acceptor.close()
