Soak: second answers by all servers, starts without sockets, and what a trial found

Change: second answers by all servers as a fault of its own; restarts may find no socket at first; the proxy keeps the distance of what it delays; trials print the first violation.

--- a/soak/fault_injector.py
+++ b/soak/fault_injector.py
@@ -25,6 +25,9 @@
 DRAIN_SECONDS = 2.0
 READY_TIMEOUT_SECONDS = 10.0
 KILL_MARGIN_SECONDS = 0.7
+SHORTAGE_STRENGTH = 0.6
+"""Of a restart: beyond it the new process finds no socket at first."""
+MAX_FAILED_STARTS = 4
 UNREADABLE_STRENGTH = 0.6
 """Of a reload: beyond it the configuration cannot be read at first."""
 MAX_AWAITED_TIMEOUT_SECONDS = 3.0
@@ -63,6 +66,7 @@
             FaultKind.SHORT_TRANSFERS: self._shorten_transfers,
             FaultKind.INTERRUPTED_CALLS: self._interrupt_calls,
             FaultKind.SERVER_MISBEHAVES: self._let_server_misbehave,
+            FaultKind.SECOND_ANSWERS: self._send_second_answers,
             FaultKind.SERVER_RESTARTS: self._restart_server,
             FaultKind.SERVER_DRAINS: self._drain_server,
             FaultKind.NETWORK_SILENT: self._silence_network,
@@ -113,7 +117,7 @@
         if not await member.sidecar.wait_until_ended(longest + KILL_MARGIN_SECONDS):
             member.sidecar.send_signal(signal.SIGKILL)
             await member.sidecar.wait_until_ended(READY_TIMEOUT_SECONDS)
-        await self._start_again(member)
+        await self._start_again(member, is_short=fault.strength > SHORTAGE_STRENGTH)
         return member.sidecar.name
 
     async def _kill_sidecar(self, fault: PlannedFault) -> str:
@@ -122,11 +126,15 @@
             return f"{member.sidecar.name}, which did not serve"
         member.sidecar.send_signal(signal.SIGKILL)
         await member.sidecar.wait_until_ended(READY_TIMEOUT_SECONDS)
-        await self._start_again(member)
+        await self._start_again(member, is_short=fault.strength > SHORTAGE_STRENGTH)
         return member.sidecar.name
 
-    async def _start_again(self, member: Member) -> None:
+    async def _start_again(self, member: Member, is_short: bool) -> None:
         await asyncio.sleep(RESTART_DELAY_SECONDS * self._random.random())
+        if is_short:
+            member.sidecar.faults.fail(
+                FaultyCall.SOCKET, self._random.choice(SOCKET_ERRORS), MAX_FAILED_STARTS
+            )
         await member.sidecar.start()
         await member.sidecar.wait_until_ready(READY_TIMEOUT_SECONDS)
 
@@ -216,6 +224,17 @@
         server.note_fault_over()
         return name
 
+    async def _send_second_answers(self, fault: PlannedFault) -> str:
+        servers = [server for server in self._fleet.servers if server.fault == ServerFault.NONE]
+        for server in servers:
+            server.fault = ServerFault.SECOND_ANSWER
+        await asyncio.sleep(fault.seconds)
+        for server in servers:
+            if server.fault == ServerFault.SECOND_ANSWER:
+                server.fault = ServerFault.NONE
+                server.note_fault_over()
+        return f"{len(servers)} servers"
+
     async def _restart_server(self, fault: PlannedFault) -> str:
         server = self._server(fault)
         if not server.is_running:
--- a/soak/fault_plan.py
+++ b/soak/fault_plan.py
@@ -33,6 +33,7 @@
     SHORT_TRANSFERS = "short reads and writes"
     INTERRUPTED_CALLS = "interrupted calls"
     SERVER_MISBEHAVES = "an account server misbehaves"
+    SECOND_ANSWERS = "account servers send second answers"
     SERVER_RESTARTS = "an account server dies and returns cold"
     SERVER_DRAINS = "an account server drains, is removed, and returns cold under another name"
     NETWORK_SILENT = "the network swallows everything"
--- a/soak/fault_proxy.py
+++ b/soak/fault_proxy.py
@@ -76,7 +76,7 @@
         self._link = link
         self._target: asyncio.Transport | None = None
         self._connected = asyncio.Event()
-        self._queue: asyncio.Queue[bytes | None] = asyncio.Queue()
+        self._queue: asyncio.Queue[tuple[float, bytes | None]] = asyncio.Queue()
         self.task = proxy.loop.create_task(self._run())
 
     def connect(self, target: asyncio.Transport) -> None:
@@ -86,17 +86,19 @@
 
     def feed(self, data: bytes | None) -> None:
         """Take bytes, or None for the end."""
-        self._queue.put_nowait(data)
+        self._queue.put_nowait((self._proxy.clock.now(), data))
 
     async def _run(self) -> None:
         await self._connected.wait()
         while True:
-            data = await self._queue.get()
+            came_at, data = await self._queue.get()
             mode = self._proxy.mode
             while self._proxy.mode.is_black_hole:
                 await self._proxy.wait_for_mode_change()
-            if mode.delay_seconds:
-                await asyncio.sleep(mode.delay_seconds)
+            # What came some milliseconds apart stays so: a second answer may not fall behind further.
+            delay_seconds = came_at + mode.delay_seconds - self._proxy.clock.now()
+            if delay_seconds > 0:
+                await asyncio.sleep(delay_seconds)
             if data is None:
                 self._link.finish()
                 return
--- a/soak/guard_trials.py
+++ b/soak/guard_trials.py
@@ -50,6 +50,8 @@
     seed: int
     """The seed that noticed, or the last one."""
     broken_invariants: dict[str, int]
+    first_message: str
+    """Of what was broken."""
 
 
 _LEFT_BEFORE_SENDING = SourceChange(
@@ -201,19 +203,19 @@
             ignored = shutil.ignore_patterns("__pycache__")
             shutil.copytree(REPOSITORY_ROOT / folder, root / folder, ignore=ignored)
         apply(guard, root)
-        result = TrialResult(guard.name, 0, {})
+        result = TrialResult(guard.name, 0, {}, "")
         for seed in seeds:
-            result = TrialResult(guard.name, seed, _run_soak(root, seed, seconds))
+            result = _run_soak(guard, root, seed, seconds)
             if result.broken_invariants:
                 break
         return result
 
 
-def _run_soak(root: Path, seed: int, seconds: float) -> dict[str, int]:
-    report = root / "report.json"
+def _run_soak(guard: GuardBreak, root: Path, seed: int, seconds: float) -> TrialResult:
+    report_file = root / "report.json"
     command = [sys.executable, "-m", "soak", "--seed", str(seed), "--seconds", str(seconds)]
     process = subprocess.run(
-        [*command, "--json", str(report)],
+        [*command, "--json", str(report_file)],
         cwd=root,
         capture_output=True,
         text=True,
@@ -221,15 +223,25 @@
         check=False,
     )
     if process.returncode == EXIT_BROKEN:
-        broken: dict[str, int] = json.loads(report.read_text())["broken"]
-        return broken
-    return {} if process.returncode == 0 else {f"the soak ended with status {process.returncode}": 1}
+        report = json.loads(report_file.read_text())
+        return TrialResult(guard.name, seed, report["broken"], report["violations"][0]["message"])
+    if process.returncode == 0:
+        return TrialResult(guard.name, seed, {}, "")
+    status = f"the soak ended with status {process.returncode}"
+    return TrialResult(guard.name, seed, {status: 1}, process.stderr[-200:])
 
 
 def _chosen(words: Sequence[str]) -> Iterator[GuardBreak]:
     return (guard for guard in GUARD_BREAKS if not words or any(word in guard.name for word in words))
 
 
+def _line(result: TrialResult) -> str:
+    if not result.broken_invariants:
+        return f"{result.guard}: UNNOTICED"
+    broken = f"{result.broken_invariants}, first: {result.first_message[:150]}"
+    return f"{result.guard}: seed {result.seed}: {broken}"
+
+
 def main(arguments: Sequence[str] | None = None) -> int:
     """Run the trials and print one line for each."""
     parser = argparse.ArgumentParser(prog="soak.guard_trials", description="Break guards one at a time.")
@@ -247,10 +259,7 @@
         for trial in trials:
             result = trial.result()
             unnoticed += not result.broken_invariants
-            said = (
-                f"seed {result.seed}: {result.broken_invariants}" if result.broken_invariants else "UNNOTICED"
-            )
-            print(f"{result.guard}: {said}", flush=True)
+            print(_line(result), flush=True)
     return EXIT_BROKEN if unnoticed else 0
 
 
