Share the set-up of the tests of pipelined requests, and make their times exact

Cause: three tests wrote the same set-up, and asked for times within a second of real time. Change: run_held_pipeline stops the sidecar's clock; the times told are compared exactly (7.99 and 4.99 s).

--- a/tests/sidecar/downstream/test_connection.py
+++ b/tests/sidecar/downstream/test_connection.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable
+import contextlib
+from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import Any, NamedTuple, TypeAlias, cast
 
 import pytest
@@ -36,7 +37,9 @@
     sweep_at,
 )
 from tests.sidecar.harness import (
+    Client,
     ReceivedRequest,
+    ScriptedEndpoint,
     Sidecar,
     answer_ok,
     async_test,
@@ -67,8 +70,33 @@
         assert 1 <= max_in_flight <= MAX_PIPELINED_REQUESTS
 
 
-@async_test
-async def test_pipelined_request_that_waited_for_room_has_less_time_left() -> None:
+class HeldPipeline(NamedTuple):
+    """As many pipelined requests as are taken at once, all at the endpoint, which answers once released."""
+
+    sidecar: Sidecar
+    endpoint: ScriptedEndpoint
+    client: Client
+    released: asyncio.Event
+
+    def times_told(self) -> list[float]:
+        """Return what time each attempt told the endpoint to have left, in seconds."""
+        return [float(request.headers[b"req-deadline"]) for request in self.endpoint.received_requests]
+
+    async def wait_for_further_request(self) -> None:
+        """Wait until the endpoint has more requests than are taken at once."""
+        await wait_until(lambda: len(self.endpoint.received_requests) > MAX_PIPELINED_REQUESTS)
+
+
+def stop_clocks(sidecar: Sidecar) -> None:
+    """Stop the sidecar's clock, so that the times which attempts tell are exact."""
+    now_ns = sidecar.dispatcher.now_ns()
+    sidecar.dispatcher.now_ns = lambda: now_ns
+    sidecar.dispatcher.upstream.now_ns = lambda: now_ns
+
+
+@contextlib.asynccontextmanager
+async def run_held_pipeline(further_requests: int = 0) -> AsyncIterator[HeldPipeline]:
+    """Send pipelined requests with 8 s each at time 100, some more than are taken at once."""
     released = asyncio.Event()
 
     async def answer_when_released(_request: ReceivedRequest) -> bytes:
@@ -79,55 +107,50 @@
         run_endpoint(answer_when_released) as endpoint,
         run_sidecar_without_sweeps(endpoint.address) as sidecar,
     ):
+        stop_clocks(sidecar)
         set_time(sidecar, 100.0)
         client = await sidecar.connect_client()
-        client.writer.write(b"".join(request_bytes(deadline="8") for _ in range(MAX_PIPELINED_REQUESTS + 1)))
+        count = MAX_PIPELINED_REQUESTS + further_requests
+        client.writer.write(b"".join(request_bytes(deadline="8") for _ in range(count)))
         await wait_until(lambda: len(endpoint.received_requests) == MAX_PIPELINED_REQUESTS)
-        set_time(sidecar, 103.0)
-        released.set()
-        await wait_until(lambda: len(endpoint.received_requests) > MAX_PIPELINED_REQUESTS)
-        told = [float(request.headers[b"req-deadline"]) for request in endpoint.received_requests]
-        assert 7 < told[0] < 8
-        assert 4 < told[-1] < 5
+        yield HeldPipeline(sidecar, endpoint, client, released)
 
 
 @async_test
-async def test_request_read_after_a_pause_counts_from_the_begin_of_the_pause() -> None:
-    """Its bytes wait in the socket, and nothing tells when they came."""
-    released = asyncio.Event()
+async def test_pipelined_request_that_waited_for_room_has_less_time_left() -> None:
+    async with run_held_pipeline(further_requests=1) as pipeline:
+        set_time(pipeline.sidecar, 103.0)
+        pipeline.released.set()
+        await pipeline.wait_for_further_request()
+        assert pipeline.times_told() == [7.99] * MAX_PIPELINED_REQUESTS + [4.99]
 
-    async def answer_when_released(_request: ReceivedRequest) -> bytes:
-        await released.wait()
-        return ok_response()
 
-    async with (
-        run_endpoint(answer_when_released) as endpoint,
-        run_sidecar_without_sweeps(endpoint.address) as sidecar,
-    ):
-        set_time(sidecar, 100.0)
-        client = await sidecar.connect_client()
-        client.writer.write(b"".join(request_bytes(deadline="8") for _ in range(MAX_PIPELINED_REQUESTS)))
-        await wait_until(lambda: len(endpoint.received_requests) == MAX_PIPELINED_REQUESTS)
+@async_test
+async def test_request_read_after_a_pause_counts_from_the_begin_of_the_pause() -> None:
+    """Its bytes wait in the socket, and nothing tells when they came."""
+    async with run_held_pipeline() as pipeline:
+        sidecar, client = pipeline.sidecar, pipeline.client
         [connection] = sidecar.listener.accepting_connections
         assert connection.is_reading_paused
         set_time(sidecar, 102.0)
         client.writer.write(request_bytes(deadline="8"))
         await wait_until(connection.has_unread_bytes)
         set_time(sidecar, 103.0)
-        released.set()
-        await wait_until(lambda: len(endpoint.received_requests) > MAX_PIPELINED_REQUESTS)
-        assert 4 < float(endpoint.received_requests[-1].headers[b"req-deadline"]) < 5
+        pipeline.released.set()
+        await pipeline.wait_for_further_request()
+        assert pipeline.times_told()[-1] == 4.99
         for _ in range(MAX_PIPELINED_REQUESTS + 1):
             assert (await client.read_response())[0] == 200
         client.writer.write(request_bytes(deadline="8"))  # no longer behind the pause
         assert (await client.read_response())[0] == 200
-        assert 7 < float(endpoint.received_requests[-1].headers[b"req-deadline"]) < 8
+        assert pipeline.times_told()[-1] == 7.99
 
 
 @async_test
 async def test_request_that_is_read_in_small_parts_counts_from_when_it_had_arrived() -> None:
     """The socket had all of it when its first part was read; a read may return less than there is."""
     async with run_client_session() as session:
+        stop_clocks(session.sidecar)
         session.client.sendall(b"x" * 10)
         assert session.connection.has_unread_bytes()
         raw = request_bytes(deadline="8")
@@ -136,30 +159,17 @@
         set_time(session.sidecar, 103.0)
         session.connection.data_received(raw[10:])
         await wait_until(lambda: session.endpoint.received_requests)
-        assert 4 < float(session.endpoint.received_requests[0].headers[b"req-deadline"]) < 5
+        assert float(session.endpoint.received_requests[0].headers[b"req-deadline"]) == 4.99
 
 
 @async_test
 async def test_pipelined_request_whose_time_is_over_is_answered_and_not_sent() -> None:
-    released = asyncio.Event()
-
-    async def answer_when_released(_request: ReceivedRequest) -> bytes:
-        await released.wait()
-        return ok_response()
-
-    async with (
-        run_endpoint(answer_when_released) as endpoint,
-        run_sidecar_without_sweeps(endpoint.address) as sidecar,
-    ):
-        set_time(sidecar, 100.0)
-        client = await sidecar.connect_client()
-        client.writer.write(b"".join(request_bytes(deadline="8") for _ in range(MAX_PIPELINED_REQUESTS + 1)))
-        await wait_until(lambda: len(endpoint.received_requests) == MAX_PIPELINED_REQUESTS)
-        set_time(sidecar, 109.0)
-        released.set()
-        statuses = [(await client.read_response())[0] for _ in range(MAX_PIPELINED_REQUESTS + 1)]
+    async with run_held_pipeline(further_requests=1) as pipeline:
+        set_time(pipeline.sidecar, 109.0)
+        pipeline.released.set()
+        statuses = [(await pipeline.client.read_response())[0] for _ in range(MAX_PIPELINED_REQUESTS + 1)]
         assert statuses == [200] * MAX_PIPELINED_REQUESTS + [503]
-        assert len(endpoint.received_requests) == MAX_PIPELINED_REQUESTS
+        assert len(pipeline.endpoint.received_requests) == MAX_PIPELINED_REQUESTS
 
 
 # ---- time limits
