Take in an answer that took no time by the clock

Cause: the latency of a first answer was divided by itself; 0 raised ZeroDivisionError, and the policy kept the request for ever. Seen as tests stopped the sidecar's clock; a clock that moves in steps can show it as well. Change: the ratio of an answer whose class has no mean yet is 1, as before. Result: test_answer_that_took_no_time_is_taken_in failed before; the digests of the decisions are unchanged (183 tests of the policy).

--- a/balancer/policy/overload.py
+++ b/balancer/policy/overload.py
@@ -40,7 +40,8 @@
         samples = self.samples[request.class_index]
         samples.latency_sum += duration_ns / request.request_class.latency_objective_ns
         samples.sample_count += 1
-        return duration_ns / (self.means_ns[request.class_index] or duration_ns)
+        mean = self.means_ns[request.class_index]
+        return duration_ns / mean if mean else 1.0
 
     def queueing_delay(self, request: RequestState, duration_ns: int) -> float:
         """Return the time beyond the baseline as a share of the slack, the objective less the baseline."""
--- a/tests/policy/test_overload.py
+++ b/tests/policy/test_overload.py
@@ -34,6 +34,13 @@
     return harness
 
 
+def test_answer_that_took_no_time_is_taken_in(harness: BalancerHarness) -> None:
+    """A clock may not have moved on between an attempt and its answer."""
+    attempt = harness.start_attempt()
+    harness.complete(attempt, AttemptOutcome.SUCCESS, 0)
+    assert not harness.balancer.requests
+
+
 @pytest.mark.parametrize("outcome", [AttemptOutcome.TIMEOUT, AttemptOutcome.REJECTED])
 def test_timeouts_and_rejections_raise_the_threshold(
     harness: BalancerHarness, outcome: AttemptOutcome
