--- a/soak/fault_proxy.py
+++ b/soak/fault_proxy.py
@@ -190,25 +190,24 @@
         for transport in (self._sidecar, self._server):
             if transport is not None and not transport.is_closing():
                 transport.close()
+        self._end_tasks()
         self._proxy.links.discard(self)
 
     def reset(self) -> None:
         """Reset both ends."""
         if self.ingress.broken_at is None:
             self.ingress.broken_at = self._proxy.clock.now()
-        if self._connect_task is not None and self._connect_task is not asyncio.current_task():
-            self._connect_task.cancel()
         for transport in (self._sidecar, self._server):
             if transport is not None:
                 reset_transport(transport)
+        self._end_tasks()
         self._proxy.links.discard(self)
 
-    def cancel(self) -> None:
-        """End the tasks and reset both ends."""
+    def _end_tasks(self) -> None:
+        """Cancel all tasks but the one that runs, which ends by itself."""
         for task in (self._to_server.task, self._to_sidecar.task, self._connect_task):
-            if task is not None:
+            if task is not None and task is not asyncio.current_task():
                 task.cancel()
-        self.reset()
 
 
 class FaultProxy:
@@ -259,7 +258,7 @@
             self._listener.close()
             self._listener = None
         for link in list(self.links):
-            link.cancel()
+            link.reset()
 
     def ingress_of(self, port: int) -> Ingress | None:
         """Return what came on the connection that leaves the proxy from this port."""
