Remove a flag of the soak's clients that nothing reads, and a re-export

Cause: has_left is only written since a request whose connection ended counts as one of a client that left; the oracle exported a name that it does not use. Change: both are gone; no check is changed.

--- a/soak/client_connection.py
+++ b/soak/client_connection.py
@@ -26,7 +26,6 @@
         idle_since: when the last answer came, or the connection was made.
         request_count: how many requests were written.
         is_open: whether neither side has ended the connection.
-        has_left: whether the client has closed it.
         first_bytes: the first that the sidecar sent.
     """
 
@@ -40,7 +39,6 @@
         self.idle_since = clock.now()
         self.request_count = 0
         self.is_open = False
-        self.has_left = False
         self.first_bytes = b""
 
     @classmethod
@@ -106,7 +104,6 @@
         """Close the connection as a client that has gone."""
         now = self._clock.now()
         self.is_open = False
-        self.has_left = True
         for awaited in self._awaited:
             awaited.request.left_at = now
             if not awaited.is_done.done():
--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -12,7 +12,6 @@
 from soak.history import (
     Attempt,
     ClientRequest,
-    EndOfAttempt,
     EndOfConnection,
     History,
     ServerLife,
@@ -441,5 +440,3 @@
     check_malformed_peers,
     check_recovery,
 )
-
-__all__ = ["CHECKS", "EndOfAttempt", "Violation", "check_all", "relevant_events"]
