Log a response that arrives before its request is sent completely

Cause: nothing in the log or the counters showed that an account server had responded while a part of the request was still to be sent. A next request that the sidecar corrupts could not be told from a server that misreads one.

--- a/balancer/sidecar/http/outbound_connection.py
+++ b/balancer/sidecar/http/outbound_connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import os
 import select
 import socket
@@ -15,6 +16,8 @@
 from balancer.sidecar.runtime.address import Address
 from balancer.sidecar.runtime.sockets import shut_down_socket
 
+log = logging.getLogger(__name__)
+
 ResponseCallback: TypeAlias = Callable[[HttpResponse | None], None]
 """Receives the response, or None if the connection was lost or the response is unusable."""
 
@@ -157,11 +160,25 @@
         on_response = self._on_response
         self._on_response = None
         self._parser.release_buffer()
+        if response is not None and self.has_unsent_bytes:
+            self._log_early_response(response)
         if not keep_open:
             self._close_transport(was_in_flight=on_response is not None)
         if on_response is not None:
             on_response(response)
 
+    def _log_early_response(self, response: HttpResponse) -> None:
+        assert self.transport is not None
+        unsent_bytes = self.transport.get_write_buffer_size()
+        host, port = self.address or ("unknown", 0)
+        log.debug(
+            "response_before_request_sent address=%s:%d status=%d unsent_bytes=%d",
+            host,
+            port,
+            response.status,
+            unsent_bytes,
+        )
+
     def _close_transport(self, was_in_flight: bool) -> None:
         transport = self.transport
         if transport is None:
