Close a connection whose response came before its request was sent

A consulta that followed on the connection was written into the middle of that body; the server ran the end of the body as a factura that nobody had sent, and its answer went to the client of the consulta, with status 200.

Cause: OutboundConnection gave a connection back as reusable as soon as the response was complete, although bytes of the request were still in the transport's buffer. The next request is written to the socket directly, past that buffer.

Change: a response that precedes the end of its request ends the connection, at once for both sides (RFC 9112, section 9.5), so nothing more of that request is sent; is_reusable states the whole condition. Works because the only way for a connection back into a pool is through these two.

--- a/balancer/sidecar/http/outbound_connection.py
+++ b/balancer/sidecar/http/outbound_connection.py
@@ -72,14 +72,19 @@
         return self.transport is not None and self.transport.get_write_buffer_size() > 0
 
     def is_reusable(self) -> bool:
-        """Return whether the connection is open and the peer has sent nothing since the last response.
+        """Return whether the connection is open, and nothing is left of the last request and its response.
+
+        Another request must not be written while a part of the last one is unsent: the peer would take it for
+        a part of that one.
 
         The socket is polled, because the peer may have closed its side without the event loop having read
         that from the kernel yet. A request written after the close would be answered with a reset, and would
         have to be treated as possibly executed.
         """
         transport = self.transport
-        return transport is not None and not transport.is_closing() and not self._poll.poll(0)
+        if transport is None or transport.is_closing() or self.has_unsent_bytes:
+            return False
+        return not self._poll.poll(0)
 
     def send(self, data: bytes, on_response: ResponseCallback) -> bool:
         """Write a request. `on_response` is called once, unless `close` is called before.
@@ -156,13 +161,18 @@
         return any(events & select.POLLERR for _, events in self._poll.poll(0))
 
     def _complete_request(self, response: HttpResponse | None, *, keep_open: bool) -> None:
-        """Report the response, or None if there is none, to the request in flight if there is one."""
+        """Report the response, or None if there is none, to the request in flight if there is one.
+
+        If a part of the request is unsent, the connection is closed (RFC 9112, section 9.5): no request could
+        follow until the peer has read the rest of this one, which it may do slowly or never.
+        """
         on_response = self._on_response
         self._on_response = None
         self._parser.release_buffer()
-        if response is not None and self.has_unsent_bytes:
+        is_sent = not self.has_unsent_bytes
+        if response is not None and not is_sent:
             self._log_early_response(response)
-        if not keep_open:
+        if not keep_open or not is_sent:
             self._close_transport(was_in_flight=on_response is not None)
         if on_response is not None:
             on_response(response)
--- a/tests/sidecar/upstream/harness.py
+++ b/tests/sidecar/upstream/harness.py
@@ -2,6 +2,7 @@
 
 - Endpoints that answer in raw bytes.
 - Gates that block connects and reuse delays until the test opens them.
+- Sockets with small buffers.
 - An event loop that opens connections with a function of the test.
 """
 
@@ -37,6 +38,9 @@
 
 CHUNKED_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 
+SMALL_BUFFER_BYTES = 4096
+"""The size of a socket buffer that takes only a part of a long request."""
+
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 """The value of SO_LINGER that makes closing a socket reset its connection."""
 
@@ -115,6 +119,29 @@
         server.close()
 
 
+@contextlib.asynccontextmanager
+async def endpoint_with_small_buffer() -> AsyncIterator[tuple[socket.socket, str]]:
+    """Listen with a small receive buffer, and yield the listening socket with its address."""
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        server.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER_BYTES)
+        host, port = server.getsockname()
+        yield server, f"{host}:{port}"
+
+
+def shrink_send_buffers(upstream: UpstreamManager) -> None:
+    """Give each new connection a small send buffer, so that a long request is sent in part."""
+    connect = upstream.connect
+
+    async def connect_with_small_buffer(pool: EndpointPool) -> OutboundConnection:
+        connection = await connect(pool)
+        assert connection.transport is not None
+        connected_socket = connection.transport.get_extra_info("socket")
+        connected_socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SMALL_BUFFER_BYTES)
+        return connection
+
+    upstream.connect = connect_with_small_buffer
+
+
 class ConnectGate:
     """Blocks every connect of a sidecar to its endpoints until the gate is opened.
 
--- a/tests/sidecar/upstream/test_attempt_partly_sent.py
+++ b/tests/sidecar/upstream/test_attempt_partly_sent.py
@@ -5,48 +5,24 @@
 import asyncio
 import contextlib
 import socket
-from collections.abc import AsyncIterator
 
 import pytest
 
 from balancer.policy_api import AttemptOutcome, ClientDisconnected
-from balancer.sidecar.http.outbound_connection import OutboundConnection
 from balancer.sidecar.upstream.manager import UpstreamManager
-from balancer.sidecar.upstream.pool import EndpointPool
 from balancer.time_units import SECOND_NS
 from tests.sidecar.event_loop import TEST_TIMEOUT_SECONDS, async_test, wait_until
 from tests.sidecar.messages import request_bytes
 from tests.sidecar.sidecar_under_test import Sidecar, is_attempt_completed, run_sidecar
 from tests.sidecar.upstream.harness import (
     ExpiredTime,
+    endpoint_with_small_buffer,
+    shrink_send_buffers,
     start_attempt,
     wait_for_attempt_in_flight,
 )
 
 
-@contextlib.asynccontextmanager
-async def endpoint_with_small_buffer() -> AsyncIterator[tuple[socket.socket, str]]:
-    """Listen with a small receive buffer, and yield the listening socket with its address."""
-    with socket.create_server(("127.0.0.1", 0)) as server:
-        server.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
-        host, port = server.getsockname()
-        yield server, f"{host}:{port}"
-
-
-def shrink_send_buffers(upstream: UpstreamManager) -> None:
-    """Give each new connection a small send buffer, so that a long request is sent in part."""
-    connect = upstream.connect
-
-    async def connect_with_small_buffer(pool: EndpointPool) -> OutboundConnection:
-        connection = await connect(pool)
-        assert connection.transport is not None
-        connected_socket = connection.transport.get_extra_info("socket")
-        connected_socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
-        return connection
-
-    upstream.connect = connect_with_small_buffer
-
-
 def receive_all(server: socket.socket) -> int:
     """Accept a connection to this socket, and return how many bytes it receives until the connection ends."""
     peer, _ = server.accept()
