Do not reuse a connection while the kernel holds bytes of its last request

What callers saw: where the kernel takes a whole long request and the account server turns it away before it has read it, the connection was kept. The next request on it is not damaged, but waits in the send queue until the server has read the rest, seconds at 64 kB a second. It reaches the server with a deadline that is no longer true, or after its client has left.

"Sent" meant that the kernel had taken the bytes, not that they had left.

Change: a response also ends the connection if the peer's machine has not acknowledged the whole request (SIOCOUTQ, tcp(7)). A response carries the acknowledgement of all that its sender has received, so the number is 0 after an ordinary exchange, and it costs one ioctl a response.

Test: test_request_does_not_wait_in_the_kernel_behind_the_rest_of_a_rejected_request; failed before (the second request never arrived, time-out after 20 s).

--- a/balancer/sidecar/http/outbound_connection.py
+++ b/balancer/sidecar/http/outbound_connection.py
@@ -14,7 +14,7 @@
 from balancer.sidecar.http.message import MAX_RESPONSE_BODY_BYTES, HttpResponse
 from balancer.sidecar.http.response_parser import ResponseError, ResponseParser
 from balancer.sidecar.runtime.address import Address
-from balancer.sidecar.runtime.sockets import shut_down_socket
+from balancer.sidecar.runtime.sockets import shut_down_socket, unacknowledged_byte_count
 
 log = logging.getLogger(__name__)
 
@@ -71,6 +71,18 @@
         """
         return self.transport is not None and self.transport.get_write_buffer_size() > 0
 
+    @property
+    def undelivered_byte_count(self) -> int:
+        """Return how many bytes of the request the peer's machine has not received, as far as is known.
+
+        These are the unsent bytes and those in the kernel's send queue. The kernel sends its queue even after
+        a close, so the request may be executed unless some bytes are unsent.
+        """
+        transport = self.transport
+        if transport is None or transport.is_closing():
+            return 0
+        return transport.get_write_buffer_size() + unacknowledged_byte_count(self._file_descriptor)
+
     def is_reusable(self) -> bool:
         """Return whether the connection is open, and nothing is left of the last request and its response.
 
@@ -163,30 +175,29 @@
     def _complete_request(self, response: HttpResponse | None, *, keep_open: bool) -> None:
         """Report the response, or None if there is none, to the request in flight if there is one.
 
-        If a part of the request is unsent, the connection is closed (RFC 9112, section 9.5): no request could
-        follow until the peer has read the rest of this one, which it may do slowly or never.
+        If a part of the request is not delivered, the connection is closed (RFC 9112, section 9.5): the next
+        request would wait until the peer has read the rest of this one, which it may do slowly or never.
         """
         on_response = self._on_response
         self._on_response = None
         self._parser.release_buffer()
-        is_sent = not self.has_unsent_bytes
-        if response is not None and not is_sent:
-            self._log_early_response(response)
-        if not keep_open or not is_sent:
+        undelivered_bytes = self.undelivered_byte_count if response is not None else 0
+        if response is not None and undelivered_bytes:
+            self._log_early_response(response, undelivered_bytes)
+            keep_open = False
+        if not keep_open:
             self._close_transport(was_in_flight=on_response is not None)
         if on_response is not None:
             on_response(response)
 
-    def _log_early_response(self, response: HttpResponse) -> None:
-        assert self.transport is not None
-        unsent_bytes = self.transport.get_write_buffer_size()
+    def _log_early_response(self, response: HttpResponse, undelivered_bytes: int) -> None:
         host, port = self.address or ("unknown", 0)
         log.debug(
-            "response_before_request_sent address=%s:%d status=%d unsent_bytes=%d",
+            "response_before_request_sent address=%s:%d status=%d undelivered_bytes=%d",
             host,
             port,
             response.status,
-            unsent_bytes,
+            undelivered_bytes,
         )
 
     def _close_transport(self, was_in_flight: bool) -> None:
--- a/tests/sidecar/upstream/test_early_response.py
+++ b/tests/sidecar/upstream/test_early_response.py
@@ -7,6 +7,7 @@
 from collections.abc import AsyncIterator
 
 from balancer.policy_api import AttemptOutcome
+from balancer.sidecar.upstream.attempt import AttemptState
 from balancer.sidecar.upstream.pool import CONNECTION_REUSE_DELAY_NS
 from balancer.time_units import SECOND_NS
 from tests.sidecar.event_loop import async_test, wait_until
@@ -89,3 +90,21 @@
         [partial_request, whole_request] = endpoint.received
         assert LONG_REQUEST.startswith(partial_request)
         assert whole_request == SHORT_REQUEST
+
+
+@async_test
+async def test_request_does_not_wait_in_the_kernel_behind_the_rest_of_a_rejected_request() -> None:
+    # Guards against: a request reaches its endpoint seconds late, with a deadline that is no longer true.
+    async with run_early_responding_endpoint(REJECTION) as (endpoint, address):
+        now_ns = SECOND_NS
+        _, upstream, _ = create_upstream(address, now_ns=lambda: now_ns)
+        outcomes = OutcomeQueue()
+        attempt = start_attempt(upstream, "s-0", outcomes.record, build_payload=lambda: LONG_REQUEST)
+        await wait_until(lambda: attempt.state is AttemptState.IN_FLIGHT)
+        assert not attempt.end_unless_sent()  # the kernel has taken the whole request
+        assert await outcomes.get() == AttemptOutcome.REJECTED
+        now_ns += CONNECTION_REUSE_DELAY_NS + 1
+        start_attempt(upstream, "s-0", outcomes.record, build_payload=lambda: SHORT_REQUEST)
+        # The endpoint reads nothing more on its first connection.
+        assert await outcomes.get() == AttemptOutcome.SUCCESS
+        assert endpoint.received[1:] == [SHORT_REQUEST]
