Do not take a success that precedes its request for the response to it

What callers saw: on a connection on which an account server still owed a second response to an earlier request, a 200 that arrived while the next request was only partly sent was passed on to the client of that next one.

By the protocol a server starts a request when its last byte has arrived.

Change: a 200 that comes before the peer's machine has acknowledged the whole request is unusable and ends the connection. The attempt counts as not executed if the last byte had not been sent (CONNECT_FAILED), else as reset. The same now holds for garbage that comes before the last byte is sent.

Test: test_success_before_the_request_has_arrived_is_not_its_response, unsent and in the kernel; both failed before (SUCCESS with the foreign body).

Not covered: a second response that arrives after the request has been acknowledged and before its own response. Nothing tells the two apart.

--- a/balancer/sidecar/http/outbound_connection.py
+++ b/balancer/sidecar/http/outbound_connection.py
@@ -8,6 +8,7 @@
 import select
 import socket
 from collections.abc import Callable
+from http import HTTPStatus
 from typing import TypeAlias, cast
 
 from balancer.sidecar.http.buffer_budget import BufferBudget
@@ -46,6 +47,11 @@
         """The transport, from when the connection is established until it is lost."""
         self.is_established = False
         """Whether the connection was established; stays true after it is lost."""
+        self.is_request_truncated = False
+        """Whether the connection was closed before the last byte of the last request was sent.
+
+        Such a request is never executed. It stays false if the connection was lost, as it is unknown then.
+        """
         self.max_body_bytes = MAX_RESPONSE_BODY_BYTES
         """Limit in bytes on the body of the response to the next request."""
         self.address: Address | None = None
@@ -177,6 +183,9 @@
 
         If a part of the request is not delivered, the connection is closed (RFC 9112, section 9.5): the next
         request would wait until the peer has read the rest of this one, which it may do slowly or never.
+
+        A successful response counts as unusable in this case. The peer executes a request only once its last
+        byte has arrived, so this response belongs to an earlier request on the connection.
         """
         on_response = self._on_response
         self._on_response = None
@@ -185,7 +194,10 @@
         if response is not None and undelivered_bytes:
             self._log_early_response(response, undelivered_bytes)
             keep_open = False
+            if response.status == HTTPStatus.OK:
+                response = None
         if not keep_open:
+            self.is_request_truncated = self.has_unsent_bytes
             self._close_transport(was_in_flight=on_response is not None)
         if on_response is not None:
             on_response(response)
--- a/balancer/sidecar/upstream/attempt.py
+++ b/balancer/sidecar/upstream/attempt.py
@@ -268,9 +268,11 @@
             self._start_unsent_timer()
 
     def _on_response(self, response: HttpResponse | None) -> None:
-        if self._connection is not None and response is not None:
-            self._pool.release(self._connection, self._provider.now_ns())
-        self._end(outcome_of_response(response), response)
+        connection = self._connection
+        if connection is not None and response is not None:
+            self._pool.release(connection, self._provider.now_ns())
+        is_request_truncated = connection is not None and connection.is_request_truncated
+        self._end(outcome_of_response(response, is_request_truncated=is_request_truncated), response)
 
     # ---- deadlines
 
--- a/balancer/sidecar/upstream/response_outcome.py
+++ b/balancer/sidecar/upstream/response_outcome.py
@@ -25,15 +25,20 @@
 """Client errors that are caused by the state of the endpoint, not by the request."""
 
 
-def outcome_of_response(response: HttpResponse | None) -> AttemptOutcome:
+def outcome_of_response(
+    response: HttpResponse | None, *, is_request_truncated: bool = False
+) -> AttemptOutcome:
     """Return the outcome of an attempt from its response.
 
-    A request that was neither served nor explicitly rejected may have been executed.
+    A request that was sent completely, and neither served nor explicitly rejected, may have been executed.
 
     Args:
-        response: The response; None if the connection was lost without one.
+        response: The response; None if the connection ended without a usable one.
+        is_request_truncated: Whether the connection ended before the last byte of the request was sent.
     """
     if response is None:
+        if is_request_truncated:
+            return AttemptOutcome.CONNECT_FAILED
         return AttemptOutcome.CONNECTION_RESET
     status = response.status
     if status == STATUS_OK:
--- a/tests/sidecar/upstream/test_early_response.py
+++ b/tests/sidecar/upstream/test_early_response.py
@@ -6,7 +6,10 @@
 import contextlib
 from collections.abc import AsyncIterator
 
+import pytest
+
 from balancer.policy_api import AttemptOutcome
+from balancer.sidecar.http.message import HttpResponse
 from balancer.sidecar.upstream.attempt import AttemptState
 from balancer.sidecar.upstream.pool import CONNECTION_REUSE_DELAY_NS
 from balancer.time_units import SECOND_NS
@@ -108,3 +111,29 @@
         # The endpoint reads nothing more on its first connection.
         assert await outcomes.get() == AttemptOutcome.SUCCESS
         assert endpoint.received[1:] == [SHORT_REQUEST]
+
+
+@pytest.mark.parametrize(
+    ("has_small_send_buffer", "outcome"),
+    [(True, AttemptOutcome.CONNECT_FAILED), (False, AttemptOutcome.CONNECTION_RESET)],
+    ids=["unsent", "in the kernel"],
+)
+@async_test
+async def test_success_before_the_request_has_arrived_is_not_its_response(
+    has_small_send_buffer: bool, outcome: AttemptOutcome
+) -> None:
+    # Guards against: a client gets the late second response to the earlier request of someone else.
+    foreign_response = ok_response(b"the answer to an earlier request")
+    async with run_early_responding_endpoint(foreign_response) as (_endpoint, address):
+        _, upstream, pool = create_upstream(address)
+        if has_small_send_buffer:
+            shrink_send_buffers(upstream)
+        completions: asyncio.Queue[tuple[AttemptOutcome, HttpResponse | None]] = asyncio.Queue()
+        start_attempt(
+            upstream,
+            "s-0",
+            lambda outcome, response: completions.put_nowait((outcome, response)),
+            build_payload=lambda: LONG_REQUEST,
+        )
+        assert await completions.get() == (outcome, None)
+        assert not pool.idle_connections
