Give up a request that has not been transmitted when nobody waits for it

What callers saw: a long request whose client had left, whose deadline had passed or whose attempt had timed out was still delivered by the kernel, which had taken it whole but found no space at the server's machine. A server that reads at 64 kB a second executed it up to a second later: an attempt for a client that is gone, or a second copy after the deduplication window.

An attempt counted as sent once the kernel had taken its bytes. The connection was kept for its response, and a close left the send queue to the kernel.

Change: an attempt that nobody waits for ends unless its request has left this machine (SIOCOUTQNSD; unlike SIOCOUTQ it is 0 while the peer only delays its acknowledgement): when the client leaves, at the deadline, and at the end of the start window. Closing a connection with such bytes resets it, which discards them. The outcome stays one after which the request may have run, as the kernel may transmit the rest at any moment before.

Tests: test_rest_of_request_in_the_kernel_is_not_sent_after_the_attempt (four ends) and test_request_in_the_kernel_is_not_sent_after_client_disconnected; failed before (the server received all 60,120 bytes, or the attempt went on).

--- a/balancer/sidecar/http/outbound_connection.py
+++ b/balancer/sidecar/http/outbound_connection.py
@@ -15,7 +15,12 @@
 from balancer.sidecar.http.message import MAX_RESPONSE_BODY_BYTES, HttpResponse
 from balancer.sidecar.http.response_parser import ResponseError, ResponseParser
 from balancer.sidecar.runtime.address import Address
-from balancer.sidecar.runtime.sockets import shut_down_socket, unacknowledged_byte_count
+from balancer.sidecar.runtime.sockets import (
+    discard_send_queue_on_close,
+    shut_down_socket,
+    unacknowledged_byte_count,
+    untransmitted_byte_count,
+)
 
 log = logging.getLogger(__name__)
 
@@ -26,6 +31,9 @@
 class OutboundConnection(asyncio.Protocol):
     """Carries one request at a time, and never retries a request by itself.
 
+    On its way a request may be unsent (the kernel has not taken all of it), untransmitted (the kernel waits
+    for space at the peer's machine) or undelivered (the peer's machine has not acknowledged all of it).
+
     Args:
         on_lost: called when the connection is lost, at least one iteration of the event loop after `close`.
         budget: limits the bytes that the bodies of responses in flight may buffer; by default the connection
@@ -71,18 +79,30 @@
 
     @property
     def has_unsent_bytes(self) -> bool:
-        """Return whether a part of the request is unsent.
+        """Return whether the kernel has not taken the whole request yet.
 
-        If the connection is closed while it is, the request is never executed.
+        If the connection is closed while it has not, the request is never executed.
         """
         return self.transport is not None and self.transport.get_write_buffer_size() > 0
 
+    @property
+    def has_untransmitted_bytes(self) -> bool:
+        """Return whether a part of the request has not left this machine.
+
+        Unless a part is unsent as well, the request may be executed even if the connection is closed now,
+        because the kernel may transmit the rest at any moment.
+        """
+        transport = self.transport
+        if transport is None or transport.is_closing():
+            return False
+        return transport.get_write_buffer_size() > 0 or untransmitted_byte_count(self._file_descriptor) > 0
+
     @property
     def undelivered_byte_count(self) -> int:
-        """Return how many bytes of the request the peer's machine has not received, as far as is known.
+        """Return how many bytes of the request the peer's machine has not acknowledged.
 
-        These are the unsent bytes and those in the kernel's send queue. The kernel sends its queue even after
-        a close, so the request may be executed unless some bytes are unsent.
+        A response acknowledges what its sender has received, so if the number is positive when a response is
+        read, the response was sent before its request had arrived.
         """
         transport = self.transport
         if transport is None or transport.is_closing():
@@ -129,7 +149,10 @@
         return True
 
     def close(self) -> None:
-        """Close the connection. A request in flight is abandoned without calling its callback."""
+        """Close the connection. A request in flight is abandoned without calling its callback.
+
+        What the kernel has not transmitted of that request is discarded.
+        """
         was_in_flight = self._on_response is not None
         self._on_response = None
         self._parser.release_buffer()
@@ -219,5 +242,7 @@
         if was_in_flight and not transport.is_closing():
             # The event loop closes the socket only in its next iteration. If a retry were written before
             # that, two copies of the request would be in flight.
+            if untransmitted_byte_count(self._file_descriptor):
+                discard_send_queue_on_close(self._file_descriptor)
             shut_down_socket(self._file_descriptor, socket.SHUT_RDWR)
         transport.abort()
--- a/balancer/sidecar/requests/client_disconnects.py
+++ b/balancer/sidecar/requests/client_disconnects.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from balancer.policy_api import ClientDisconnected
+from balancer.policy_api import AttemptOutcome, ClientDisconnected
 from balancer.sidecar.requests.event_queue import EventQueue
 from balancer.sidecar.requests.request_registry import RequestRegistry
 from balancer.sidecar.runtime.metrics import Metric, Metrics
@@ -19,9 +19,9 @@
     def on_client_disconnected(self, request_id: int) -> None:
         """Abandon the request of a disconnected client, unless it has its final response.
 
-        - An attempt that was sent completely continues, because ending it would close its connection.
+        - An attempt whose request was transmitted continues, because ending it would close its connection.
         - An attempt that still waits for a connection is not sent, because no client waits for the response.
-        - An attempt that was sent in part ends for the same reason, without sending the rest.
+        - An attempt whose request was transmitted in part ends for the same reason, without the rest.
         """
         request = self._request_registry.mark_answered(request_id)
         if request is None:
@@ -30,4 +30,4 @@
         self._request_registry.remove_if_finished(request)
         self._events.dispatch(ClientDisconnected(request_id))
         if request.attempt is not None:
-            request.attempt.end_unless_sent()
+            request.attempt.end_unless_transmitted(AttemptOutcome.CANCELLED)
--- a/balancer/sidecar/upstream/attempt.py
+++ b/balancer/sidecar/upstream/attempt.py
@@ -55,12 +55,12 @@
     The attempt ends when the connection is established, which then goes to the pool, or when that fails.
     """
     IN_FLIGHT = auto()
-    """The request is written to the connection, but a part of it may be unsent.
+    """The request is written to the connection, but a part of it may be unsent or not transmitted.
 
     - A response, the loss of the connection or `expire` ends the attempt.
-    - The attempt also ends at `start_before_ns` if a part of the request is still unsent then.
+    - The attempt also ends at `start_before_ns` if a part of the request is not transmitted by then.
     - `continue_in_background` reports a timeout (IN_BACKGROUND). It ends the attempt if a part of the request
-      is unsent or no time is left.
+      is not transmitted or no time is left.
     """
     IN_BACKGROUND = auto()
     """The outcome is reported, but the connection stays open for a limited time.
@@ -103,8 +103,8 @@
         "_pool",
         "_provider",
         "_start_before_ns",
+        "_start_window_timer",
         "_state",
-        "_unsent_timer",
     )
 
     def __init__(
@@ -125,8 +125,8 @@
         """Set while CONNECTING or DETACHED."""
         self._connection: OutboundConnection | None = None
         """Set while IN_FLIGHT or IN_BACKGROUND."""
-        self._unsent_timer: OneShotTimer | None = None
-        """Set if a part of the request was unsent after it was written, which is rare."""
+        self._start_window_timer: OneShotTimer | None = None
+        """Set if a part of the request was not transmitted at once, which is rare."""
         self._background: BackgroundContinuation | None = None
         """Set while IN_BACKGROUND."""
 
@@ -172,6 +172,19 @@
             return True
         return False
 
+    def end_unless_transmitted(self, outcome: AttemptOutcome) -> None:
+        """End the attempt unless its request has left this machine, because nobody waits for it any more.
+
+        The endpoint executes a request only once its last byte has arrived. If the attempt went on, that
+        could happen at any later time.
+
+        Args:
+            outcome: What to report if the kernel has taken the request; an outcome after which the request
+                may have been executed, as the kernel may transmit the rest at any moment.
+        """
+        if not self.end_unless_sent() and self._has_untransmitted_bytes:
+            self.abort(outcome)
+
     def expire(self) -> None:
         """End the attempt because its timeout has passed."""
         if not self.end_unless_sent():
@@ -182,15 +195,16 @@
 
         If the connection were closed, a new handshake would be necessary. It costs the endpoint about as much
         work as a request, and it delays the next request. A request that was not sent completely is never
-        executed, so its attempt ends with an outcome that does not count against the endpoint.
+        executed, so its attempt ends with an outcome that does not count against the endpoint. An attempt
+        whose request the kernel has not transmitted completely ends, too, so that it is not executed later.
 
         Args:
             seconds: How long to wait for the response. If it is not positive, the attempt ends now.
             on_released: Is called once nothing of the attempt is in flight any more.
         """
-        if self._state is AttemptState.IN_FLIGHT and seconds > 0 and not self._has_unsent_bytes:
-            if self._unsent_timer is not None:
-                self._unsent_timer.cancel()
+        if self._state is AttemptState.IN_FLIGHT and seconds > 0 and not self._has_untransmitted_bytes:
+            if self._start_window_timer is not None:
+                self._start_window_timer.cancel()
             self._state = AttemptState.IN_BACKGROUND
             self._background = BackgroundContinuation(self._provider.loop, on_released)
             self._background.start(seconds, self._on_background_timeout)
@@ -257,6 +271,10 @@
     def _has_unsent_bytes(self) -> bool:
         return self._connection is not None and self._connection.has_unsent_bytes
 
+    @property
+    def _has_untransmitted_bytes(self) -> bool:
+        return self._connection is not None and self._connection.has_untransmitted_bytes
+
     def _send(self, connection: OutboundConnection) -> None:
         self._state = AttemptState.IN_FLIGHT
         self._connection = connection
@@ -264,8 +282,8 @@
         payload = self._build_payload()
         if not connection.send(payload, self._on_response):
             self._end(AttemptOutcome.CONNECT_FAILED)
-        elif self._start_before_ns and connection.has_unsent_bytes:
-            self._start_unsent_timer()
+        elif self._start_before_ns and connection.has_untransmitted_bytes:
+            self._limit_transmission()
 
     def _on_response(self, response: HttpResponse | None) -> None:
         connection = self._connection
@@ -276,16 +294,14 @@
 
     # ---- deadlines
 
-    def _start_unsent_timer(self) -> None:
-        """Start a timer that ends the attempt if a part of the request is unsent at `start_before_ns`."""
+    def _limit_transmission(self) -> None:
+        """End the attempt at `start_before_ns` unless the request has been transmitted by then."""
         remaining_ns = max(0, self._start_before_ns - self._provider.now_ns())
-        self._unsent_timer = OneShotTimer(self._provider.loop)
-        self._unsent_timer.start(remaining_ns / SECOND_NS, self._on_start_window_over)
+        self._start_window_timer = OneShotTimer(self._provider.loop)
+        self._start_window_timer.start(remaining_ns / SECOND_NS, self._on_start_window_over)
 
     def _on_start_window_over(self) -> None:
-        """End the attempt at `start_before_ns` if a part of the request is still unsent."""
-        if self._has_unsent_bytes:
-            self.abort(AttemptOutcome.NOT_SENT)
+        self.end_unless_transmitted(AttemptOutcome.TIMEOUT)
 
     def _on_background_timeout(self) -> None:
         self.abort(AttemptOutcome.TIMEOUT)
@@ -300,8 +316,8 @@
         self._connection = None
         self._connect_task = None
         self._background = None
-        if self._unsent_timer is not None:
-            self._unsent_timer.cancel()
+        if self._start_window_timer is not None:
+            self._start_window_timer.cancel()
         self._provider.background_attempts.discard(self)
         if is_unreported:
             self._on_completed(outcome, response)
--- a/soak/mutants.py
+++ b/soak/mutants.py
@@ -64,9 +64,9 @@
     Mutant("no attempt starts for a disconnected client: disconnect event", (_DISCONNECT_EVENT,)),
     Mutant("no attempt starts for a disconnected client: both", (_CHECK_BEFORE_SENDING, _DISCONNECT_EVENT)),
     _mutant(
-        "an attempt that is not completely sent is cancelled when its client disconnects",
+        "an attempt that is not completely transmitted is cancelled when its client disconnects",
         "balancer/sidecar/requests/client_disconnects.py",
-        "            request.attempt.end_unless_sent()",
+        "            request.attempt.end_unless_transmitted(AttemptOutcome.CANCELLED)",
         "            pass",
     ),
     _mutant(
--- a/tests/sidecar/upstream/test_attempt_partly_sent.py
+++ b/tests/sidecar/upstream/test_attempt_partly_sent.py
@@ -5,10 +5,12 @@
 import asyncio
 import contextlib
 import socket
+from enum import Enum, auto
 
 import pytest
 
 from balancer.policy_api import AttemptOutcome, ClientDisconnected
+from balancer.sidecar.upstream.attempt import Attempt, AttemptState
 from balancer.sidecar.upstream.manager import UpstreamManager
 from balancer.time_units import SECOND_NS
 from tests.sidecar.event_loop import TEST_TIMEOUT_SECONDS, async_test, wait_until
@@ -16,12 +18,16 @@
 from tests.sidecar.sidecar_under_test import Sidecar, is_attempt_completed, run_sidecar
 from tests.sidecar.upstream.harness import (
     ExpiredTime,
+    OutcomeQueue,
+    create_upstream,
     endpoint_with_small_buffer,
     shrink_send_buffers,
     start_attempt,
     wait_for_attempt_in_flight,
 )
 
+TEST_TIMEOUT_NS = int(TEST_TIMEOUT_SECONDS * SECOND_NS)
+
 
 def receive_all(server: socket.socket) -> int:
     """Accept a connection to this socket, and return how many bytes it receives until the connection ends."""
@@ -102,3 +108,58 @@
         assert (await sidecar.wait_for_event(is_attempt_completed)).outcome == AttemptOutcome.NOT_SENT
         await wait_until(lambda: not upstream.open_connection_count)
         assert receive_all(server) < 60_000
+
+
+class AttemptEnd(Enum):
+    """Why nobody waits for an attempt any more."""
+
+    START_WINDOW = auto()
+    ATTEMPT_TIMEOUT = auto()
+    REQUEST_DEADLINE = auto()
+    CLIENT_DISCONNECTED = auto()
+
+
+def end_attempt(attempt: Attempt, end: AttemptEnd) -> None:
+    """End an attempt as the sidecar does, but for the start window, which ends it by a timer."""
+    if end is AttemptEnd.ATTEMPT_TIMEOUT:
+        attempt.expire()
+    elif end is AttemptEnd.REQUEST_DEADLINE:
+        attempt.continue_in_background(TEST_TIMEOUT_SECONDS, lambda: None)
+    elif end is AttemptEnd.CLIENT_DISCONNECTED:
+        attempt.end_unless_transmitted(AttemptOutcome.CANCELLED)
+
+
+@pytest.mark.parametrize("end", AttemptEnd)
+@async_test
+async def test_rest_of_request_in_the_kernel_is_not_sent_after_the_attempt(end: AttemptEnd) -> None:
+    # Guards against: an endpoint executes a request whose attempt was given up before its last byte arrived.
+    async with endpoint_with_small_buffer() as (server, address):
+        _, upstream, _ = create_upstream(address)
+        outcomes = OutcomeQueue()
+        request = request_bytes("post", body=b"x" * 60_000)
+        window_ns = SECOND_NS // 10 if end is AttemptEnd.START_WINDOW else TEST_TIMEOUT_NS
+        start_before_ns = upstream.now_ns() + window_ns
+        attempt = start_attempt(upstream, "s-0", outcomes.record, start_before_ns, lambda: request)
+        await wait_until(lambda: attempt.state is AttemptState.IN_FLIGHT)
+        assert not attempt.end_unless_sent()  # the kernel has taken the whole request
+        end_attempt(attempt, end)
+        is_cancelled = end is AttemptEnd.CLIENT_DISCONNECTED
+        # The kernel might have transmitted the rest just before, so the request may have been executed.
+        assert await outcomes.get() == (AttemptOutcome.CANCELLED if is_cancelled else AttemptOutcome.TIMEOUT)
+        assert not upstream.background_attempts
+        await wait_until(lambda: not upstream.open_connection_count)
+        assert await asyncio.to_thread(receive_all, server) < 60_000
+
+
+@async_test
+async def test_request_in_the_kernel_is_not_sent_after_client_disconnected() -> None:
+    # Guards against: a request is executed long after its client has gone, as its endpoint reads slowly.
+    async with endpoint_with_small_buffer() as (server, address), run_sidecar(address) as sidecar:
+        client = await sidecar.connect_client()
+        client.writer.write(request_bytes("post", body=b"x" * 60_000))
+        attempt = await wait_for_attempt_in_flight(sidecar)
+        assert not attempt.end_unless_sent()
+        client.writer.close()
+        await sidecar.wait_for_event(lambda event: isinstance(event, ClientDisconnected))
+        assert (await sidecar.wait_for_event(is_attempt_completed)).outcome == AttemptOutcome.CANCELLED
+        assert await asyncio.to_thread(receive_all, server) < 60_000
