Keep a closing connection open while its client reads the response

Cause: a connection whose side the sidecar has closed lingers for 0.25 s during a shutdown and 2 s otherwise, and is then aborted. An abort drops what the transport has not handed to the kernel yet. The limit was meant for clients that do not close their side; nothing asked whether the response was sent.

Change: the linger limit counts from when the last response is sent. In a shutdown the process still ends at its exit time.

Test: test_closing_connection_stays_open_while_its_client_reads_the_response (in a shutdown and otherwise); failed before, with the response cut short.

--- a/balancer/sidecar/downstream/client_transport.py
+++ b/balancer/sidecar/downstream/client_transport.py
@@ -15,15 +15,23 @@
 
     Attributes:
         is_reading_paused: whether nothing is read from the client for now.
+        written_byte_count: how many bytes have been written so far.
     """
 
-    __slots__ = ("_file_descriptor", "_hang_up_poll", "_transport", "is_reading_paused")
+    __slots__ = (
+        "_file_descriptor",
+        "_hang_up_poll",
+        "_transport",
+        "is_reading_paused",
+        "written_byte_count",
+    )
 
     def __init__(self) -> None:
         self._transport: asyncio.Transport | None = None
         self._file_descriptor = -1
         self._hang_up_poll = select.poll()
         self.is_reading_paused = False
+        self.written_byte_count = 0
 
     def attach(self, transport: asyncio.BaseTransport) -> None:
         """Use the transport of a connection that has just been accepted."""
@@ -62,9 +70,15 @@
         readable_poll.register(self._file_descriptor, select.POLLIN)
         return bool(readable_poll.poll(0))
 
+    @property
+    def unsent_byte_count(self) -> int:
+        """Return how many written bytes the kernel has not taken yet; an abort drops them."""
+        return self._transport.get_write_buffer_size() if self._transport is not None else 0
+
     def write(self, data: bytes) -> None:
         """Send bytes, or drop them if no transport is attached."""
         if self._transport is not None:
+            self.written_byte_count += len(data)
             self._transport.write(data)
 
     def set_reading_paused(self, paused: bool) -> None:
@@ -82,7 +96,7 @@
         """Close the sidecar's side after all written bytes have been sent. The peer's side stays open."""
         if self._transport is None:
             return
-        if self._transport.get_write_buffer_size():
+        if self.unsent_byte_count:
             self._transport.write_eof()
         else:
             # The event loop would close the side only in a later iteration, and a request that it reads
--- a/balancer/sidecar/downstream/connection.py
+++ b/balancer/sidecar/downstream/connection.py
@@ -19,6 +19,7 @@
     RequestReader,
 )
 from balancer.sidecar.downstream.response import CONTINUE_RESPONSE, encode_response, request_error_response
+from balancer.sidecar.downstream.response_progress import ResponseProgress
 from balancer.sidecar.http.request import HttpRequestError
 from balancer.sidecar.runtime.metrics import Invariant, Metric
 
@@ -44,6 +45,7 @@
     Attributes:
         lifecycle: the phase of the connection.
         flow_control: whether reading is paused and writing blocked.
+        response_progress: whether the client reads its responses.
         has_sent_request: whether the client has sent a valid request.
     """
 
@@ -58,6 +60,7 @@
         "flow_control",
         "has_sent_request",
         "lifecycle",
+        "response_progress",
     )
 
     def __init__(self, manager: ConnectionManager, unread_since_seconds: float | None = None) -> None:
@@ -70,6 +73,7 @@
         self._waiting_since_seconds = 0.0
         self.lifecycle = ConnectionLifecycle()
         self.flow_control = FlowControl(self._transport, manager, unread_since_seconds)
+        self.response_progress = ResponseProgress(self._transport)
         self.has_sent_request = False
 
     # ---- state
@@ -94,6 +98,11 @@
         """Return whether a request has been accepted whose response has not been sent."""
         return bool(self._exchanges)
 
+    @property
+    def has_unsent_response(self) -> bool:
+        """Return whether a part of a response waits for the client to read, and would be lost by an abort."""
+        return self._transport.unsent_byte_count > 0
+
     @property
     def has_partial_request(self) -> bool:
         """Return whether bytes have been read of a request that has not been accepted yet."""
@@ -111,10 +120,16 @@
         """Return for how many seconds the current wait has lasted.
 
         A wait starts when the connection is made, when bytes arrive on an idle connection, when writing is
-        blocked or unblocked, with each response, and when the sidecar's side is closed.
+        blocked or unblocked, with each response, when the sidecar's side is closed, and when
+        `check_response_progress` finds that the client reads.
         """
         return now_seconds - self._waiting_since_seconds
 
+    def check_response_progress(self) -> None:
+        """Restart the current wait if the client has read a part of its responses since the last check."""
+        if self.response_progress.check():
+            self._restart_wait()
+
     def _restart_wait(self) -> None:
         self._waiting_since_seconds = self._manager.now_seconds()
 
--- a/balancer/sidecar/downstream/timeout_enforcement.py
+++ b/balancer/sidecar/downstream/timeout_enforcement.py
@@ -19,7 +19,7 @@
     idle_seconds: float
     """Limit between two requests; shorter while more than half of the allowed connections are open."""
     linger_seconds: float
-    """Limit for lingering, which is shorter during shutdown."""
+    """Limit for lingering once the last response is sent, which is shorter during shutdown."""
 
 
 def enforce_timeouts(
@@ -37,9 +37,10 @@
     if _is_disconnect_undetected(connection):
         connection.abort(CloseReason.CLIENT_DISCONNECTED)
         return
+    connection.check_response_progress()
     waited_seconds = connection.seconds_waited(now_seconds)
     if connection.lifecycle.is_lingering or not connection.is_open:
-        if waited_seconds > effective.linger_seconds:
+        if waited_seconds > _linger_timeout_seconds(connection, effective):
             connection.abort(CloseReason.LINGERED)
     elif connection.flow_control.is_write_blocked:
         if waited_seconds > effective.timeouts.unread_response_seconds:
@@ -56,6 +57,13 @@
     return connection.flow_control.is_reading_paused and connection.is_open and connection.is_disconnected()
 
 
+def _linger_timeout_seconds(connection: DownstreamConnection, effective: EffectiveTimeouts) -> float:
+    """Return how long a closing connection may wait; an abort drops a response that is still unsent."""
+    if connection.has_unsent_response:
+        return effective.timeouts.unread_response_seconds
+    return effective.linger_seconds
+
+
 def _idle_timeout_seconds(connection: DownstreamConnection, effective: EffectiveTimeouts) -> float:
     if connection.has_sent_request:
         return effective.idle_seconds
--- a/balancer/sidecar/downstream/timeouts.py
+++ b/balancer/sidecar/downstream/timeouts.py
@@ -37,13 +37,10 @@
     """Limit between two requests while more than half of the allowed connections are open."""
 
     unread_response_seconds: float = 5.0
-    """Limit for a client that does not read its responses."""
+    """Limit for a client that reads nothing of its responses. It restarts whenever the client reads."""
 
     linger_seconds: float = 2.0
-    """Limit from closing the sidecar's side until the client closes its own.
-
-    The client has to read its last responses within this time.
-    """
+    """Limit from when the last response is sent, on a closed connection, until the client closes its side."""
 
     linger_shutdown_seconds: float = 0.25
     """The linger limit during shutdown, which must not wait for clients that keep their side open."""
--- a/tests/sidecar/downstream/harness.py
+++ b/tests/sidecar/downstream/harness.py
@@ -7,7 +7,7 @@
 import struct
 from collections.abc import AsyncIterator, Callable, Iterator
 from functools import partial
-from socket import SO_LINGER, SOL_SOCKET, create_connection, socket
+from socket import SO_LINGER, SO_RCVBUF, SO_SNDBUF, SOL_SOCKET, create_connection, socket
 from typing import Any, TypeAlias
 
 from balancer.sidecar.downstream.connection import DownstreamConnection
@@ -23,6 +23,9 @@
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 """Value of SO_LINGER with which closing a socket resets its connection."""
 
+SMALL_BUFFER_BYTES = 4096
+"""The size of a socket buffer that takes only a part of a long response."""
+
 CloseAction: TypeAlias = Callable[[Sidecar], None]
 """A way to make a sidecar close an idle connection."""
 
@@ -71,6 +74,19 @@
         yield client
 
 
+async def connect_slow_reader(sidecar: Sidecar, sockets: contextlib.ExitStack) -> socket:
+    """Connect a client for which the kernel takes only a part of a long response before the client reads."""
+    client = sockets.enter_context(socket())
+    client.setsockopt(SOL_SOCKET, SO_RCVBUF, SMALL_BUFFER_BYTES)
+    client.connect(("127.0.0.1", sidecar.port))
+    client.setblocking(False)
+    earlier_count = len(sidecar.client_transports)
+    await wait_until(lambda: len(sidecar.client_transports) > earlier_count)
+    accepted = sidecar.client_transports[-1].get_extra_info("socket")
+    accepted.setsockopt(SOL_SOCKET, SO_SNDBUF, SMALL_BUFFER_BYTES)
+    return client
+
+
 def reset_on_close(client: socket) -> None:
     """Make the close of a client's socket reset the connection."""
     client.setsockopt(SOL_SOCKET, SO_LINGER, RESET_ON_CLOSE)
--- a/tests/sidecar/downstream/test_connection_timeouts.py
+++ b/tests/sidecar/downstream/test_connection_timeouts.py
@@ -3,13 +3,45 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+from socket import socket
 from typing import cast
 
+import pytest
+
 from balancer.sidecar.downstream.timeouts import DownstreamTimeouts
+from tests.sidecar.downstream.harness import (
+    CLOSE_HEADER,
+    SMALL_BUFFER_BYTES,
+    TIMEOUTS,
+    accepted_connection,
+    connect_slow_reader,
+    is_complete_response,
+    run_sidecar_without_sweeps,
+    sweep_after,
+    sweep_at,
+)
 from tests.sidecar.event_loop import async_test, wait_until
 from tests.sidecar.messages import ok_response, request_bytes
 from tests.sidecar.scripted_endpoint import ReceivedRequest, answer_ok, run_endpoint
-from tests.sidecar.sidecar_under_test import run_sidecar
+from tests.sidecar.sidecar_under_test import Sidecar, run_sidecar
+
+LONG_BODY = b"x" * 60_000
+
+
+async def respond_with_long_body(_request: ReceivedRequest) -> bytes:
+    """Script: answer with a body of which the buffers of a slow reader take only a part."""
+    return ok_response(LONG_BODY)
+
+
+async def read_slowly(sidecar: Sidecar, client: socket) -> bytes:
+    """Read to the end of the connection, as if some time passed after each piece."""
+    loop = asyncio.get_running_loop()
+    received = bytearray()
+    while part := await loop.sock_recv(client, SMALL_BUFFER_BYTES):
+        received += part
+        sweep_after(sidecar, 0.3 * TIMEOUTS.linger_seconds)
+    return bytes(received)
 
 
 @async_test
@@ -50,3 +82,42 @@
         cast(asyncio.Transport, client.writer.transport).pause_reading()
         client.writer.write(b"".join(request_bytes() for _ in range(400)))
         await wait_until(lambda: endpoint.received_requests and not len(sidecar.listener))
+
+
+@pytest.mark.parametrize("is_shutting_down", [False, True])
+@async_test
+async def test_closing_connection_stays_open_while_its_client_reads_the_response(
+    is_shutting_down: bool,
+) -> None:
+    # Guards against: a shutdown cuts off a long response that its client is still reading.
+    async with (
+        run_endpoint(respond_with_long_body) as endpoint,
+        run_sidecar_without_sweeps(endpoint.address) as sidecar,
+    ):
+        if is_shutting_down:
+            sidecar.listener.begin_shutdown()
+        with contextlib.ExitStack() as sockets:
+            client = await connect_slow_reader(sidecar, sockets)
+            connection = await accepted_connection(sidecar)
+            client.send(request_bytes(extra_headers=CLOSE_HEADER))
+            await wait_until(lambda: connection.lifecycle.is_lingering and connection.has_unsent_response)
+            received = await read_slowly(sidecar, client)
+            assert is_complete_response(received, b"200", LONG_BODY)
+
+
+@async_test
+async def test_closing_connection_is_aborted_when_its_client_stops_reading() -> None:
+    async with (
+        run_endpoint(respond_with_long_body) as endpoint,
+        run_sidecar_without_sweeps(endpoint.address) as sidecar,
+    ):
+        with contextlib.ExitStack() as sockets:
+            client = await connect_slow_reader(sidecar, sockets)
+            connection = await accepted_connection(sidecar)
+            client.send(request_bytes(extra_headers=CLOSE_HEADER))
+            await wait_until(lambda: connection.lifecycle.is_lingering and connection.has_unsent_response)
+            closed_at_seconds = sidecar.listener.now_seconds()
+            sweep_at(sidecar, closed_at_seconds + 0.9 * TIMEOUTS.unread_response_seconds)
+            assert connection.is_open
+            sweep_at(sidecar, closed_at_seconds + 1.1 * TIMEOUTS.unread_response_seconds)
+            await wait_until(lambda: not len(sidecar.listener))
