Evict no connection with an unsent response while others rest

Cause: a connection counts as idle once its response is written to the transport, so it was evicted for a new one although the kernel had not taken the response yet; as a lingering one it was then aborted for the next, which drops the rest.

Change: one order of eviction, in eviction.py: connections that linger with everything sent, that have sent no request after the grace, that rest between requests with everything sent, that have sent no request, that linger with a response that their client does not read, and last the new connection. One with a response that is being read is never evicted.

Tests: test_connection_with_unsent_response_is_not_evicted_while_others_rest and the same for a lingering connection; both failed before (the response was cut short). test_connections_that_lingered_longest_are_removed_first checks the same order through select_evictions, which takes the place of pop_lingering.

--- a/balancer/sidecar/downstream/connection_registry.py
+++ b/balancer/sidecar/downstream/connection_registry.py
@@ -1,10 +1,16 @@
-"""The open connections of clients, and the choice of the one to evict for a new connection."""
+"""The open connections of clients, and how many of them to evict for a new connection."""
 
 from __future__ import annotations
 
 from itertools import islice
 
 from balancer.sidecar.downstream.connection import DownstreamConnection
+from balancer.sidecar.downstream.eviction import (
+    Eviction,
+    EvictionAction,
+    EvictionCandidates,
+    eviction_order,
+)
 
 
 class ConnectionRegistry:
@@ -69,57 +75,35 @@
         self._drop(connection)
         self._open_count -= 1
 
-    def pop_lingering(self, count: int) -> list[DownstreamConnection]:
-        """Remove and return this many of the connections that have lingered for longest, or all of them.
-
-        Their descriptors stay in use, and are counted, until `remove`.
-        """
-        oldest = list(islice(self._lingering, max(0, count)))
-        for connection in oldest:
-            del self._lingering[connection]
-        return oldest
+    def mark_aborted(self, connection: DownstreamConnection) -> None:
+        """Record that a connection is being aborted; its descriptor is in use and counted until `remove`."""
+        self._drop(connection)
 
-    def select_eviction(
+    def select_evictions(
         self, new_connection: DownstreamConnection, now_seconds: float, grace_seconds: float
-    ) -> DownstreamConnection:
-        """Return the connection to close for a new one: the new one itself if no other can be closed.
-
-        The order of preference is:
+    ) -> list[Eviction]:
+        """Return the connections to evict for a new one; none if the limit is not exceeded.
 
-        - the oldest connection without a request, if its grace period is over;
-        - the connection that has been idle for longest since its last request;
-        - the oldest connection without a request.
-
-        A client may take a moment from connecting to sending its request. Without the grace period, it could
-        be evicted for a client that has not sent a request either, while connections that have carried a
-        request stay open and idle.
+        These are as many as exceed the limit, the most preferred first, but at most one that is not aborted.
+        The descriptor of a connection that is only closed is not free at once: closing more would not help.
 
         Args:
-            new_connection: the new connection.
+            new_connection: the new connection, which has been added.
             now_seconds: the event loop's time.
-            grace_seconds: how long a connection may go without a request before it is evicted first.
-        """
-        without_request = self._oldest_without_request()
-        if without_request is not None and without_request.seconds_waited(now_seconds) > grace_seconds:
-            return without_request
-        return self._longest_idle() or without_request or new_connection
-
-    def _oldest_without_request(self) -> DownstreamConnection | None:
-        """Return the oldest connection that has sent no valid request and can be closed, if there is one.
-
-        A connection with pending responses or unread bytes can't be closed.
+            grace_seconds: how long a connection may go without a request before it is evicted before others.
         """
-        for connection in self._without_request:
-            if not connection.has_pending_responses and not connection.has_unread_bytes():
-                return connection
-        return None
-
-    def _longest_idle(self) -> DownstreamConnection | None:
-        """Return the connection that has been idle for longest since its last request, if there is one."""
-        for connection in self._with_request:
-            if connection.is_idle and not connection.has_unread_bytes():
-                return connection
-        return None
+        candidates = EvictionCandidates(
+            lingering=self._lingering,
+            without_request=[other for other in self._without_request if other is not new_connection],
+            with_request=self._with_request,
+            new=new_connection,
+        )
+        evictions: list[Eviction] = []
+        for eviction in islice(eviction_order(candidates, now_seconds, grace_seconds), max(0, self.excess)):
+            evictions.append(eviction)
+            if eviction.action is not EvictionAction.ABORT:
+                break
+        return evictions
 
     def _drop(self, connection: DownstreamConnection) -> None:
         self._with_request.pop(connection, None)
--- a/balancer/sidecar/downstream/listener.py
+++ b/balancer/sidecar/downstream/listener.py
@@ -9,6 +9,7 @@
 from balancer.sidecar.downstream.connection import DownstreamConnection
 from balancer.sidecar.downstream.connection_lifecycle import CloseReason
 from balancer.sidecar.downstream.connection_registry import ConnectionRegistry
+from balancer.sidecar.downstream.eviction import EvictionAction
 from balancer.sidecar.downstream.interfaces import RequestDispatcher
 from balancer.sidecar.downstream.request_validator import RequestValidator
 from balancer.sidecar.downstream.timeout_enforcement import EffectiveTimeouts, enforce_timeouts
@@ -112,14 +113,15 @@
             self._all_closed.set()
 
     def _enforce_connection_limit(self, new_connection: DownstreamConnection) -> None:
-        excess = self._connections.excess
-        aborted = self._connections.pop_lingering(excess)
-        for connection in aborted:
-            connection.abort(CloseReason.LINGERED)
-        if excess > len(aborted):
-            grace_seconds = self.timeouts.eviction_grace_seconds
-            evicted = self._connections.select_eviction(new_connection, self.now_seconds(), grace_seconds)
-            evicted.close(CloseReason.EVICTED)
+        grace_seconds = self.timeouts.eviction_grace_seconds
+        for connection, action in self._connections.select_evictions(
+            new_connection, self.now_seconds(), grace_seconds
+        ):
+            if action is EvictionAction.ABORT:
+                self._connections.mark_aborted(connection)
+                connection.abort(CloseReason.LINGERED)
+            else:
+                connection.close(CloseReason.EVICTED)
 
     def sweep(self) -> None:
         """Enforce the time limits on all connections, and schedule the next sweep if there are any."""
--- a/tests/sidecar/downstream/harness.py
+++ b/tests/sidecar/downstream/harness.py
@@ -113,6 +113,18 @@
     return bytes(received)
 
 
+async def receive_exactly(client: socket, body_bytes: int) -> bytes:
+    """Return a response with a body of this size. Raises ConnectionResetError."""
+    client.setblocking(False)
+    loop = asyncio.get_running_loop()
+    received = bytearray()
+    while len(received.partition(b"\r\n\r\n")[2]) < body_bytes:
+        data = await loop.sock_recv(client, 65536)
+        assert data, "the sidecar closed the connection within the response"
+        received += data
+    return bytes(received)
+
+
 def is_complete_response(received: bytes, status: bytes, body: bytes) -> bool:
     """Return whether these bytes start with this status and end with this body."""
     return received.startswith(b"HTTP/1.1 " + status) and received.endswith(b"\r\n\r\n" + body)
--- a/tests/sidecar/downstream/test_listener.py
+++ b/tests/sidecar/downstream/test_listener.py
@@ -4,19 +4,27 @@
 
 import asyncio
 import contextlib
+from collections.abc import AsyncIterator
 from socket import SO_RCVBUF, SOL_SOCKET, socket
 
 import pytest
 
 from balancer.sidecar.downstream.connection import DownstreamConnection
+from balancer.sidecar.downstream.connection_lifecycle import CloseReason
 from balancer.sidecar.downstream.connection_registry import ConnectionRegistry
+from balancer.sidecar.downstream.eviction import Eviction, EvictionAction
 from balancer.sidecar.downstream.timeouts import DownstreamTimeouts
 from tests.sidecar.downstream.harness import (
     CLOSE_HEADER,
     MALFORMED_REQUEST,
     READINESS_REQUEST,
     TIMEOUTS,
+    accepted_connection,
+    connect_slow_reader,
     connect_socket,
+    is_complete_response,
+    receive_all,
+    receive_exactly,
     run_sidecar_without_sweeps,
     set_time,
 )
@@ -28,6 +36,8 @@
 LIMITS = {"sockets": 19}
 MAX_CONNECTIONS = 7
 """Number of clients' connections that these limits allow."""
+LONG_BODY = b"x" * 60_000
+"""A body of which the buffers of a slow reader take only a part."""
 MAX_CLOSING_CONNECTIONS = 2
 """Number of connections above the limit that the event loop may not have closed yet."""
 
@@ -177,7 +187,10 @@
             registry.add(connection)
         for connection in (oldest, middle, newest):
             registry.mark_lingering(connection)
-        assert registry.pop_lingering(registry.excess) == [oldest, middle]
+        evictions = registry.select_evictions(newest, now_seconds=0.0, grace_seconds=0.0)
+        assert evictions == [Eviction(oldest, EvictionAction.ABORT), Eviction(middle, EvictionAction.ABORT)]
+        for eviction in evictions:
+            registry.mark_aborted(eviction.connection)
         assert registry.all() == [newest]
 
 
@@ -213,6 +226,54 @@
         await wait_until(lambda: not len(sidecar.listener))
 
 
+@contextlib.asynccontextmanager
+async def run_full_sidecar() -> AsyncIterator[tuple[Sidecar, socket]]:
+    """Run a sidecar at its limit of connections: all but one rest, and one reads a long response slowly.
+
+    Yields the sidecar and the slow reader.
+    """
+
+    async def respond_with_long_body_to_slow_reader(request: ReceivedRequest) -> bytes:
+        return ok_response(LONG_BODY if request.headers[b"req-id"] == b"77" else b"done")
+
+    async with (
+        run_endpoint(respond_with_long_body_to_slow_reader) as endpoint,
+        run_sidecar_without_sweeps(endpoint.address, limits=LIMITS) as sidecar,
+    ):
+        with contextlib.ExitStack() as sockets:
+            slow_reader = await connect_slow_reader(sidecar, sockets)
+            connection = await accepted_connection(sidecar)
+            slow_reader.send(request_bytes(request_id="77"))
+            await wait_until(lambda: connection.has_unsent_response)
+            resting_clients = [await sidecar.connect_client() for _ in range(MAX_CONNECTIONS - 1)]
+            for client in resting_clients:
+                assert (await client.exchange(request_bytes())).status == 200
+            yield sidecar, slow_reader
+
+
+@async_test
+async def test_connection_with_unsent_response_is_not_evicted_while_others_rest() -> None:
+    # Guards against: new clients cut off a long response, as its connection counts as idle.
+    async with run_full_sidecar() as (sidecar, slow_reader):
+        for _ in range(3):
+            new_client = await sidecar.connect_client()
+            assert (await new_client.exchange(request_bytes())).status == 200
+        response = await receive_exactly(slow_reader, len(LONG_BODY))
+        assert is_complete_response(response, b"200", LONG_BODY)
+
+
+@async_test
+async def test_lingering_connection_with_unsent_response_is_not_evicted_while_others_rest() -> None:
+    # Guards against: new clients cut off the last response of a connection that its client still reads.
+    async with run_full_sidecar() as (sidecar, slow_reader):
+        [connection] = [c for c in sidecar.listener.accepting_connections if c.has_unsent_response]
+        connection.close(CloseReason.IDLE)
+        for _ in range(3):
+            new_client = await sidecar.connect_client()
+            assert (await new_client.exchange(request_bytes())).status == 200
+        assert is_complete_response(await receive_all(slow_reader), b"200", LONG_BODY)
+
+
 # ---- readiness
 
 
