Answer a request that is arriving instead of evicting it unanswered

Only pending responses and unread bytes were looked at, not bytes that had been read.

Change: a connection with a part of a request is not evicted as long as any other may be. If only such connections are left, the one whose request has been arriving for longest is answered with 503 (harmless to repeat: nothing was forwarded) and closed after the response.

--- a/balancer/sidecar/downstream/connection.py
+++ b/balancer/sidecar/downstream/connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from http import HTTPStatus
 
 from balancer.sidecar.downstream.client_transport import ClientTransport
 from balancer.sidecar.downstream.connection_lifecycle import (
@@ -248,6 +249,11 @@
         self._reader.clear()
         self._open_exchange(is_last=True).respond(request_error_response(error))
 
+    def evict_request(self) -> None:
+        """Reject the request that is arriving, as a new connection needs the place of this one."""
+        self.lifecycle.is_request_evicted = True
+        self.reject_request(HttpRequestError(HTTPStatus.SERVICE_UNAVAILABLE, "too many connections"))
+
     def _abandon_requests(self) -> None:
         """Abandon every request that has no response, as the client has disconnected."""
         self.lifecycle.stop_accepting_requests()
--- a/balancer/sidecar/downstream/connection_lifecycle.py
+++ b/balancer/sidecar/downstream/connection_lifecycle.py
@@ -43,12 +43,14 @@
 
     Attributes:
         phase: the current phase; changed by the methods only.
+        is_request_evicted: whether a request that was arriving has been rejected for a new connection.
     """
 
-    __slots__ = ("phase",)
+    __slots__ = ("is_request_evicted", "phase")
 
     def __init__(self) -> None:
         self.phase = ConnectionPhase.ACCEPTING_REQUESTS
+        self.is_request_evicted = False
 
     @property
     def accepts_requests(self) -> bool:
--- a/balancer/sidecar/downstream/connection_registry.py
+++ b/balancer/sidecar/downstream/connection_registry.py
@@ -90,7 +90,7 @@
         Args:
             new_connection: the new connection, which has been added.
             now_seconds: the event loop's time.
-            grace_seconds: how long a connection may go without a request before it is evicted before others.
+            grace_seconds: how long a connection may go without a complete request before it is preferred.
         """
         candidates = EvictionCandidates(
             lingering=self._lingering,
--- a/balancer/sidecar/downstream/eviction.py
+++ b/balancer/sidecar/downstream/eviction.py
@@ -16,6 +16,8 @@
     """Close both sides at once, which frees its descriptor. The sidecar's side has been closed before."""
     CLOSE = auto()
     """Close the sidecar's side."""
+    REJECT_REQUEST = auto()
+    """Respond to the request that is arriving, and close the sidecar's side after the response."""
 
 
 class Eviction(NamedTuple):
@@ -44,11 +46,14 @@
     """Yield the connections that may be evicted, in the order of preference.
 
     1. Connections that linger, and whose responses are all sent.
-    2. Connections that have sent no valid request, after their grace period.
+    2. Connections that have sent nothing, after their grace period.
     3. Connections between two requests, whose responses are all sent.
-    4. Connections that have sent no valid request.
+    4. Connections that have sent nothing.
     5. Connections that linger with a response that their client does not read.
-    6. The new connection, unread.
+    6. The connection whose request has been arriving for longest, after the grace period. It gets a
+       response, which must not be cut off while the client still sends. So while one such connection lingers,
+       no other is chosen.
+    7. The new connection, unread.
 
     Never evicted are connections with an accepted request, with bytes that are still unread, and with a
     response that their client reads.
@@ -59,17 +64,18 @@
     Args:
         candidates: the open connections.
         now_seconds: the event loop's time.
-        grace_seconds: how long a connection may go without a request before it is evicted before others.
+        grace_seconds: how long a connection may go without a complete request before it is preferred.
     """
 
     def is_overdue(connection: DownstreamConnection) -> bool:
-        return _is_without_request(connection) and connection.seconds_waited(now_seconds) > grace_seconds
+        return _is_resting(connection) and connection.seconds_waited(now_seconds) > grace_seconds
 
     yield from _evictions(candidates.lingering, _has_finished, EvictionAction.ABORT)
     yield from _evictions(candidates.without_request, is_overdue, EvictionAction.CLOSE)
     yield from _evictions(candidates.with_request, _is_resting, EvictionAction.CLOSE)
-    yield from _evictions(candidates.without_request, _is_without_request, EvictionAction.CLOSE)
+    yield from _evictions(candidates.without_request, _is_resting, EvictionAction.CLOSE)
     yield from _evictions(candidates.lingering, _is_unread, EvictionAction.ABORT)
+    yield from _rejections(candidates, now_seconds, grace_seconds)
     yield Eviction(candidates.new, EvictionAction.CLOSE)
 
 
@@ -81,19 +87,39 @@
     return (Eviction(connection, action) for connection in connections if may_be_evicted(connection))
 
 
+def _rejections(
+    candidates: EvictionCandidates, now_seconds: float, grace_seconds: float
+) -> Iterator[Eviction]:
+    """Yield the connection whose request has been arriving for longest, if it may be rejected."""
+    if any(connection.lifecycle.is_request_evicted for connection in candidates.lingering):
+        return
+    overdue = [
+        connection
+        for connection in (*candidates.without_request, *candidates.with_request)
+        if _is_receiving(connection) and connection.seconds_waited(now_seconds) > grace_seconds
+    ]
+    if overdue:
+        longest = max(overdue, key=lambda connection: connection.seconds_waited(now_seconds))
+        yield Eviction(longest, EvictionAction.REJECT_REQUEST)
+
+
 def _has_finished(connection: DownstreamConnection) -> bool:
-    return not connection.has_unsent_response
+    return not connection.has_unsent_response and not connection.lifecycle.is_request_evicted
 
 
 def _is_unread(connection: DownstreamConnection) -> bool:
     return connection.has_unsent_response and not connection.response_progress.is_being_read
 
 
-def _is_without_request(connection: DownstreamConnection) -> bool:
-    is_served = connection.has_pending_responses or connection.has_unsent_response
-    return not is_served and not connection.has_unread_bytes()
+def _is_resting(connection: DownstreamConnection) -> bool:
+    return connection.is_idle and not _is_served(connection)
 
 
-def _is_resting(connection: DownstreamConnection) -> bool:
-    is_served = not connection.is_idle or connection.has_unsent_response
-    return not is_served and not connection.has_unread_bytes()
+def _is_receiving(connection: DownstreamConnection) -> bool:
+    return connection.has_partial_request and not _is_served(connection)
+
+
+def _is_served(connection: DownstreamConnection) -> bool:
+    """Return whether a response is pending or unsent, or may become pending with bytes that are unread."""
+    is_answering = connection.has_pending_responses or connection.has_unsent_response
+    return is_answering or connection.has_unread_bytes()
--- a/balancer/sidecar/downstream/listener.py
+++ b/balancer/sidecar/downstream/listener.py
@@ -120,6 +120,8 @@
             if action is EvictionAction.ABORT:
                 self._connections.mark_aborted(connection)
                 connection.abort(CloseReason.LINGERED)
+            elif action is EvictionAction.REJECT_REQUEST:
+                connection.evict_request()
             else:
                 connection.close(CloseReason.EVICTED)
 
--- a/tests/sidecar/downstream/test_listener.py
+++ b/tests/sidecar/downstream/test_listener.py
@@ -14,6 +14,7 @@
 from balancer.sidecar.downstream.connection_registry import ConnectionRegistry
 from balancer.sidecar.downstream.eviction import Eviction, EvictionAction
 from balancer.sidecar.downstream.timeouts import DownstreamTimeouts
+from tests.sidecar.client import Client
 from tests.sidecar.downstream.harness import (
     CLOSE_HEADER,
     MALFORMED_REQUEST,
@@ -245,19 +246,19 @@
             connection = await accepted_connection(sidecar)
             slow_reader.send(request_bytes(request_id="77"))
             await wait_until(lambda: connection.has_unsent_response)
-            resting_clients = [await sidecar.connect_client() for _ in range(MAX_CONNECTIONS - 1)]
-            for client in resting_clients:
-                assert (await client.exchange(request_bytes())).status == 200
+            resting_clients = await connect_resting_clients(sidecar, MAX_CONNECTIONS - 1)
             yield sidecar, slow_reader
+            for client in resting_clients:
+                client.writer.close()
 
 
 @async_test
 async def test_connection_with_unsent_response_is_not_evicted_while_others_rest() -> None:
     # Guards against: new clients cut off a long response, as its connection counts as idle.
     async with run_full_sidecar() as (sidecar, slow_reader):
+        new_clients = []
         for _ in range(3):
-            new_client = await sidecar.connect_client()
-            assert (await new_client.exchange(request_bytes())).status == 200
+            new_clients += await connect_resting_clients(sidecar, 1)
         response = await receive_exactly(slow_reader, len(LONG_BODY))
         assert is_complete_response(response, b"200", LONG_BODY)
 
@@ -268,12 +269,79 @@
     async with run_full_sidecar() as (sidecar, slow_reader):
         [connection] = [c for c in sidecar.listener.accepting_connections if c.has_unsent_response]
         connection.close(CloseReason.IDLE)
+        new_clients = []
         for _ in range(3):
-            new_client = await sidecar.connect_client()
-            assert (await new_client.exchange(request_bytes())).status == 200
+            new_clients += await connect_resting_clients(sidecar, 1)
         assert is_complete_response(await receive_all(slow_reader), b"200", LONG_BODY)
 
 
+async def begin_request(sidecar: Sidecar) -> tuple[Client, DownstreamConnection]:
+    """Connect a client that sends all but the last byte of a request."""
+    client = await sidecar.connect_client()
+    connection = await accepted_connection(sidecar)
+    client.writer.write(request_bytes("post", body=b"x" * 1000)[:-1])
+    await wait_until(lambda: connection.has_partial_request)
+    return client, connection
+
+
+async def connect_resting_clients(sidecar: Sidecar, count: int) -> list[Client]:
+    """Connect clients that rest after a first request; each stays connected as long as it is referenced."""
+    clients = [await sidecar.connect_client() for _ in range(count)]
+    for client in clients:
+        assert (await client.exchange(request_bytes())).status == 200
+    return clients
+
+
+@async_test
+async def test_request_that_is_arriving_is_not_evicted_while_others_rest() -> None:
+    # Guards against: a request is dropped unanswered in the middle of its body, as it is the first one of its
+    # connection and not complete.
+    async with (
+        run_endpoint(answer_ok) as endpoint,
+        run_sidecar_without_sweeps(endpoint.address, limits=LIMITS) as sidecar,
+    ):
+        set_time(sidecar, 0.0)
+        sending_client, _ = await begin_request(sidecar)
+        clients = await connect_resting_clients(sidecar, MAX_CONNECTIONS - 1)
+        set_time(sidecar, 2 * TIMEOUTS.eviction_grace_seconds)
+        for _ in range(3):
+            clients += await connect_resting_clients(sidecar, 1)
+        sending_client.writer.write(b"x")
+        assert (await sending_client.read_response()).status == 200
+        for client in clients[:3]:
+            assert await client.is_closed_without_data()
+
+
+@async_test
+async def test_evicted_request_gets_a_complete_response_when_all_connections_are_in_use() -> None:
+    # Guards against: the only choice left is a request that is arriving, and its client sees a bare close.
+    async with (
+        run_endpoint(answer_ok) as endpoint,
+        run_sidecar_without_sweeps(endpoint.address, limits=LIMITS) as sidecar,
+    ):
+        sending_clients = []
+        for index in range(MAX_CONNECTIONS):
+            set_time(sidecar, 0.001 * index)
+            sending_clients.append(await begin_request(sidecar))
+        set_time(sidecar, 2 * TIMEOUTS.eviction_grace_seconds)
+        new_client = await sidecar.connect_client()
+        assert (await new_client.exchange(request_bytes())).status == 200
+        evicted_client, evicted_connection = sending_clients.pop(0)
+        assert evicted_connection.lifecycle.is_lingering
+        # The client still sends, and other clients connect; its response must not be reset.
+        further_clients = [await sidecar.connect_client() for _ in range(3)]
+        assert await new_client.is_closed_without_data()
+        assert await further_clients[0].is_closed_without_data()
+        assert len(sidecar.listener) <= MAX_CONNECTIONS + MAX_CLOSING_CONNECTIONS
+        evicted_client.writer.write(b"x")
+        response = await evicted_client.read_response()
+        assert (response.status, response.headers[b"connection"]) == (503, b"close")
+        assert await evicted_client.is_closed_without_data()
+        for client, _connection in sending_clients:
+            client.writer.write(b"x")
+            assert (await client.read_response()).status == 200
+
+
 # ---- readiness
 
 
