Answer a later request that stops half way as early as a first one

What callers saw: a client that stopped in the middle of a later request on a kept connection got its 408 after 6 s, on a new connection after 2.25 s.

Cause: a later request has 6 s to arrive, as a client may write slowly; whether bytes still came was not asked.

It still has 6 s in all. A first request keeps its single limit: its connection may belong to a peer that sends no proper request at all, which is owed its error 3 s after connecting.

Tests: test_request_that_stops_half_way_is_answered_within_three_seconds, for a first and a later request; the later one failed before (no response). test_later_request_may_arrive_slowly keeps the allowance.

--- a/balancer/sidecar/downstream/connection.py
+++ b/balancer/sidecar/downstream/connection.py
@@ -109,6 +109,10 @@
         """Return whether bytes have been read of a request that has not been accepted yet."""
         return not self._reader.is_empty
 
+    def seconds_since_last_arrival(self, now_seconds: float) -> float:
+        """Return for how many seconds no byte of the partial request has arrived; there must be one."""
+        return now_seconds - self._reader.last_arrival_seconds
+
     def is_disconnected(self) -> bool:
         """Return whether the client has closed its side, according to the socket."""
         return self._transport.is_peer_closed()
--- a/balancer/sidecar/downstream/request_reader.py
+++ b/balancer/sidecar/downstream/request_reader.py
@@ -70,6 +70,11 @@
         """Return whether bytes are buffered that may hold or complete a request for `next_request`."""
         return bool(self._buffer)
 
+    @property
+    def last_arrival_seconds(self) -> float:
+        """Return when the last bytes arrived that are not consumed; some must be buffered."""
+        return self._segments[-1].arrived_at_seconds
+
     def feed(self, data: bytes, arrived_at_seconds: float) -> None:
         """Append bytes that arrived at this time."""
         self._buffer += data
--- a/balancer/sidecar/downstream/timeout_enforcement.py
+++ b/balancer/sidecar/downstream/timeout_enforcement.py
@@ -48,7 +48,7 @@
     elif connection.is_idle:
         if waited_seconds > _idle_timeout_seconds(connection, effective):
             connection.close_unless_unread(CloseReason.IDLE)
-    elif _is_request_overdue(connection, effective.timeouts, waited_seconds):
+    elif _is_request_overdue(connection, effective.timeouts, waited_seconds, now_seconds):
         connection.reject_request(HttpRequestError(HTTPStatus.REQUEST_TIMEOUT))
 
 
@@ -71,11 +71,15 @@
 
 
 def _is_request_overdue(
-    connection: DownstreamConnection, timeouts: DownstreamTimeouts, waited_seconds: float
+    connection: DownstreamConnection,
+    timeouts: DownstreamTimeouts,
+    waited_seconds: float,
+    now_seconds: float,
 ) -> bool:
     """Return whether a partial request has been arriving for too long, with no earlier one in progress."""
     if connection.has_pending_responses:
         return False
-    if connection.has_sent_request:
-        return waited_seconds > timeouts.request_seconds
-    return waited_seconds > timeouts.first_request_seconds
+    if not connection.has_sent_request:
+        return waited_seconds > timeouts.first_request_seconds
+    is_stalled = connection.seconds_since_last_arrival(now_seconds) > timeouts.stalled_request_seconds
+    return is_stalled or waited_seconds > timeouts.request_seconds
--- a/balancer/sidecar/downstream/timeouts.py
+++ b/balancer/sidecar/downstream/timeouts.py
@@ -30,6 +30,9 @@
     It is longer, because the client has shown that it can send a valid request.
     """
 
+    stalled_request_seconds: float = 2.25
+    """Limit for a later request of which no further byte arrives: its client has stopped in the middle."""
+
     idle_seconds: float = 30.0
     """Limit between two requests."""
 
--- a/soak/mutants.py
+++ b/soak/mutants.py
@@ -138,7 +138,7 @@
     _mutant(
         "peers that send no valid request time out",
         "balancer/sidecar/downstream/timeout_enforcement.py",
-        "elif _is_request_overdue(connection, effective.timeouts, waited_seconds):",
+        "elif _is_request_overdue(connection, effective.timeouts, waited_seconds, now_seconds):",
         "elif False:",
     ),
     _mutant(
--- a/tests/sidecar/downstream/test_connection_timeouts.py
+++ b/tests/sidecar/downstream/test_connection_timeouts.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from balancer.sidecar.downstream.timeouts import DownstreamTimeouts
+from balancer.sidecar.downstream.timeouts import DEFAULT_TIMEOUTS, DownstreamTimeouts
 from tests.sidecar.downstream.harness import (
     CLOSE_HEADER,
     SMALL_BUFFER_BYTES,
@@ -28,6 +28,9 @@
 
 LONG_BODY = b"x" * 60_000
 
+MAX_ERROR_DELAY_SECONDS = 3.0
+"""How long a client that sends no proper request may wait for its error."""
+
 
 async def respond_with_long_body(_request: ReceivedRequest) -> bytes:
     """Script: answer with a body of which the buffers of a slow reader take only a part."""
@@ -121,3 +124,40 @@
             assert connection.is_open
             sweep_at(sidecar, closed_at_seconds + 1.1 * TIMEOUTS.unread_response_seconds)
             await wait_until(lambda: not len(sidecar.listener))
+
+
+@pytest.mark.parametrize("is_first_request", [False, True], ids=["later request", "first request"])
+@async_test
+async def test_request_that_stops_half_way_is_answered_within_three_seconds(is_first_request: bool) -> None:
+    # Guards against: a client that stops in the middle of a later request gets its error after 6 s only.
+    async with (
+        run_endpoint(answer_ok) as endpoint,
+        run_sidecar_without_sweeps(endpoint.address) as sidecar,
+    ):
+        client = await sidecar.connect_client()
+        connection = await accepted_connection(sidecar)
+        if not is_first_request:
+            assert (await client.exchange(request_bytes())).status == 200
+        client.writer.write(request_bytes("post", body=b"x" * 100)[:-1])
+        await wait_until(lambda: connection.has_partial_request)
+        sweep_after(sidecar, MAX_ERROR_DELAY_SECONDS - DEFAULT_TIMEOUTS.sweep_interval_seconds)
+        assert (await client.read_response()).status == 408
+
+
+@async_test
+async def test_later_request_may_arrive_slowly() -> None:
+    async with (
+        run_endpoint(answer_ok) as endpoint,
+        run_sidecar_without_sweeps(endpoint.address) as sidecar,
+    ):
+        client = await sidecar.connect_client()
+        connection = await accepted_connection(sidecar)
+        assert (await client.exchange(request_bytes())).status == 200
+        request = request_bytes("post", body=b"x" * 100)
+        began_at_seconds = sidecar.listener.now_seconds()
+        for index, seconds in enumerate((2.0, 4.0)):
+            client.writer.write(request[50 * index : 50 * (index + 1)])
+            await wait_until(lambda: connection.has_partial_request and not connection.has_unread_bytes())
+            sweep_at(sidecar, began_at_seconds + seconds)
+        client.writer.write(request[100:])
+        assert (await client.read_response()).status == 200
