Accept the response of a slow polled source after the timeout of its call

What callers saw: with polled discovery whose answers took 1.2 s, the list at a new address was never learned. Each call was given up after 1.0 s; a draining server still got requests 15 s after a SIGHUP.

Cause: a call that times out was cancelled, and the next one took as long. The timeout is needed, as a call may hang; what was missing is that its response may still come.

A late response counts if it is newer than what is known. Pushed lists stay as they are: their agent responds at once. Timeouts and pauses are the same.

--- a/balancer/sidecar/discovery/call.py
+++ b/balancer/sidecar/discovery/call.py
@@ -14,6 +14,7 @@
     NameIndices,
     parse_endpoint_list,
 )
+from balancer.sidecar.discovery.late_calls import LateCalls
 from balancer.sidecar.http.buffer_budget import BufferBudget
 from balancer.sidecar.http.message import HttpResponse
 from balancer.sidecar.http.outbound_connection import OutboundConnection
@@ -46,7 +47,8 @@
 class DiscoveryTimeoutError(DiscoveryCallError):
     """The connection was established, but the complete response did not arrive within the timeout.
 
-    Discovery may have had a change in the meantime, which the sidecar has to know soon after.
+    The response may still arrive late (see `LateCalls`). Discovery may have had a change in the meantime,
+    which the sidecar has to know soon after.
     """
 
 
@@ -67,6 +69,7 @@
         name_indices: Translates the names of zones and machine classes in endpoint lists.
         connect_timeout_seconds: How long establishing a connection may take.
         loop: The event loop of the calls.
+        late_calls: Waits for the response of a call that has timed out; without it, such a call is cancelled.
     """
 
     def __init__(
@@ -75,11 +78,13 @@
         name_indices: NameIndices,
         connect_timeout_seconds: float,
         loop: asyncio.AbstractEventLoop,
+        late_calls: LateCalls | None = None,
     ) -> None:
         self.connect_timeout_seconds = connect_timeout_seconds
         self._address = address
         self._name_indices = name_indices
         self._loop = loop
+        self._late_calls = late_calls
         self._idle_connection: OutboundConnection | None = None
 
     @property
@@ -122,11 +127,32 @@
     async def _call(self, query: str, timeout_seconds: float) -> EndpointListUpdate:
         """Make one call on a connection that no other call uses at the same time.
 
-        The complete response has to arrive within the timeout, however slowly its bytes arrive.
+        The complete response has to arrive within the timeout, however slowly its bytes arrive; otherwise the
+        call is a late one from then on.
         """
         connection = self._acquire_connection()
+        call = self._loop.create_task(self._complete_call(connection, query))
         try:
-            response = await self._request(connection, query, timeout_seconds)
+            await asyncio.wait((call,), timeout=timeout_seconds)
+        except asyncio.CancelledError:
+            call.cancel()
+            await asyncio.wait((call,))
+            raise
+        if call.done():
+            return call.result()
+        if not connection.is_established:
+            call.cancel()
+            raise DiscoveryCallError(self._address, "no connection within the timeout")
+        if self._late_calls is None:
+            call.cancel()
+        else:
+            self._late_calls.add(call)
+        raise DiscoveryTimeoutError(self._address, "no complete response within the timeout")
+
+    async def _complete_call(self, connection: OutboundConnection, query: str) -> EndpointListUpdate:
+        """Make one call on this connection, which is kept for the next call or closed."""
+        try:
+            response = await self._request(connection, query)
         except BaseException:  # includes CancelledError
             connection.close()
             raise
@@ -143,16 +169,12 @@
             connection.close()
         return OutboundConnection(budget=BufferBudget(MAX_ENDPOINT_LIST_BYTES))
 
-    async def _request(
-        self, connection: OutboundConnection, query: str, timeout_seconds: float
-    ) -> HttpResponse:
+    async def _request(self, connection: OutboundConnection, query: str) -> HttpResponse:
         """Return a complete response with status 200. Raises DiscoveryCallError."""
         try:
-            async with asyncio.timeout(timeout_seconds):
-                response = await self._exchange(connection, query)
-        except OSError as error:  # includes TimeoutError
-            error_class = DiscoveryTimeoutError if connection.is_established else DiscoveryCallError
-            raise error_class(self._address, f"{type(error).__name__} {error}") from None
+            response = await self._exchange(connection, query)
+        except OSError as error:  # includes TimeoutError, which is a connect timeout
+            raise DiscoveryCallError(self._address, f"{type(error).__name__} {error}") from None
         if response is None:
             started = connection.response_started
             error_class = MalformedDiscoveryResponseError if started else DiscoveryCallError
--- a/balancer/sidecar/discovery/client.py
+++ b/balancer/sidecar/discovery/client.py
@@ -16,6 +16,7 @@
 from balancer.policy_api import EndpointUpdateKind, Settings
 from balancer.sidecar.discovery.call import DiscoveryCaller, DiscoveryCallError
 from balancer.sidecar.discovery.endpoint_list import EndpointListUpdate, NameIndices
+from balancer.sidecar.discovery.late_calls import LateCalls
 from balancer.sidecar.discovery.profile import (
     FETCH_TIMEOUT_SECONDS,
     UNCHANGED_PAUSE_SECONDS,
@@ -72,7 +73,14 @@
         self.profile = select_profile(config.settings)
         # A call whose connection is established late still has the whole timeout of the long poll.
         connect_timeout_seconds = self.profile.grace_seconds
-        self.caller = DiscoveryCaller(config.address, config.name_indices, connect_timeout_seconds, loop)
+        self._late_calls = LateCalls(self._deliver_late, loop)
+        self.caller = DiscoveryCaller(
+            config.address,
+            config.name_indices,
+            connect_timeout_seconds,
+            loop,
+            self._late_calls if self.profile.awaits_late_responses else None,
+        )
         self._observer = observer
         self._loop = loop
         self._random = Random(config.seed)
@@ -96,6 +104,7 @@
         self._cancel_tasks()
         if self._tasks:
             await asyncio.wait(self._tasks)
+        await self._late_calls.wait_closed()
         self.caller.close()
 
     def change_address(self, address: Address) -> None:
@@ -135,6 +144,7 @@
 
     def _cancel_tasks(self) -> None:
         self._cancel_watch()
+        self._late_calls.cancel()
         if self._fetch_task is not None:
             self._fetch_task.cancel()
             self._fetch_task = None
@@ -208,6 +218,19 @@
         self._observer.on_endpoint_update(update, kind)
         return not is_empty
 
+    def _deliver_late(self, update: EndpointListUpdate) -> None:
+        """Notify the observer of a late response, unless a later call has brought the same or more."""
+        is_newer = update.version > self._version
+        if not (update.is_snapshot if self._needs_snapshot else is_newer):
+            return
+        try:
+            self._deliver(update)
+        except Exception as error:
+            log.exception("endpoint_update_failed version=%d error=%s", self._version, type(error).__name__)
+            self._needs_snapshot = True
+        # The policy takes any response as a sign that a watch is in progress.
+        self.set_watching(True)
+
     def _report_failure(self) -> None:
         self._observer.on_discovery_failed()
 
--- a/balancer/sidecar/discovery/profile.py
+++ b/balancer/sidecar/discovery/profile.py
@@ -20,6 +20,10 @@
     first snapshot of a new address fails                     0.55    2.50
     ======================================================  ======  ======
 
+Polled lists may come from a slow source. One that takes longer than the timeout of a call for each response
+is heard all the same, because late responses are accepted (`late_calls.py`). The time of the response then
+takes the place of the 0.5 s for the next call.
+
 `tests/sidecar/discovery/test_profile.py` derives these times from the constants and compares them with 6 s.
 """
 
@@ -58,6 +62,8 @@
     """Whether the client watches from its start until it stops; otherwise the policy starts each watch."""
     reports_unchanged_lists: bool
     """Whether the policy is notified of a response without changes: it waits for a response to its call."""
+    awaits_late_responses: bool
+    """Whether the response to a call is accepted after its timeout, as the source may be slow."""
 
 
 PUSHED_DISCOVERY = DiscoveryProfile(
@@ -70,6 +76,7 @@
     retry_jitter=0.0,
     watches_continuously=True,
     reports_unchanged_lists=False,
+    awaits_late_responses=False,
 )
 """For lists that an agent on this machine pushes: a call to it costs nothing.
 
@@ -87,6 +94,7 @@
     retry_jitter=0.5,  # without it, a signal sent to all sidecars would synchronize their calls
     watches_continuously=False,
     reports_unchanged_lists=True,
+    awaits_late_responses=True,
 )
 """For lists that are polled from a service that all sidecars share.
 
