Ask a pushing agent for changes before a new process accepts clients

What callers saw: in 5 of 15 restarts with an old cached list a request went to a draining server, 0.17 to 0.48 s after the start. What the agent has counts as told from the first moment of a new process.

Cause: the process accepted clients as soon as it listened, with the cached list; the first call to the agent was under way, and asked it to wait for changes for 0.25 s.

Change: where lists are pushed, one call without a wait comes before the listening socket. An agent on the same machine responds at once; if it is silent, the call ends after 0.2 s and the watch goes on as before. Polled lists stay as they are: they count as told 6 s after discovery could be reached.

Test: test_new_process_accepts_no_client_before_it_knows_what_the_agent_knows; failed before (the port was open when the agent got its first call).

--- a/balancer/sidecar/discovery/client.py
+++ b/balancer/sidecar/discovery/client.py
@@ -93,6 +93,21 @@
         self._fetch_task: asyncio.Task[None] | None = None
         self._is_stopped = False
 
+    async def catch_up(self) -> None:
+        """Fetch the changes since the cached endpoint list, before the sidecar serves, if lists are pushed.
+
+        The cached list may be old, and the sidecar has to know from its start what the agent knows. The agent
+        responds at once unless discovery is down; the watch then fetches the changes later.
+        """
+        if not self.profile.watches_continuously:
+            return
+        try:
+            update = await self.caller.watch(self._version, 0.0, self.profile.grace_seconds)
+        except DiscoveryCallError as error:
+            _log_failure(error)
+        else:
+            self._try_to_deliver(update)
+
     def start(self) -> None:
         """Start to watch, unless the policy decides when to watch."""
         if self.profile.watches_continuously:
@@ -223,13 +238,17 @@
         is_newer = update.version > self._version
         if not (update.is_snapshot if self._needs_snapshot else is_newer):
             return
+        self._try_to_deliver(update)
+        # The policy takes any response as a sign that a watch is in progress.
+        self.set_watching(True)
+
+    def _try_to_deliver(self, update: EndpointListUpdate) -> None:
+        """Notify the observer of an update. If it cannot be applied, a snapshot is fetched next."""
         try:
             self._deliver(update)
         except Exception as error:
             log.exception("endpoint_update_failed version=%d error=%s", self._version, type(error).__name__)
             self._needs_snapshot = True
-        # The policy takes any response as a sign that a watch is in progress.
-        self.set_watching(True)
 
     def _report_failure(self) -> None:
         self._observer.on_discovery_failed()
--- a/balancer/sidecar/process/lifecycle.py
+++ b/balancer/sidecar/process/lifecycle.py
@@ -45,6 +45,7 @@
     reloader = ConfigurationReloader(discovery, loop)
     loop.add_signal_handler(signal.SIGHUP, reloader.request_reload)
     loop.add_signal_handler(signal.SIGUSR1, _log_metrics, dispatcher.metrics, logging.WARNING)
+    await discovery.catch_up()
     discovery.start()
     acceptor = _start_accepting(config, dispatcher, listener)
     unblock_signals()  # in this thread only: the threads that resolve host names have started already
--- a/tests/sidecar/process/test_lifecycle.py
+++ b/tests/sidecar/process/test_lifecycle.py
@@ -9,11 +9,18 @@
 
 import pytest
 
+from tests.sidecar.configuration_documents import endpoint_entry, endpoint_list
 from tests.sidecar.downstream.harness import CLOSE_HEADER, READINESS_REQUEST
 from tests.sidecar.event_loop import async_test
-from tests.sidecar.messages import request_bytes
-from tests.sidecar.process_harness import ConfigurationFile, connect, start_process
-from tests.sidecar.scripted_endpoint import answer_ok, run_endpoint, unreachable_address
+from tests.sidecar.messages import ok_response, request_bytes
+from tests.sidecar.process_harness import ConfigurationFile, connect, split_address, start_process
+from tests.sidecar.scripted_endpoint import (
+    ReceivedRequest,
+    answer_ok,
+    never_answer,
+    run_endpoint,
+    unreachable_address,
+)
 
 
 @async_test
@@ -30,6 +37,41 @@
     assert await process.wait() == 0
 
 
+async def is_accepting(listen_address: str) -> bool:
+    """Return whether anything listens at this address."""
+    try:
+        _, writer = await asyncio.open_connection(*split_address(listen_address))
+    except ConnectionError:
+        return False
+    writer.close()
+    return True
+
+
+@async_test
+async def test_new_process_accepts_no_client_before_it_knows_what_the_agent_knows(
+    configuration_file: ConfigurationFile,
+) -> None:
+    # Guards against: a new process sends requests to a draining endpoint of its old cached list.
+    draining = endpoint_list(2, endpoint_entry("s-0", "127.0.0.1:9", "draining"), is_snapshot=False)
+    was_accepting: list[bool] = []
+
+    async def respond_to_first_call(request: ReceivedRequest) -> bytes:
+        if was_accepting:
+            return await never_answer(request)
+        was_accepting.append(await is_accepting(configuration_file.listen_address))
+        return ok_response(json.dumps(draining).encode())
+
+    async with run_endpoint(respond_to_first_call) as discovery:
+        configuration_file.write("127.0.0.1:9", discovery=discovery.address)
+        process = await start_process(configuration_file.path)
+        client = await connect(configuration_file.listen_address)
+        assert was_accepting == [False]
+        assert b"from=1&hold_ms=0 " in discovery.received_requests[0].request_line
+        client.writer.close()
+        process.terminate()
+        assert await process.wait() == 0
+
+
 @pytest.mark.parametrize("signal_number", [signal.SIGKILL, signal.SIGTERM])
 @async_test
 async def test_restart_listens_at_same_address_despite_old_connections(
