Discard the deduplication groups of endpoints that are removed

Change: a removal discards the group. A retry at an endpoint that was removed before the policy has seen that is refused as before, and is no violation of the policy if the class has an idempotency key.

Tests: test_group_of_endpoint_that_a_delta_removes_is_discarded failed before.

--- a/balancer/sidecar/requests/attempt_guard.py
+++ b/balancer/sidecar/requests/attempt_guard.py
@@ -11,7 +11,14 @@
 from collections.abc import Iterable
 from enum import StrEnum
 
-from balancer.policy_api import Endpoint, EndpointId, Idempotency, RequestClass, Settings
+from balancer.policy_api import (
+    Endpoint,
+    EndpointHealth,
+    EndpointId,
+    Idempotency,
+    RequestClass,
+    Settings,
+)
 from balancer.sidecar.requests.in_flight_request import InFlightRequest
 from balancer.sidecar.requests.log_fields import NONE, format_endpoint_id
 from balancer.sidecar.requests.retry_safety import EndpointGroup, is_safe_to_retry
@@ -61,12 +68,14 @@
     # ---- endpoints
 
     def update_endpoints(self, endpoints: Iterable[Endpoint], is_snapshot: bool) -> None:
-        """Store the deduplication groups of the endpoints in an endpoint update."""
+        """Store the deduplication groups of the listed endpoints, and discard those of removed ones."""
         if is_snapshot:
             self._groups.clear()
-        self._groups.update(
-            (endpoint.id, EndpointGroup(endpoint.zone, endpoint.cell)) for endpoint in endpoints
-        )
+        for endpoint in endpoints:
+            if endpoint.health == EndpointHealth.REMOVED:
+                self._groups.pop(endpoint.id, None)
+            else:
+                self._groups[endpoint.id] = EndpointGroup(endpoint.zone, endpoint.cell)
 
     def group_of(self, endpoint_id: EndpointId) -> EndpointGroup | None:
         """Return the deduplication group of an endpoint, or None if the endpoint is not listed."""
@@ -131,11 +140,17 @@
         self._metrics.record_violation(Invariant.ONE_ATTEMPT, detail)
 
     def _record_forbidden_retry(self, request: InFlightRequest, endpoint_id: EndpointId, now_ns: int) -> None:
-        """Record a violation, unless the retry missed its window by less than `MAX_START_DELAY_NS`."""
+        """Record a violation, unless the retry missed its window by less than `MAX_START_DELAY_NS`.
+
+        An endpoint that is not listed may have been removed by an update that the policy has not seen yet, so
+        its group does not show a defect of the policy.
+        """
         request_class = self._class_of(request)
         window_end_ns = _deduplication_end_ns(request, request_class)
-        is_deduplicated = self._is_deduplicated(request, request_class, endpoint_id)
-        if is_deduplicated and now_ns < window_end_ns + MAX_START_DELAY_NS:
+        may_be_deduplicated = self._is_deduplicated(request, request_class, endpoint_id) or (
+            request_class.idempotency == Idempotency.IDEMPOTENCY_KEY and self.group_of(endpoint_id) is None
+        )
+        if may_be_deduplicated and now_ns < window_end_ns + MAX_START_DELAY_NS:
             return
         detail = (
             f"request={request.request_id} endpoint={format_endpoint_id(endpoint_id)} "
--- a/benchmarks/command_line.py
+++ b/benchmarks/command_line.py
@@ -51,9 +51,20 @@
         self.exit(2, f"{self.prog}: {message}\n")
 
 
-def parse_options(program: str, description: str, arguments: Sequence[str] | None) -> BenchmarkOptions:
+def parse_options(
+    program: str,
+    description: str,
+    arguments: Sequence[str] | None,
+    default_entries: tuple[int, ...] = DEFAULT_ENTRIES,
+) -> BenchmarkOptions:
     """Parse the arguments of a benchmark, by default those of the process.
 
+    Args:
+        program: the name of the benchmark.
+        description: what it measures.
+        arguments: the arguments; None for those of the process.
+        default_entries: the lengths of the endpoint list that are measured by default.
+
     Raises:
         SystemExit: after printing the help, or one line that says which argument is invalid.
     """
@@ -63,8 +74,8 @@
         type=_parse_entry_count,
         nargs="+",
         metavar="N",
-        default=DEFAULT_ENTRIES,
-        help=f"lengths of the endpoint list (default: {' '.join(map(str, DEFAULT_ENTRIES))})",
+        default=default_entries,
+        help=f"lengths of the endpoint list (default: {' '.join(map(str, default_entries))})",
     )
     parser.add_argument("--json", action="store_true", help="print one JSON list with an object for each N")
     parsed = parser.parse_args(arguments)
--- a/benchmarks/discovery_stand_in.py
+++ b/benchmarks/discovery_stand_in.py
@@ -45,6 +45,9 @@
         self._health_by_index: dict[int, str] = {}
         self._entry_by_version: dict[int, EndpointJson] = {}
         self._change_condition = asyncio.Condition()
+        self._received_version = 0
+        """The latest version from which a watch has continued."""
+        self._received_condition = asyncio.Condition()
         self._server: asyncio.Server | None = None
         self._connections: set[asyncio.Task[None]] = set()
         self._calls = 0
@@ -86,6 +89,11 @@
             self._entry_by_version[self._version] = endpoint_entry(index, health)
             self._change_condition.notify_all()
 
+    async def wait_until_received(self) -> None:
+        """Wait until a watch has continued from the current version: its client has applied all changes."""
+        async with self._received_condition:
+            await self._received_condition.wait_for(lambda: self._received_version >= self._version)
+
     def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         # If asyncio created the task, it would report the cancellation of the task as an error.
         task = asyncio.create_task(self._serve_connection(reader, writer))
@@ -122,9 +130,15 @@
             raise MalformedCallError(target) from None
         if since_version == 0:
             return self._encode_snapshot()
+        await self._record_received(since_version)
         await self._wait_for_change(since_version, long_poll_timeout_milliseconds / 1000)
         return self._encode_delta(since_version)
 
+    async def _record_received(self, version: int) -> None:
+        async with self._received_condition:
+            self._received_version = max(self._received_version, version)
+            self._received_condition.notify_all()
+
     async def _wait_for_change(self, since_version: int, long_poll_timeout_seconds: float) -> None:
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(long_poll_timeout_seconds), self._change_condition:
