--- a/soak/account_server/attempt_recorder.py
+++ b/soak/account_server/attempt_recorder.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 
 from soak.account_server.http_messages import parse_headers
 from soak.history.clock import HarnessClock
@@ -10,6 +11,7 @@
 from soak.history.history import History
 from soak.network.arrival_log import ArrivalLog
 from soak.network.fault_proxy import FaultProxy
+from soak.request_content import content_digest
 
 
 class AttemptRecorder:
@@ -55,10 +57,23 @@
             connection=self._connection,
             started_at_seconds=arrivals.time_of_byte_seconds(first_byte) if arrivals else now_seconds,
             received_at_seconds=arrivals.time_of_byte_seconds(last_byte) if arrivals else now_seconds,
-            propagated_timeout_seconds=float(headers.get("req-deadline", "nan")),
+            propagated_timeout_seconds=_parse_seconds(headers.get("req-deadline", "")),
+            content_digest=content_digest(message),
+            was_read_slowly=arrivals is not None and arrivals.was_read_slowly,
         )
         self._history.attempts.append(self.current)
 
+    def record_early_rejection(
+        self, message: bytes, first_byte: int, last_byte: int, rejected_at_seconds: float
+    ) -> None:
+        """Record an attempt that was rejected at this time, before its last byte arrived, and ended so."""
+        self.start(message, first_byte, last_byte)
+        if self.current is not None:
+            self.current.received_at_seconds = rejected_at_seconds
+            self.current.ended_at_seconds = rejected_at_seconds
+            self.current.end = AttemptEnd.REJECTED
+        self.current = None
+
     def end(self, end: AttemptEnd) -> None:
         """Record the end of the current attempt, if there is one.
 
@@ -93,3 +108,11 @@
             peer = self._transport.get_extra_info("peername")
             self._cached_arrivals = self._proxy.arrivals_from(peer[1]) if peer else None
         return self._cached_arrivals
+
+
+def _parse_seconds(text: str) -> float:
+    """Return a number of seconds; not a number if the text is none, as in a request that no client sent."""
+    try:
+        return float(text)
+    except ValueError:
+        return math.nan
--- a/soak/account_server/connection.py
+++ b/soak/account_server/connection.py
@@ -71,6 +71,8 @@
         self._attempts = AttemptRecorder(state.name, number, state.clock, state.history, state.proxy)
         self._buffer = b""
         self._consumed_bytes = 0
+        self._rejected_at_seconds: float | None = None
+        """When the request that is arriving was rejected; None if it was not."""
         self._transport: asyncio.Transport | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -84,7 +86,10 @@
         self._buffer += data
         while self._attempts.current is None:
             size_bytes = request_size_bytes(self._buffer)
-            if size_bytes is None or len(self._buffer) < size_bytes:
+            if size_bytes is None:
+                return
+            if len(self._buffer) < size_bytes:
+                self._reject_early()
                 return
             message = self._buffer[:size_bytes]
             self._buffer = self._buffer[size_bytes:]
@@ -106,6 +111,12 @@
         if message.startswith(PROBE_PREFIXES):
             self._write(EMPTY_RESPONSE)
             return
+        if self._rejected_at_seconds is not None:
+            self._attempts.record_early_rejection(
+                message, first_byte, self._consumed_bytes, self._rejected_at_seconds
+            )
+            self._rejected_at_seconds = None
+            return
         self._attempts.start(message, first_byte, self._consumed_bytes)
         match self._state.fault:
             case ServerFault.HANG:
@@ -118,6 +129,12 @@
             case _:
                 self._state.work_queue.add(self._respond)
 
+    def _reject_early(self) -> None:
+        """Reject a request whose head is complete, under the fault that does so, and go on reading."""
+        if self._state.fault == ServerFault.REJECT_EARLY and self._rejected_at_seconds is None:
+            self._rejected_at_seconds = self._state.clock.now_seconds()
+            self._write(REJECTION_RESPONSE)
+
     def _respond(self) -> None:
         attempt = self._attempts.current
         if attempt is None or self._transport is None or self._transport.is_closing():
--- a/soak/account_server/http_messages.py
+++ b/soak/account_server/http_messages.py
@@ -23,7 +23,9 @@
         return None
     head_bytes = head_end + len(HEAD_END)
     headers = parse_headers(data[:head_bytes])
-    return head_bytes + int(headers.get("content-length", "0"))
+    stated_length = headers.get("content-length", "0")
+    # A length that is no number belongs to a request that no client has sent, which is recorded as it is.
+    return head_bytes + (int(stated_length) if stated_length.isdecimal() else 0)
 
 
 def parse_headers(message: bytes) -> Mapping[str, str]:
--- a/soak/account_server/server.py
+++ b/soak/account_server/server.py
@@ -18,6 +18,8 @@
 
 SLOW_SERVICE_TIME_FACTOR = 8.0
 """Factor by which a slow server takes longer for each request."""
+NARROW_SHARE = 0.4
+"""Share of the servers whose connections have small segments and receive buffers."""
 LISTEN_HOST = "127.0.0.1"
 """The host at which the server listens; only its proxy connects to it."""
 NANOSECONDS_PER_MILLISECOND = 1_000_000
@@ -46,7 +48,8 @@
         random: Random,
     ) -> None:
         self.identity = identity
-        self.proxy = FaultProxy(clock, random, identity.host)
+        is_narrow = random.random() < NARROW_SHARE
+        self.proxy = FaultProxy(clock, random, identity.host, is_narrow)
         self.started_at_ms = 0
         """The start time in the endpoint list, in milliseconds since the Unix epoch; 0 if it was long ago."""
         self._deployment = deployment
--- a/soak/account_server/server_fault.py
+++ b/soak/account_server/server_fault.py
@@ -23,3 +23,4 @@
     DUPLICATE_RESPONSE = "sends a duplicate response"
     NO_LENGTH = "responds without a length and closes"
     CLOSE_IDLE = "closes after each response"
+    REJECT_EARLY = "rejects long requests before it has read them"
--- a/soak/clients/request_factory.py
+++ b/soak/clients/request_factory.py
@@ -7,11 +7,16 @@
 
 from soak.deployment import TENANTS, Deployment, Idempotency, RequestClass
 from soak.history.events import ClientRequest
+from soak.request_content import content_digest
 
 RESOURCE_KEY_COUNT = 200
 """Number of distinct resource keys; low ones are drawn more often."""
 MAX_BODY_BYTES = 20_000
 """Upper limit of a request's body, in bytes; the larger bodies need several reads."""
+MAX_LONG_BODY_BYTES = 65_000
+"""Upper limit of a long body, in bytes; the kernel does not take all of it at once on a narrow connection."""
+LONG_BODY_PROBABILITY = 0.1
+"""Probability that a body is drawn from the range of long ones."""
 MIN_TIMEOUT_SHARE = 0.7
 """The shortest timeout that a client sets, as a share of the timeout of its request class."""
 
@@ -48,12 +53,14 @@
             timeout_seconds=round(request_class.timeout_seconds * timeout_share, 3),
             is_first_on_connection=True,
         )
-        return PreparedRequest(request, self._encode(request, request_class, requests_close))
+        data = self._encode(request, request_class, requests_close)
+        request.content_digest = content_digest(data)
+        return PreparedRequest(request, data)
 
     def _encode(self, request: ClientRequest, request_class: RequestClass, requests_close: bool) -> bytes:
         """Return the bytes of a request; another order of the draws would change what a seed stands for."""
         has_body = request_class.idempotency != Idempotency.IDEMPOTENT
-        body = self._random.randbytes(self._random.randrange(MAX_BODY_BYTES)) if has_body else b""
+        body = self._draw_body() if has_body else b""
         key = int(RESOURCE_KEY_COUNT * self._random.random() ** 2)
         lines = [
             f"{'POST' if has_body else 'GET'} /api?k={key:x} HTTP/1.1",
@@ -70,3 +77,9 @@
         if requests_close:
             lines.append("Connection: close")
         return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+    def _draw_body(self) -> bytes:
+        is_long = self._random.random() < LONG_BODY_PROBABILITY
+        return self._random.randbytes(
+            self._random.randrange(MAX_LONG_BODY_BYTES if is_long else MAX_BODY_BYTES)
+        )
--- a/soak/fault_injection/account_server_faults.py
+++ b/soak/fault_injection/account_server_faults.py
@@ -10,14 +10,19 @@
 from soak.fault_plan import FaultKind, PlannedFault
 from soak.fleet import Fleet
 from soak.history.events import EndpointHealth
+from soak.network.proxy_mode import ProxyMode
 
+SLOW_READ_BYTES_PER_SECOND = 100_000
+"""Bytes that a server reads in a second while it rejects early; a long request takes over half a second."""
+SLOW_READ_EXTRA_SECONDS = 0.5
+"""Seconds for which a server still reads slowly after it has stopped to reject requests early."""
 MAX_DRAIN_SECONDS = 2.0
 """Seconds for which a server drains before it is removed, at most."""
 
 
 def selected_server_fault(strength: float) -> ServerFault:
     """Return the misbehaviour of a server that a fault of this strength selects."""
-    faults = [fault for fault in ServerFault if fault != ServerFault.NONE]
+    faults = [fault for fault in ServerFault if fault not in (ServerFault.NONE, ServerFault.REJECT_EARLY)]
     return faults[int(strength * len(faults)) % len(faults)]
 
 
@@ -39,6 +44,7 @@
         return {
             FaultKind.SERVER_MISBEHAVES: self._misbehave,
             FaultKind.DUPLICATE_RESPONSES: self._send_duplicate_responses,
+            FaultKind.SERVERS_REJECT_EARLY: self._reject_early,
             FaultKind.SERVER_RESTARTS: self._restart,
             FaultKind.SERVER_DRAINS: self._drain,
         }
@@ -54,15 +60,32 @@
 
     async def _send_duplicate_responses(self, fault: PlannedFault) -> str:
         """Make all servers without another fault send duplicate responses."""
+        servers = await self._run_with_fault(fault, ServerFault.DUPLICATE_RESPONSE)
+        return f"{len(servers)} servers"
+
+    async def _reject_early(self, fault: PlannedFault) -> str:
+        """Make all servers without another fault reject long requests early, and read them slowly."""
+        servers = [server for server in self._fleet.servers if server.fault == ServerFault.NONE]
+        for server in servers:
+            server.proxy.set_mode(ProxyMode(slow_read_bytes_per_second=SLOW_READ_BYTES_PER_SECOND))
+        await self._run_with_fault(fault, ServerFault.REJECT_EARLY)
+        # Some bytes are read slowly after the fault, too, so that connections that were kept carry requests.
+        await asyncio.sleep(SLOW_READ_EXTRA_SECONDS)
+        for server in servers:
+            server.proxy.set_mode(ProxyMode())
+        return f"{len(servers)} servers"
+
+    async def _run_with_fault(self, fault: PlannedFault, server_fault: ServerFault) -> list[AccountServer]:
+        """Give all servers without another fault this one for the duration of a planned fault."""
         servers = [server for server in self._fleet.servers if server.fault == ServerFault.NONE]
         for server in servers:
-            server.fault = ServerFault.DUPLICATE_RESPONSE
+            server.fault = server_fault
         await asyncio.sleep(fault.seconds)
         for server in servers:
-            if server.fault == ServerFault.DUPLICATE_RESPONSE:
+            if server.fault == server_fault:
                 server.fault = ServerFault.NONE
                 server.record_fault_end()
-        return f"{len(servers)} servers"
+        return servers
 
     async def _restart(self, fault: PlannedFault) -> str:
         """Crash a server, and start it again as a new process that warms up."""
--- a/soak/fault_plan.py
+++ b/soak/fault_plan.py
@@ -58,6 +58,7 @@
     CLIENTS_DISCONNECT = "all clients of a sidecar disconnect at once"
     CLIENTS_MISBEHAVE = "clients misbehave more often"
     CLIENTS_PIPELINE = "clients pipeline many requests"
+    SERVERS_REJECT_EARLY = "account servers reject long requests early and read the rest slowly"
 
 
 @dataclass(frozen=True, slots=True)
--- a/soak/history/events.py
+++ b/soak/history/events.py
@@ -47,6 +47,8 @@
     """When its last byte was written; 0 if it has not been written."""
     timeout_seconds: float
     is_first_on_connection: bool
+    content_digest: str = ""
+    """The digest of what has to reach an account server unchanged (see `soak.request_content`)."""
     connection_idle_seconds: float = 0.0
     """How long its connection had been idle before the request was sent."""
     blocked_until_seconds: float = 0.0
@@ -84,6 +86,10 @@
     """When its last byte arrived."""
     propagated_timeout_seconds: float
     """The remaining time that the sidecar announced to the server."""
+    content_digest: str = ""
+    """The digest of what the server received (see `soak.request_content`)."""
+    was_read_slowly: bool = False
+    """Whether its bytes had to wait at the server's machine until they were read."""
     ended_at_seconds: float | None = None
     end: AttemptEnd | None = None
     body: str = ""
--- a/soak/invariants/attempts.py
+++ b/soak/invariants/attempts.py
@@ -105,6 +105,17 @@
             yield violation("retried outside its deduplication scope")
 
 
+def check_request_integrity(history: History, _deployment: Deployment) -> Iterator[Violation]:
+    """An account server receives only requests that a client has sent, byte by byte."""
+    for attempt in history.attempts:
+        request = history.requests.get(attempt.request_id)
+        if request is not None and attempt.content_digest != request.content_digest:
+            message = f"{attempt.server} received something else than the client had sent"
+            yield request_violation(
+                Invariant.REQUEST_INTEGRITY, message, attempt.received_at_seconds, request
+            )
+
+
 def check_disconnected_clients(history: History, _deployment: Deployment) -> Iterator[Violation]:
     """No attempt starts for a client that has disconnected."""
     for attempt in history.attempts:
@@ -123,12 +134,18 @@
 
 
 def check_deadline_propagation(history: History, _deployment: Deployment) -> Iterator[Violation]:
-    """An attempt announces no more remaining time to its server than its client has left."""
+    """An attempt announces no more remaining time to its server than its client has left.
+
+    Where the server reads slowly, this counts from the first byte, as the sidecar announces the time when it
+    writes.
+    """
     for attempt in history.attempts:
         request = history.requests.get(attempt.request_id)
         if request is None:
             continue
         received_at_seconds = attempt.received_at_seconds
+        if attempt.was_read_slowly:
+            received_at_seconds = attempt.started_at_seconds
         remaining_seconds = request.deadline_seconds - received_at_seconds
         slack_seconds = DEADLINE_SLACK_SECONDS + SOCKET_SLACK_SECONDS
         slack_seconds += history.lag_seconds_within(
--- a/soak/invariants/registry.py
+++ b/soak/invariants/registry.py
@@ -4,7 +4,12 @@
 
 from soak.deployment import Deployment
 from soak.history.history import History
-from soak.invariants.attempts import check_deadline_propagation, check_disconnected_clients, check_retries
+from soak.invariants.attempts import (
+    check_deadline_propagation,
+    check_disconnected_clients,
+    check_request_integrity,
+    check_retries,
+)
 from soak.invariants.endpoint_list import check_drains
 from soak.invariants.processes import check_malformed_peers, check_processes, check_recovery
 from soak.invariants.responses import check_final_responses, check_rejections, check_response_origin
@@ -15,6 +20,7 @@
     check_final_responses,
     check_response_origin,
     check_rejections,
+    check_request_integrity,
     check_retries,
     check_disconnected_clients,
     check_deadline_propagation,
--- a/soak/invariants/violation.py
+++ b/soak/invariants/violation.py
@@ -17,6 +17,7 @@
     FINAL_RESPONSE = "final response"
     RESPONSE_ORIGIN = "response origin"
     REJECTION = "rejection"
+    REQUEST_INTEGRITY = "request integrity"
     DUPLICATE_EXECUTION = "duplicate execution"
     ATTEMPT_LIMIT = "attempt limit"
     CONCURRENT_ATTEMPTS = "concurrent attempts"
--- a/soak/mutants.py
+++ b/soak/mutants.py
@@ -69,6 +69,45 @@
         "            request.attempt.end_unless_transmitted(AttemptOutcome.CANCELLED)",
         "            pass",
     ),
+    Mutant(
+        "a connection is not reused while a part of its last request is unsent",
+        (
+            Replacement(
+                "balancer/sidecar/http/outbound_connection.py",
+                "undelivered_bytes = self.undelivered_byte_count if response is not None else 0",
+                "undelivered_bytes = 0",
+            ),
+            Replacement(
+                "balancer/sidecar/http/outbound_connection.py",
+                "if transport is None or transport.is_closing() or self.has_unsent_bytes:",
+                "if transport is None or transport.is_closing():",
+            ),
+        ),
+    ),
+    _mutant(
+        "a request that the kernel has not transmitted is given up when its client disconnects",
+        "balancer/sidecar/upstream/attempt.py",
+        "if not self.end_unless_sent() and self._has_untransmitted_bytes:",
+        "if not self.end_unless_sent() and False:",
+    ),
+    _mutant(
+        "a closing connection stays open while its client reads the response",
+        "balancer/sidecar/downstream/timeout_enforcement.py",
+        "    if connection.has_unsent_response:\n        return effective.timeouts.unread_response_seconds\n",
+        "",
+    ),
+    _mutant(
+        "a request that is arriving is not evicted while others rest",
+        "balancer/sidecar/downstream/eviction.py",
+        "    return connection.is_idle and not _is_served(connection)",
+        "    return not _is_served(connection)",
+    ),
+    _mutant(
+        "a late response of a slow source is accepted",
+        "balancer/sidecar/discovery/call.py",
+        "            self._late_calls.add(call)",
+        "            call.cancel()",
+    ),
     _mutant(
         "a request that may have executed is retried only if it is idempotent",
         "balancer/policy/requests/retry.py",
--- a/soak/network/arrival_log.py
+++ b/soak/network/arrival_log.py
@@ -18,6 +18,9 @@
     reset_at_seconds: float | None = None
     """When the proxy reset the connection."""
 
+    was_read_slowly: bool = False
+    """Whether bytes had to wait until the proxy read them."""
+
     def record(self, byte_count: int, at_seconds: float) -> None:
         """Record the arrival of further bytes."""
         total_bytes = self.byte_counts[-1] if self.byte_counts else 0
--- a/soak/network/fault_proxy.py
+++ b/soak/network/fault_proxy.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from random import Random
 
 from soak.history.clock import HarnessClock
@@ -11,6 +12,11 @@
 from soak.network.proxy_mode import ProxyMode, ProxyModeSwitch
 from soak.network.sockets import Address
 
+ETHERNET_SEGMENT_BYTES = 1460
+"""Size of the segments of a narrow connection."""
+NARROW_BUFFER_BYTES = 4096
+"""Size of the receive buffer of a narrow connection; the kernel allows for twice as much."""
+
 
 class FaultProxy:
     """Listens at an address of its own and forwards connections to the server behind it.
@@ -20,12 +26,15 @@
         random: draws whether a piece of data causes a reset, and the length of pauses.
         host: where to listen. No outgoing connection should use this host, as it could take the port while
             the proxy is stopped.
+        is_narrow: whether its connections have the segments of an Ethernet and a small receive buffer. The
+            kernel of a sidecar then takes only a part of a long request, as it does between two machines.
     """
 
-    def __init__(self, clock: HarnessClock, random: Random, host: str) -> None:
+    def __init__(self, clock: HarnessClock, random: Random, host: str, is_narrow: bool = False) -> None:
         self.address: Address = (host, 0)
+        self.is_narrow = is_narrow
         self._mode_switch = ProxyModeSwitch()
-        self._state = ProxyState(clock, random, self._mode_switch, backend=(host, 0))
+        self._state = ProxyState(clock, random, self._mode_switch, backend=(host, 0), is_narrow=is_narrow)
         self._listener: asyncio.Server | None = None
 
     def set_mode(self, mode: ProxyMode) -> None:
@@ -36,9 +45,18 @@
         """Listen in front of a server, at a free port the first time and at the same port after that."""
         self._state.backend = backend
         loop = asyncio.get_running_loop()
-        self._listener = await loop.create_server(self._make_protocol, *self.address)
+        self._listener = await loop.create_server(self._make_protocol, sock=self._open_socket())
         self.address = self._listener.sockets[0].getsockname()[:2]
 
+    def _open_socket(self) -> socket.socket:
+        listening = socket.socket()
+        listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        if self.is_narrow:
+            listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, NARROW_BUFFER_BYTES)
+            listening.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, ETHERNET_SEGMENT_BYTES)
+        listening.bind(self.address)
+        return listening
+
     def stop(self) -> None:
         """Refuse new connections and reset the open ones, as a crash of the server would."""
         if self._listener is not None:
--- a/soak/network/proxied_connection.py
+++ b/soak/network/proxied_connection.py
@@ -25,6 +25,8 @@
     mode_switch: ProxyModeSwitch
     backend: Address
     """Where the server behind the proxy listens."""
+    is_narrow: bool = False
+    """Whether the sidecars' connections have small segments and receive buffers."""
     connections: set[ProxiedConnection] = field(default_factory=set)
     """The open connections."""
     arrivals_by_port: dict[int, ArrivalLog] = field(default_factory=dict)
@@ -158,6 +160,16 @@
         """Forward data from the sidecar, and record its arrival."""
         self._arrivals.record(len(data), self._state.clock.now_seconds())
         self._to_server.feed(data)
+        bytes_per_second = self._state.mode_switch.mode.slow_read_bytes_per_second
+        if bytes_per_second and self._state.is_narrow and self._sidecar is not None:
+            self._arrivals.was_read_slowly = True
+            self._sidecar.pause_reading()
+            loop = asyncio.get_running_loop()
+            loop.call_later(len(data) / bytes_per_second, self._resume_reading)
+
+    def _resume_reading(self) -> None:
+        if self._sidecar is not None and not self._sidecar.is_closing():
+            self._sidecar.resume_reading()
 
     def on_server_data(self, data: bytes) -> None:
         """Forward data from the server."""
--- a/soak/network/proxy_mode.py
+++ b/soak/network/proxy_mode.py
@@ -14,6 +14,8 @@
     """Delay of each piece of data, in each direction."""
     piece_bytes: int = 0
     """The largest piece that is forwarded at once; 0 for no limit."""
+    slow_read_bytes_per_second: int = 0
+    """How fast bytes are read from the sidecar; 0 for no limit."""
     is_black_hole: bool = False
     """Whether neither data nor the end of a connection is forwarded; new connections are accepted."""
     reset_probability: float = 0.0
