Do not reuse a connection for 16 ms, as a second response may come 12 ms late

Cause: a connection was reused 8 ms after a response.

Change: 16 ms. A second response that comes later than that is still detected where it precedes the arrival of the next request at the server's machine; from then until the own response of that request nothing tells the two apart.

Test: test_second_response_some_milliseconds_late_meets_no_request, 9 and 12 ms; both failed before.

--- a/balancer/sidecar/upstream/pool.py
+++ b/balancer/sidecar/upstream/pool.py
@@ -5,14 +5,15 @@
 from balancer.policy_api import EndpointHealth, EndpointId
 from balancer.sidecar.http.outbound_connection import OutboundConnection
 from balancer.sidecar.runtime.address import Address
-from balancer.time_units import SECOND_NS
+from balancer.time_units import MILLISECOND_NS, SECOND_NS
 
-CONNECTION_REUSE_DELAY_NS = SECOND_NS // 125
-"""How long a connection is not reused after a response: 8 ms.
+CONNECTION_REUSE_DELAY_NS = 16 * MILLISECOND_NS
+"""How long a connection is not reused after a response.
 
 An endpoint may send a second response to a request some milliseconds after the first. If another request had
 been written in the meantime, the second response would be taken for the response to that request. It would be
-forwarded to the wrong client, or wrongly state that the request was not executed.
+forwarded to the wrong client, or wrongly state that the request was not executed. One that arrives even later
+is detected only if it comes before the next request has reached the endpoint's machine.
 """
 
 SURPLUS_IDLE_TIMEOUT_NS = 4 * SECOND_NS
--- a/soak/mutants.py
+++ b/soak/mutants.py
@@ -153,7 +153,7 @@
     _mutant(
         "a connection is not reused right after a response",
         "balancer/sidecar/upstream/pool.py",
-        "CONNECTION_REUSE_DELAY_NS = SECOND_NS // 125",
+        "CONNECTION_REUSE_DELAY_NS = 16 * MILLISECOND_NS",
         "CONNECTION_REUSE_DELAY_NS = 0",
     ),
     _mutant(
--- a/tests/sidecar/upstream/test_pool.py
+++ b/tests/sidecar/upstream/test_pool.py
@@ -8,7 +8,7 @@
 
 from balancer.policy_api import ClientDisconnected, RequestReceived
 from balancer.sidecar.upstream.pool import CONNECTION_REUSE_DELAY_NS, SURPLUS_IDLE_TIMEOUT_NS
-from balancer.time_units import SECOND_NS
+from balancer.time_units import MILLISECOND_NS, SECOND_NS
 from tests.sidecar.event_loop import async_test, wait_until
 from tests.sidecar.messages import ok_response, request_bytes
 from tests.sidecar.scripted_endpoint import ReceivedRequest, answer_ok, run_endpoint
@@ -145,3 +145,16 @@
     for writer in connections:
         writer.close()
     server.close()
+
+
+@pytest.mark.parametrize("lateness_ms", [9, 12])
+@async_test
+async def test_second_response_some_milliseconds_late_meets_no_request(lateness_ms: int) -> None:
+    # Guards against: the late second response to one request is passed on to the client of the next.
+    async with run_endpoint(answer_ok) as endpoint:
+        now_ns = SECOND_NS
+        _, upstream, pool = create_upstream(endpoint.address, now_ns=lambda: now_ns)
+        connection = await upstream.connect(pool)
+        pool.release(connection, now_ns)
+        assert pool.acquire(now_ns + lateness_ms * MILLISECOND_NS) is None
+        assert pool.idle_connections == [connection]
