Soak: restart the deadlines of changes before an agent listens again

Cause (a false alarm): at the end of an outage the agent counted as up, then awaited its listener, and only then restarted the deadlines. A sample in between recorded the changes of the outage as known from when they were made.

Change: the deadlines restart first. Test: test_change_made_during_an_outage_is_due_at_its_end, failed before.

--- a/soak/discovery/agent.py
+++ b/soak/discovery/agent.py
@@ -90,13 +90,13 @@
     async def recover(self) -> None:
         """End one outage; after the last one, listen at the same address again.
 
-        The deadlines of pending changes then start again.
+        The deadlines of pending changes then start again, before any of them can be recorded as overdue.
         """
         self._outage_count -= 1
         if self.is_down:
             return
-        self._listener = await self._listen(self.address)
         self._deadlines.restart()
+        self._listener = await self._listen(self.address)
 
     def record_process_start(self) -> None:
         """Record that a new process has to know all draining and removed servers from its start."""
