Soak: do not count a soak that could not run as a detected mutant

A soak that ended with status 2, as without a C compiler, counted as having detected its mutant. It is now reported as COULD NOT RUN, and the exit status is 1. Test: test_soak_that_could_not_run_kills_no_mutant.

--- a/soak/mutation_testing.py
+++ b/soak/mutation_testing.py
@@ -43,8 +43,8 @@
 other, until an invariant is broken. A mutant removes one safeguard of the sidecar; the soak should notice it.
 """
 EPILOG = """\
-Exit status: 0 if every mutant was killed, 1 if one survived, 2 if the arguments are wrong or a mutant cannot
-be applied.
+Exit status: 0 if every mutant was killed, 1 if one survived or its soak could not run, 2 if the arguments are
+wrong or a mutant cannot be applied.
 """
 
 
@@ -56,20 +56,24 @@
     seed: int
     """The seed that killed it, or the last one."""
     violation_counts: dict[str, int]
-    """How often each invariant was broken, or else the exit status of a soak that could not run."""
+    """How often each invariant was broken."""
     first_message: str
-    """The message of the first violation, or the end of the standard error."""
+    """The message of the first violation, or the end of the standard error of a soak that could not run."""
+    could_not_run: bool = False
+    """Whether the last soak could not run, so that it says nothing about the mutant."""
 
     @property
     def is_killed(self) -> bool:
-        """Whether an invariant was broken, or the soak could not run."""
+        """Whether an invariant was broken."""
         return bool(self.violation_counts)
 
     def to_text(self) -> str:
         """Return the result as one line."""
+        message = self.first_message[:MAX_MESSAGE_CHARACTERS]
+        if self.could_not_run:
+            return f"{self.mutant}: COULD NOT RUN with seed {self.seed}: {message}"
         if not self.is_killed:
             return f"{self.mutant}: SURVIVED"
-        message = self.first_message[:MAX_MESSAGE_CHARACTERS]
         return f"{self.mutant}: killed by seed {self.seed}: {self.violation_counts}, first: {message}"
 
 
@@ -101,7 +105,7 @@
         result = MutantResult(mutant.name, 0, {}, "")
         for seed in seeds:
             result = _run_soak(mutant, root, seed, seconds)
-            if result.is_killed:
+            if result.is_killed or result.could_not_run:
                 break
         return result
 
@@ -131,8 +135,7 @@
     if process.returncode == ExitStatus.FINDING:
         report = json.loads(report_file.read_text())
         return MutantResult(mutant.name, seed, report["broken"], report["violations"][0]["message"])
-    status = f"the soak ended with status {process.returncode}"
-    return MutantResult(mutant.name, seed, {status: 1}, process.stderr[-MAX_ERROR_CHARACTERS:])
+    return MutantResult(mutant.name, seed, {}, process.stderr[-MAX_ERROR_CHARACTERS:], could_not_run=True)
 
 
 def _select_mutants(words: Sequence[str]) -> list[Mutant]:
--- a/tests/soak/test_mutation_testing.py
+++ b/tests/soak/test_mutation_testing.py
@@ -9,7 +9,7 @@
 
 from soak.errors import MutationError
 from soak.mutants import MUTANTS, Mutant, Replacement
-from soak.mutation_testing import apply_mutant, main
+from soak.mutation_testing import MutantResult, apply_mutant, main
 
 ROOT = Path(__file__).parent.parent.parent
 
@@ -52,3 +52,10 @@
         main(["--help"])
     assert caught.value.code == 0
     assert "A mutant removes one safeguard of the sidecar" in " ".join(capsys.readouterr().out.split())
+
+
+def test_soak_that_could_not_run_kills_no_mutant() -> None:
+    result = MutantResult("guarded", 3, {}, "no C compiler", could_not_run=True)
+    assert not result.is_killed
+    assert result.to_text() == "guarded: COULD NOT RUN with seed 3: no C compiler"
+    assert MutantResult("guarded", 3, {"drain": 1}, "late").to_text().startswith("guarded: killed by seed 3")
