Soak: clients that read long responses slowly, second responses 12 ms late

Clients on narrow connections read responses of 60,000 bytes at 64 kB a second; one that is cut off while its client reads, with no end of its process near, is a violation. Second responses come up to 12 ms late (3 ms before). The retry of a slow writer sends the whole request, not its last piece. The limit for a keep-alive race stands in one place.

--- a/soak/account_server/attempt_recorder.py
+++ b/soak/account_server/attempt_recorder.py
@@ -5,7 +5,7 @@
 import asyncio
 import math
 
-from soak.account_server.http_messages import parse_headers
+from soak.account_server.http_messages import parse_headers, requested_response_bytes
 from soak.history.clock import HarnessClock
 from soak.history.events import Attempt, AttemptEnd
 from soak.history.history import History
@@ -22,12 +22,14 @@
 
     Attributes:
         current: the attempt in progress, or None.
+        requested_response_bytes: the size of the response that the last request asked for; 0 if it did not.
     """
 
     def __init__(
         self, server: str, connection: int, clock: HarnessClock, history: History, proxy: FaultProxy
     ) -> None:
         self.current: Attempt | None = None
+        self.requested_response_bytes = 0
         self._server = server
         self._connection = connection
         self._clock = clock
@@ -51,6 +53,7 @@
         headers = parse_headers(message)
         now_seconds = self._clock.now_seconds()
         arrivals = self._arrivals()
+        self.requested_response_bytes = requested_response_bytes(message)
         self.current = Attempt(
             request_id=headers.get("req-id", ""),
             server=self._server,
--- a/soak/account_server/connection.py
+++ b/soak/account_server/connection.py
@@ -25,9 +25,9 @@
 from soak.network.fault_proxy import FaultProxy
 from soak.network.sockets import reset_transport
 
-MAX_DUPLICATE_DELAY_SECONDS = 0.003
+MAX_DUPLICATE_DELAY_SECONDS = 0.011
 """Longest delay, in seconds, between a response and its duplicate."""
-MAX_DUPLICATE_LATENESS_SECONDS = 2 * MAX_DUPLICATE_DELAY_SECONDS
+MAX_DUPLICATE_LATENESS_SECONDS = 0.012
 """Seconds after a response beyond which its duplicate is dropped.
 
 A duplicate is allowed only within a few milliseconds, and the event loop of the soak may be late.
@@ -139,7 +139,8 @@
         attempt = self._attempts.current
         if attempt is None or self._transport is None or self._transport.is_closing():
             return
-        filler = FILLER * self._state.random.randrange(MAX_FILLER_BYTES)
+        requested_bytes = self._attempts.requested_response_bytes
+        filler = FILLER * (requested_bytes or self._state.random.randrange(MAX_FILLER_BYTES))
         attempt.body = f"{attempt.request_id} {self._state.next_execution_id()} {filler}"
         self._send_response(attempt.body.encode())
         self._attempts.end(AttemptEnd.ANSWERED)
--- a/soak/account_server/http_messages.py
+++ b/soak/account_server/http_messages.py
@@ -28,6 +28,13 @@
     return head_bytes + (int(stated_length) if stated_length.isdecimal() else 0)
 
 
+def requested_response_bytes(message: bytes) -> int:
+    """Return the size of the response that a request asks for in its query; 0 if it does not."""
+    _path, _separator, size = message.partition(b"\r\n")[0].partition(b"&size=")
+    digits = size.partition(b" ")[0]
+    return int(digits) if digits.isdigit() else 0
+
+
 def parse_headers(message: bytes) -> Mapping[str, str]:
     """Return the header fields of a message, with their names in lower case."""
     head = message.partition(HEAD_END)[0].decode("latin-1")
--- a/soak/clients/behaviour.py
+++ b/soak/clients/behaviour.py
@@ -19,6 +19,7 @@
     RESETS = "resets the connection before the response"
     WRITES_SLOWLY = "writes in pieces"
     REQUESTS_CLOSE = "requests that the connection be closed"
+    READS_SLOWLY = "reads a long response slowly"
     PIPELINES = "pipelines many requests"
     SENDS_GARBAGE = "sends garbage"
     STALLS_IN_REQUEST = "stops in the middle of a request"
@@ -55,6 +56,7 @@
             Behaviour.RESETS: 1.0,
             Behaviour.WRITES_SLOWLY: 4.0,
             Behaviour.REQUESTS_CLOSE: 4.0,
+            Behaviour.READS_SLOWLY: 3.0,
             Behaviour.PIPELINES: 0.5,
             Behaviour.SENDS_GARBAGE: 0.3,
             Behaviour.STALLS_IN_REQUEST: 0.3,
--- a/soak/clients/connection.py
+++ b/soak/clients/connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections import deque
 from dataclasses import dataclass
 from typing import cast
@@ -10,8 +11,10 @@
 from soak.clients.response_parser import Response, ResponseParser
 from soak.history.clock import HarnessClock
 from soak.history.events import ClientRequest, ConnectionEnd
-from soak.network.sockets import Address, reset_transport
+from soak.network.sockets import Address, make_narrow, reset_transport
 
+SLOW_READ_BYTES_PER_SECOND = 64_000
+"""How many bytes a client reads in a second that reads slowly."""
 FIRST_BYTES_LENGTH = 64
 """Number of bytes that are kept of the first data from a sidecar; enough for a status line."""
 
@@ -37,6 +40,7 @@
         request_count: the number of requests written.
         is_open: whether neither side has closed the connection or announced its close.
         first_bytes: the first bytes that the sidecar sent.
+        reads_slowly: whether bytes are read at `SLOW_READ_BYTES_PER_SECOND`.
     """
 
     def __init__(self, clock: HarnessClock) -> None:
@@ -49,17 +53,28 @@
         self.request_count = 0
         self.is_open = False
         self.first_bytes = b""
+        self.reads_slowly = False
 
     @classmethod
-    async def open(cls, address: Address, clock: HarnessClock, timeout_seconds: float) -> ClientConnection:
-        """Connect to a sidecar.
+    async def open(
+        cls, address: Address, clock: HarnessClock, timeout_seconds: float, reads_slowly: bool = False
+    ) -> ClientConnection:
+        """Connect to a sidecar, perhaps as a client that reads slowly.
 
         Raises:
             OSError: the connection failed or timed out.
         """
         loop = asyncio.get_running_loop()
         async with asyncio.timeout(timeout_seconds):
-            _, protocol = await loop.create_connection(lambda: cls(clock), *address)
+            if not reads_slowly:
+                _, protocol = await loop.create_connection(lambda: cls(clock), *address)
+                return protocol
+            unconnected = socket.socket()
+            unconnected.setblocking(False)
+            make_narrow(unconnected)
+            await loop.sock_connect(unconnected, address)
+            _, protocol = await loop.create_connection(lambda: cls(clock), sock=unconnected)
+        protocol.reads_slowly = True
         return protocol
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -69,6 +84,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Record the responses that are complete."""
+        self._limit_reading(len(data))
         if not self.first_bytes:
             self.first_bytes = data[:FIRST_BYTES_LENGTH]
         self._parser.feed(data)
@@ -129,6 +145,17 @@
         done, _ = await asyncio.wait((self._lost,), timeout=timeout_seconds)
         return bool(done)
 
+    def _limit_reading(self, byte_count: int) -> None:
+        """Pause after bytes have been read, if the client reads slowly."""
+        if self.reads_slowly and self._transport is not None and not self._transport.is_closing():
+            self._transport.pause_reading()
+            pause_seconds = byte_count / SLOW_READ_BYTES_PER_SECOND
+            asyncio.get_running_loop().call_later(pause_seconds, self._resume_reading)
+
+    def _resume_reading(self) -> None:
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.resume_reading()
+
     def _close(self, by_reset: bool) -> None:
         self.is_open = False
         for pending in self._pending:
--- a/soak/clients/connection_pool.py
+++ b/soak/clients/connection_pool.py
@@ -37,13 +37,13 @@
             self._open.discard(connection)
         return await self.connect()
 
-    async def connect(self) -> ClientConnection | None:
-        """Return a new connection, or None if it cannot be established."""
+    async def connect(self, reads_slowly: bool = False) -> ClientConnection | None:
+        """Return a new connection, or None if it cannot be established; its client may read slowly."""
         if not self._may_connect():
             return None
         try:
             connection = await ClientConnection.open(
-                self._sidecar.address, self._clock, CONNECT_TIMEOUT_SECONDS
+                self._sidecar.address, self._clock, CONNECT_TIMEOUT_SECONDS, reads_slowly
             )
         except OSError:
             return None
--- a/soak/clients/load.py
+++ b/soak/clients/load.py
@@ -6,7 +6,7 @@
 from random import Random
 
 from soak.clients.behaviour import MALFORMED_BEHAVIOURS, Behaviour, default_profile
-from soak.clients.connection import ClientConnection
+from soak.clients.connection import SLOW_READ_BYTES_PER_SECOND, ClientConnection
 from soak.clients.connection_pool import ConnectionPool
 from soak.clients.malformed_client import MalformedClientRunner
 from soak.clients.request_factory import PreparedRequest, RequestFactory
@@ -14,12 +14,13 @@
 from soak.history.clock import HarnessClock
 from soak.history.events import ClientRequest
 from soak.history.history import History
+from soak.history.keep_alive_race import KEEP_ALIVE_RACE_SECONDS, seconds_until_end
 from soak.sidecar.process import SidecarProcess
 
 RESPONSE_GRACE_SECONDS = 0.55
 """Seconds that clients wait beyond their deadline, to distinguish late responses from missing ones."""
-KEEP_ALIVE_RACE_SECONDS = 0.05
-"""Seconds. A client retries a request if its idle connection ended less than this after it was sent."""
+LONG_RESPONSE_BYTES = 60_000
+"""Size of the response that a client reads slowly."""
 MAX_SLOW_WRITE_SECONDS = 0.3
 """Longest time, in seconds, that a client takes to write a request in pieces."""
 SLOW_WRITE_CUT_COUNT = 3
@@ -80,8 +81,7 @@
 
     async def _run_client(self, behaviour: Behaviour) -> None:
         is_malformed = behaviour in MALFORMED_BEHAVIOURS
-        needs_new_connection = is_malformed or behaviour == Behaviour.PIPELINES
-        connection = await (self._pool.connect() if needs_new_connection else self._pool.acquire())
+        connection = await self._connect(behaviour)
         if connection is None:
             return
         if is_malformed:
@@ -94,9 +94,23 @@
         if not connection.is_open:
             self._pool.discard(connection)
 
+    async def _connect(self, behaviour: Behaviour) -> ClientConnection | None:
+        """Return a connection for a client, a new one where its behaviour needs that."""
+        if behaviour == Behaviour.READS_SLOWLY:
+            return await self._pool.connect(reads_slowly=True)
+        if behaviour in MALFORMED_BEHAVIOURS or behaviour == Behaviour.PIPELINES:
+            return await self._pool.connect()
+        return await self._pool.acquire()
+
     async def _run_request(self, connection: ClientConnection, behaviour: Behaviour) -> None:
-        prepared = self._factory.make(requests_close=behaviour == Behaviour.REQUESTS_CLOSE)
+        reads_slowly = behaviour == Behaviour.READS_SLOWLY
+        prepared = self._factory.make(
+            requests_close=behaviour == Behaviour.REQUESTS_CLOSE,
+            response_bytes=LONG_RESPONSE_BYTES if reads_slowly else 0,
+        )
         request = prepared.request
+        if reads_slowly:
+            request.reading_seconds = LONG_RESPONSE_BYTES / SLOW_READ_BYTES_PER_SECOND
         data = prepared.data
         if behaviour == Behaviour.WRITES_SLOWLY:
             data = await self._write_all_but_last_piece(connection, data)
@@ -107,7 +121,7 @@
             return
         await self._await_response(connection, request, completion)
         if request.end is not None and _is_keep_alive_race(request):
-            await self._retry(request, data)
+            await self._retry(request, prepared.data)
 
     async def _disconnect_early(
         self,
@@ -125,12 +139,19 @@
     async def _await_response(
         self, connection: ClientConnection, request: ClientRequest, completion: asyncio.Future[None]
     ) -> None:
-        await asyncio.wait((completion,), timeout=request.timeout_seconds + RESPONSE_GRACE_SECONDS)
+        response_seconds = request.timeout_seconds + 2 * request.reading_seconds
+        await asyncio.wait((completion,), timeout=response_seconds + RESPONSE_GRACE_SECONDS)
         if completion.done():
-            self._pool.release(connection)
+            self._release(connection)
         else:
             connection.close_after_timeout()
 
+    def _release(self, connection: ClientConnection) -> None:
+        """Keep a connection for a later request, unless its client reads slowly: it then closes it."""
+        if connection.reads_slowly:
+            connection.disconnect(by_reset=False)
+        self._pool.release(connection)
+
     async def _retry(self, request: ClientRequest, data: bytes) -> None:
         """Send a request once more, on a new connection."""
         connection = await self._pool.connect()
@@ -167,7 +188,4 @@
     """Return whether an idle connection was closed while the request was sent, so that a retry is allowed."""
     if request.is_first_on_connection:
         return False
-    ended_at_seconds = (
-        request.sent_at_seconds if request.ended_at_seconds is None else request.ended_at_seconds
-    )
-    return ended_at_seconds - request.sent_at_seconds < KEEP_ALIVE_RACE_SECONDS
+    return seconds_until_end(request) < KEEP_ALIVE_RACE_SECONDS
--- a/soak/clients/request_factory.py
+++ b/soak/clients/request_factory.py
@@ -38,8 +38,13 @@
         self._random = random
         self._request_count = 0
 
-    def make(self, requests_close: bool = False) -> PreparedRequest:
-        """Draw a request; with `requests_close` it asks that the connection be closed after the response."""
+    def make(self, requests_close: bool = False, response_bytes: int = 0) -> PreparedRequest:
+        """Draw a request.
+
+        Args:
+            requests_close: whether it asks that the connection be closed after the response.
+            response_bytes: the size of the response that it asks for; 0 to leave it to the account server.
+        """
         request_classes = self._deployment.request_classes
         shares = [request_class.share for request_class in request_classes]
         request_class = self._random.choices(request_classes, shares)[0]
@@ -53,17 +58,24 @@
             timeout_seconds=round(request_class.timeout_seconds * timeout_share, 3),
             is_first_on_connection=True,
         )
-        data = self._encode(request, request_class, requests_close)
+        data = self._encode(request, request_class, requests_close, response_bytes)
         request.content_digest = content_digest(data)
         return PreparedRequest(request, data)
 
-    def _encode(self, request: ClientRequest, request_class: RequestClass, requests_close: bool) -> bytes:
+    def _encode(
+        self,
+        request: ClientRequest,
+        request_class: RequestClass,
+        requests_close: bool,
+        response_bytes: int,
+    ) -> bytes:
         """Return the bytes of a request; another order of the draws would change what a seed stands for."""
         has_body = request_class.idempotency != Idempotency.IDEMPOTENT
         body = self._draw_body() if has_body else b""
         key = int(RESOURCE_KEY_COUNT * self._random.random() ** 2)
+        size = f"&size={response_bytes}" if response_bytes else ""
         lines = [
-            f"{'POST' if has_body else 'GET'} /api?k={key:x} HTTP/1.1",
+            f"{'POST' if has_body else 'GET'} /api?k={key:x}{size} HTTP/1.1",
             "Host: backend.local",
             f"Req-Id: {request.request_id}",
             f"Req-Kind: {request_class.name}",
--- a/soak/history/events.py
+++ b/soak/history/events.py
@@ -53,6 +53,8 @@
     """How long its connection had been idle before the request was sent."""
     blocked_until_seconds: float = 0.0
     """The latest deadline of the pending requests before it on its connection, whose responses come first."""
+    reading_seconds: float = 0.0
+    """How long its client takes to read the response; 0 for a client that reads at once."""
     retried_after: ConnectionEnd | None = None
     """How its first connection ended, if the client retried the request."""
     disconnected_at_seconds: float | None = None
--- a/soak/network/fault_proxy.py
+++ b/soak/network/fault_proxy.py
@@ -10,12 +10,7 @@
 from soak.network.arrival_log import ArrivalLog
 from soak.network.proxied_connection import ProxiedConnection, ProxyState
 from soak.network.proxy_mode import ProxyMode, ProxyModeSwitch
-from soak.network.sockets import Address
-
-ETHERNET_SEGMENT_BYTES = 1460
-"""Size of the segments of a narrow connection."""
-NARROW_BUFFER_BYTES = 4096
-"""Size of the receive buffer of a narrow connection; the kernel allows for twice as much."""
+from soak.network.sockets import Address, make_narrow
 
 
 class FaultProxy:
@@ -52,8 +47,7 @@
         listening = socket.socket()
         listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         if self.is_narrow:
-            listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, NARROW_BUFFER_BYTES)
-            listening.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, ETHERNET_SEGMENT_BYTES)
+            make_narrow(listening)
         listening.bind(self.address)
         return listening
 
--- a/tests/soak/invariants/test_attempts.py
+++ b/tests/soak/invariants/test_attempts.py
@@ -11,6 +11,7 @@
 from soak.invariants.attempts import (
     check_deadline_propagation,
     check_disconnected_clients,
+    check_request_integrity,
     check_retries,
 )
 from tests.soak.histories import SENT_AT_SECONDS, attempt, deployment, history, request, unanswered
@@ -58,3 +59,18 @@
         request(), attempt(after_seconds=0.2, propagated_timeout_seconds=announced_seconds)
     )
     assert bool(list(check_deadline_propagation(recorded_history, deployment()))) == is_broken
+
+
+@pytest.mark.parametrize(("received", "is_broken"), [("sent", False), ("something else", True)])
+def test_server_receives_what_the_client_has_sent(received: str, is_broken: bool) -> None:
+    recorded_history = history(request(content_digest="sent"), attempt(content_digest=received))
+    assert bool(list(check_request_integrity(recorded_history, deployment()))) == is_broken
+
+
+@pytest.mark.parametrize(("was_read_slowly", "is_broken"), [(False, True), (True, False)])
+def test_announced_time_counts_from_the_first_byte_where_the_server_reads_slowly(
+    was_read_slowly: bool, is_broken: bool
+) -> None:
+    slow_attempt = attempt(0.01, received_at_seconds=SENT_AT_SECONDS + 0.6, was_read_slowly=was_read_slowly)
+    violations = list(check_deadline_propagation(history(request(), slow_attempt), deployment()))
+    assert bool(violations) == is_broken
--- a/tests/soak/invariants/test_responses.py
+++ b/tests/soak/invariants/test_responses.py
@@ -52,6 +52,16 @@
             unanswered(end=ConnectionEnd.TRUNCATED_RESPONSE, ended_at_seconds=SENT_AT_SECONDS + 0.1),
             False,
         ),
+        # Its client was still reading it.
+        (
+            unanswered(
+                end=ConnectionEnd.TRUNCATED_RESPONSE,
+                ended_at_seconds=SENT_AT_SECONDS + 0.1,
+                reading_seconds=0.9,
+            ),
+            True,
+        ),
+        (request(answered_at_seconds=DEADLINE_SECONDS + 0.6, reading_seconds=0.9), False),
     ],
 )
 def test_final_response(client_request: ClientRequest, is_broken: bool) -> None:
