Ask the kernel about sent bytes only for requests longer than one segment

Cause: every request asked the kernel twice, after it was written and with its response. A request of one segment leaves at once.

Change: only requests over 1,460 bytes ask.

--- a/balancer/sidecar/http/outbound_connection.py
+++ b/balancer/sidecar/http/outbound_connection.py
@@ -24,6 +24,12 @@
 
 log = logging.getLogger(__name__)
 
+MAX_SEGMENT_BYTES = 1460
+"""The largest request that leaves this machine at once, as one segment of an Ethernet.
+
+For a longer one the kernel is asked how much of it has left, which costs a system call.
+"""
+
 ResponseCallback: TypeAlias = Callable[[HttpResponse | None], None]
 """Receives the response, or None if the connection was lost or the response is unusable."""
 
@@ -49,6 +55,8 @@
         self._parser = ResponseParser(budget or BufferBudget(MAX_RESPONSE_BODY_BYTES))
         self._on_response: ResponseCallback | None = None
         """The callback of the request in flight, or None."""
+        self._is_request_long = False
+        """Whether the last request is longer than `MAX_SEGMENT_BYTES`."""
         self._file_descriptor = -1
         self._poll = select.poll()
         self.transport: asyncio.Transport | None = None
@@ -95,7 +103,9 @@
         transport = self.transport
         if transport is None or transport.is_closing():
             return False
-        return transport.get_write_buffer_size() > 0 or untransmitted_byte_count(self._file_descriptor) > 0
+        if transport.get_write_buffer_size() > 0:
+            return True
+        return self._is_request_long and untransmitted_byte_count(self._file_descriptor) > 0
 
     @property
     def undelivered_byte_count(self) -> int:
@@ -107,7 +117,10 @@
         transport = self.transport
         if transport is None or transport.is_closing():
             return 0
-        return transport.get_write_buffer_size() + unacknowledged_byte_count(self._file_descriptor)
+        unsent_bytes = transport.get_write_buffer_size()
+        if not self._is_request_long:
+            return unsent_bytes
+        return unsent_bytes + unacknowledged_byte_count(self._file_descriptor)
 
     def is_reusable(self) -> bool:
         """Return whether the connection is open, and nothing is left of the last request and its response.
@@ -135,6 +148,7 @@
         if transport is None or transport.is_closing():
             return False
         self._parser.begin_response(self.max_body_bytes)
+        self._is_request_long = len(data) > MAX_SEGMENT_BYTES
         try:
             written_bytes = os.write(self._file_descriptor, data)
         except BlockingIOError:
