Wait longer for a connection in use while no descriptor is free

Callers saw a 503 after 0.1 s from a process short of descriptors, although a connection to the endpoint was open and only busy with earlier requests.

Cause: a connect that fails for lack of a descriptor was retried five times, 20 ms apart, whether or not a connection was about to become idle. A response that took 65 ms longer than usual used up the wait of the last request.

Change: while a connection to the endpoint is established, the connect is retried for 1 s. With none it is given up after 0.1 s as before.

--- a/balancer/sidecar/upstream/connection_acquisition.py
+++ b/balancer/sidecar/upstream/connection_acquisition.py
@@ -26,11 +26,14 @@
 One sleep may end up to 1.5 ms early, because its delay and the loop's time are rounded.
 """
 
+SHORTAGE_RETRY_DELAY_SECONDS = 0.02
+"""The delay before a connect is retried because this machine is short of a resource."""
+
 MAX_SHORTAGE_RETRIES = 5
-"""How often a connect is retried while this machine is short of a resource, which may be free again soon."""
+"""How often it is retried if no connection to the endpoint is open; these retries take 0.1 s."""
 
-SHORTAGE_RETRY_DELAY_SECONDS = 0.02
-"""The delay before each of these retries; all of them together take a tenth of a second."""
+MAX_SHORTAGE_RETRIES_WITH_OPEN_CONNECTION = 50
+"""How often it is retried while a connection to the endpoint is open, which may become idle; 1 s in all."""
 
 
 class ConnectionAcquisition:
@@ -87,16 +90,17 @@
         the new address is tried. If this machine is short of a resource, the connect is retried, unless a
         connection has become idle in the meantime.
         """
-        shortage_retries_left = MAX_SHORTAGE_RETRIES
+        shortage_retries = 0
         while True:
             address = self._pool.address
             try:
                 connection = await self._provider.connect(self._pool)
             except OSError as error:  # includes TimeoutError
                 if address == self._pool.address:
-                    if error.errno not in LOCAL_RESOURCE_ERRNOS or not shortage_retries_left:
+                    is_shortage = error.errno in LOCAL_RESOURCE_ERRNOS
+                    if not is_shortage or shortage_retries >= self._max_shortage_retries():
                         raise connect_error(address, error) from error
-                    shortage_retries_left -= 1
+                    shortage_retries += 1
                     await asyncio.sleep(SHORTAGE_RETRY_DELAY_SECONDS)
                     idle_connection = self._take_idle()
                     if idle_connection is not None:
@@ -109,6 +113,11 @@
                 raise EndpointUnreachableError(address)
             self._require_connection_capacity()
 
+    def _max_shortage_retries(self) -> int:
+        if self._provider.has_established_connection(self._pool):
+            return MAX_SHORTAGE_RETRIES_WITH_OPEN_CONNECTION
+        return MAX_SHORTAGE_RETRIES
+
     def _take_idle(self) -> OutboundConnection | None:
         return self._pool.acquire(self._provider.now_ns())
 
--- a/balancer/sidecar/upstream/connection_provider.py
+++ b/balancer/sidecar/upstream/connection_provider.py
@@ -43,6 +43,9 @@
     def ensure_connection_capacity(self) -> bool:
         """Return whether a connection may be opened; at the limit, an idle one is closed first."""
 
+    def has_established_connection(self, pool: EndpointPool, /) -> bool:
+        """Return whether a connection to the endpoint of this pool is established, in use or idle."""
+
 
 class ConnectError(UpstreamConnectionError):
     """An attempt got no connection.
--- a/balancer/sidecar/upstream/manager.py
+++ b/balancer/sidecar/upstream/manager.py
@@ -191,6 +191,13 @@
         pool_with_longest_idle.close_longest_idle()
         return True
 
+    def has_established_connection(self, pool: EndpointPool, /) -> bool:
+        """Return whether a connection to the endpoint of this pool is established, in use or idle."""
+        return any(
+            connection.transport is not None and connection.address == pool.address
+            for connection in self._open_connections
+        )
+
     async def open_connection(self, pool: EndpointPool, /) -> OutboundConnection:
         """Open a connection to the endpoint of this pool. Raises OSError, also for a timeout.
 
