--- a/balancer/sidecar/discovery/late_calls.py
+++ b/balancer/sidecar/discovery/late_calls.py
@@ -32,10 +32,6 @@
         self._loop = loop
         self._waiters: set[asyncio.Task[None]] = set()
 
-    def __len__(self) -> int:
-        """Return the number of late calls in progress."""
-        return len(self._waiters)
-
     def add(self, call: asyncio.Task[EndpointListUpdate]) -> None:
         """Wait for the response of a call, or cancel the call if there are too many already.
 
