Tests: pass no inherited descriptor on to the sidecar processes

Cause: uvloop starts processes with every inheritable descriptor. With one of a high number, inherited from a shell, the test of connections that wait for a descriptor left the sidecar over 200 free ones, and so tested nothing.

Change: the harness marks all descriptors but the standard streams as not inheritable before it starts a process.

Measured: started from a shell with descriptor 251 open, a process had it before and does not have it after the change.

--- a/tests/sidecar/process_harness.py
+++ b/tests/sidecar/process_harness.py
@@ -18,6 +18,8 @@
 COMMAND = (sys.executable, "-m", "balancer")
 """The command line of the sidecar."""
 REPOSITORY_ROOT = Path(__file__).parent.parent.parent
+LAST_STANDARD_STREAM = 2
+"""The descriptor of the standard error stream."""
 POLL_INTERVAL_SECONDS = 0.01
 """Pause between two calls; short compared with a process start, which takes some tenths of a second."""
 
@@ -58,8 +60,22 @@
         self.path.write_text(text)
 
 
+def keep_descriptors_private() -> None:
+    """Let no process that is started from now on inherit a descriptor, beside those of its streams.
+
+    The event loop passes on each descriptor that this process has inherited itself, from a shell, say. Tests
+    that count or limit the descriptors of a sidecar would depend on it.
+    """
+    for path in Path("/proc/self/fd").iterdir():
+        descriptor = int(path.name)
+        if descriptor > LAST_STANDARD_STREAM:
+            with contextlib.suppress(OSError):  # the descriptor of the listing itself is closed by now
+                os.set_inheritable(descriptor, False)
+
+
 async def start_process(configuration_path: Path, **options: Any) -> asyncio.subprocess.Process:
     """Start the sidecar; `options` are passed to `asyncio.create_subprocess_exec`."""
+    keep_descriptors_private()
     return await asyncio.create_subprocess_exec(
         *COMMAND,
         env=os.environ | {"PROXY_CONFIG": str(configuration_path)},
