--- a/tests/sidecar/downstream/harness.py
+++ b/tests/sidecar/downstream/harness.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import contextlib
-import struct
 from collections.abc import AsyncIterator, Callable, Iterator
 from functools import partial
 from socket import SO_LINGER, SO_RCVBUF, SO_SNDBUF, SOL_SOCKET, create_connection, socket
@@ -16,15 +15,11 @@
 from tests.sidecar.messages import request_bytes
 from tests.sidecar.scripted_endpoint import Script, ScriptedEndpoint, answer_ok, run_endpoint
 from tests.sidecar.sidecar_under_test import Sidecar, run_sidecar
+from tests.sidecar.socket_options import RESET_ON_CLOSE, SMALL_BUFFER_BYTES
 
 CLOSE_HEADER = b"Connection: close\r\n"
 READINESS_REQUEST = b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n"
 MALFORMED_REQUEST = b"nonsense\r\n\r\n"
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)
-"""Value of SO_LINGER with which closing a socket resets its connection."""
-
-SMALL_BUFFER_BYTES = 4096
-"""The size of a socket buffer that takes only a part of a long response."""
 
 CloseAction: TypeAlias = Callable[[Sidecar], None]
 """A way to make a sidecar close an idle connection."""
--- a/tests/sidecar/downstream/test_connection_timeouts.py
+++ b/tests/sidecar/downstream/test_connection_timeouts.py
@@ -12,7 +12,6 @@
 from balancer.sidecar.downstream.timeouts import DEFAULT_TIMEOUTS, DownstreamTimeouts
 from tests.sidecar.downstream.harness import (
     CLOSE_HEADER,
-    SMALL_BUFFER_BYTES,
     TIMEOUTS,
     accepted_connection,
     connect_slow_reader,
@@ -25,6 +24,7 @@
 from tests.sidecar.messages import ok_response, request_bytes
 from tests.sidecar.scripted_endpoint import ReceivedRequest, answer_ok, run_endpoint
 from tests.sidecar.sidecar_under_test import Sidecar, run_sidecar
+from tests.sidecar.socket_options import SMALL_BUFFER_BYTES
 
 LONG_BODY = b"x" * 60_000
 
--- a/tests/sidecar/http/test_outbound_connection.py
+++ b/tests/sidecar/http/test_outbound_connection.py
@@ -17,7 +17,8 @@
 from tests.sidecar.messages import request_bytes
 from tests.sidecar.scripted_endpoint import answer_ok, run_endpoint
 from tests.sidecar.sidecar_under_test import run_sidecar
-from tests.sidecar.upstream.harness import HEAD_WITHOUT_LENGTH, RESET_ON_CLOSE
+from tests.sidecar.socket_options import RESET_ON_CLOSE
+from tests.sidecar.upstream.harness import HEAD_WITHOUT_LENGTH
 
 REQUEST = b"GET / HTTP/1.1\r\n\r\n"
 DECLINED_HEAD = b"HTTP/1.1 503 X\r\nSrv-Declined: 1\r\n\r\n"
--- a/tests/sidecar/upstream/harness.py
+++ b/tests/sidecar/upstream/harness.py
@@ -11,7 +11,6 @@
 import asyncio
 import contextlib
 import socket
-import struct
 from collections.abc import AsyncIterator, Awaitable, Callable
 from enum import Enum, auto
 from typing import NamedTuple, cast
@@ -32,18 +31,13 @@
 from tests.sidecar.messages import request_bytes
 from tests.sidecar.scripted_endpoint import ReceivedRequest, Script, ScriptedEndpoint
 from tests.sidecar.sidecar_under_test import Sidecar
+from tests.sidecar.socket_options import RESET_ON_CLOSE, SMALL_BUFFER_BYTES
 
 HEAD_WITHOUT_LENGTH = b"HTTP/1.1 200 OK\r\nX-Shard: 7\r\n\r\n"
 """The head of a response whose body ends with the connection."""
 
 CHUNKED_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 
-SMALL_BUFFER_BYTES = 4096
-"""The size of a socket buffer that takes only a part of a long request."""
-
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)
-"""The value of SO_LINGER that makes closing a socket reset its connection."""
-
 
 def respond_with(response: bytes) -> Script:
     """Return a script that answers every request with these bytes."""
