Compare the waiting time before polling sockets for the eviction

Cause: for each new connection above the limit, the sockets of all connections without a request were polled, even within their grace period; the event loop fell behind the closes.

Change: the waiting time is compared first. The order of eviction stays.

--- a/balancer/sidecar/downstream/eviction.py
+++ b/balancer/sidecar/downstream/eviction.py
@@ -68,7 +68,9 @@
     """
 
     def is_overdue(connection: DownstreamConnection) -> bool:
-        return _is_resting(connection) and connection.seconds_waited(now_seconds) > grace_seconds
+        # The time is compared first, because the socket is polled to see whether a connection rests. In a
+        # flood of new connections, each of them would cause a poll of all others.
+        return connection.seconds_waited(now_seconds) > grace_seconds and _is_resting(connection)
 
     yield from _evictions(candidates.lingering, _has_finished, EvictionAction.ABORT)
     yield from _evictions(candidates.without_request, is_overdue, EvictionAction.CLOSE)
@@ -96,7 +98,7 @@
     overdue = [
         connection
         for connection in (*candidates.without_request, *candidates.with_request)
-        if _is_receiving(connection) and connection.seconds_waited(now_seconds) > grace_seconds
+        if connection.seconds_waited(now_seconds) > grace_seconds and _is_receiving(connection)
     ]
     if overdue:
         longest = max(overdue, key=lambda connection: connection.seconds_waited(now_seconds))
--- a/tests/sidecar/downstream/test_listener.py
+++ b/tests/sidecar/downstream/test_listener.py
@@ -123,6 +123,29 @@
             assert (await client.exchange(request_bytes()))[0] == 200
 
 
+@async_test
+async def test_flood_of_new_connections_does_not_poll_those_within_grace(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Guards against: each new connection polled all others, and the sidecar fell behind the clients' closes.
+    polled: list[DownstreamConnection] = []
+    has_unread_bytes = DownstreamConnection.has_unread_bytes
+
+    def record_poll(connection: DownstreamConnection) -> bool:
+        polled.append(connection)
+        return has_unread_bytes(connection)
+
+    monkeypatch.setattr(DownstreamConnection, "has_unread_bytes", record_poll)
+    async with run_sidecar(limits=LIMITS) as sidecar:
+        set_time(sidecar, 0.0)  # The clock stands still: all connections are within their grace period.
+        idle_clients = [await sidecar.connect_client() for _ in range(MAX_CONNECTIONS)]
+        polled.clear()
+        newest_client = await sidecar.connect_client()
+        assert await idle_clients[0].is_closed_without_data()
+        assert len(polled) == 1
+        newest_client.writer.close()
+
+
 class AdmissionRecorder:
     """Replaces a listener's `on_connection_opened`, and records each connection."""
 
