--- a/tests/sidecar/discovery/scripted_discovery.py
+++ b/tests/sidecar/discovery/scripted_discovery.py
@@ -19,6 +19,7 @@
 from tests.sidecar.configuration_documents import SETTINGS, endpoint_entry
 from tests.sidecar.event_loop import TEST_TIMEOUT_SECONDS
 from tests.sidecar.messages import ok_response
+from tests.sidecar.sidecar_under_test import Sidecar
 
 ResponseScript: TypeAlias = Callable[[asyncio.StreamWriter], Awaitable[None]]
 """Responds to one call, or fails to do so, on the connection of the call."""
@@ -30,9 +31,24 @@
 ).encode()
 UNCHANGED_UPDATE = b'{"seq":1,"whole":false,"hosts":[]}'
 INCOMPLETE_RESPONSE = b"HTTP/1.1 200 OK\r\nContent-Length: 40000\r\n\r\n" + DRAINING_UPDATE[:40]
+SNAPSHOT_WITH_DRAINING = json.dumps(
+    {"seq": 2, "whole": True, "hosts": [endpoint_entry("s-0", "127.0.0.1:9", "draining")]}
+).encode()
 DISCOVERY_FAILED = EndpointUpdate(EndpointUpdateKind.DISCOVERY_FAILED, ())
 
 
+pushed_and_polled = pytest.mark.parametrize("polled", [False, True], ids=["pushed", "polled"])
+"""Runs a test with endpoint lists that are pushed, and once more with lists that are polled."""
+
+
+def start_watching(sidecar: Sidecar, polled: bool) -> None:
+    """Start to watch as the policy does where lists are polled, else as the program does at its start."""
+    if polled:
+        sidecar.discovery.set_watching(True)
+    else:
+        sidecar.discovery.start()
+
+
 def discovery_settings(polled: bool) -> dict[str, Any]:
     """Return the settings of a sidecar whose endpoint lists are polled or pushed."""
     return SETTINGS | {"Discovery": "on_request" if polled else "pushed"}
