Add a benchmark of the processor time of a request in two checkouts

The cost of a request was compared with scripts that were not kept. The benchmark runs pairs of sidecar processes, one of this checkout and one of another, under the same seeded open-loop load, and prints each pair and the medians. It reports wrong arguments and requests that were not served.

--- a/benchmarks/command_line.py
+++ b/benchmarks/command_line.py
@@ -43,7 +43,7 @@
         return asdict(self)
 
 
-class _OneLineParser(argparse.ArgumentParser):
+class OneLineParser(argparse.ArgumentParser):
     """An argument parser that reports invalid arguments in one line, without the usage text."""
 
     def error(self, message: str) -> NoReturn:
@@ -68,7 +68,7 @@
     Raises:
         SystemExit: after printing the help, or one line that says which argument is invalid.
     """
-    parser = _OneLineParser(prog=program, description=description)
+    parser = OneLineParser(prog=program, description=description)
     parser.add_argument(
         "--entries",
         type=_parse_entry_count,
--- a/benchmarks/discovery_stand_in.py
+++ b/benchmarks/discovery_stand_in.py
@@ -10,6 +10,7 @@
 import asyncio
 import contextlib
 import json
+from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import Self, TypeAlias
 from urllib.parse import parse_qs, urlsplit
@@ -37,10 +38,16 @@
 
 
 class DiscoveryStandIn:
-    """An asynchronous context manager that runs a discovery agent on a free port of 127.0.0.1."""
+    """An asynchronous context manager that runs a discovery agent on a free port of 127.0.0.1.
 
-    def __init__(self, endpoint_count: int) -> None:
+    Args:
+        endpoint_count: The number of endpoints in the list.
+        addresses: The addresses of the first endpoints; the others have addresses at which nothing listens.
+    """
+
+    def __init__(self, endpoint_count: int, addresses: Sequence[str] = ()) -> None:
         self._endpoint_count = endpoint_count
+        self._addresses = addresses
         self._version = 1
         self._health_by_index: dict[int, str] = {}
         self._entry_by_version: dict[int, EndpointJson] = {}
@@ -86,7 +93,7 @@
         async with self._change_condition:
             self._version += 1
             self._health_by_index[index] = health
-            self._entry_by_version[self._version] = endpoint_entry(index, health)
+            self._entry_by_version[self._version] = self._entry(index)
             self._change_condition.notify_all()
 
     async def wait_until_received(self) -> None:
@@ -145,12 +152,15 @@
                 await self._change_condition.wait_for(lambda: self._version > since_version)
 
     def _encode_snapshot(self) -> bytes:
-        entries = [
-            endpoint_entry(index, self._health_by_index.get(index, "up"))
-            for index in range(self._endpoint_count)
-        ]
+        entries = [self._entry(index) for index in range(self._endpoint_count)]
         return self._encode_list(entries, is_snapshot=True)
 
+    def _entry(self, index: int) -> EndpointJson:
+        entry = endpoint_entry(index, self._health_by_index.get(index, "up"))
+        if index < len(self._addresses):
+            entry["dial"] = self._addresses[index]
+        return entry
+
     def _encode_delta(self, since_version: int) -> bytes:
         entries = [self._entry_by_version[version] for version in range(since_version + 1, self._version + 1)]
         return self._encode_list(entries, is_snapshot=False)
--- a/benchmarks/errors.py
+++ b/benchmarks/errors.py
@@ -22,3 +22,12 @@
         description = "" if exit_code is None else f" with exit code {exit_code}"
         super().__init__(f"the sidecar exited{description}")
         self.exit_code = exit_code
+
+
+class FailedRequestsError(BenchmarkError):
+    """Some requests of a load were not served, so that the cost of a request cannot be compared."""
+
+    def __init__(self, failed: int, total: int) -> None:
+        super().__init__(f"{failed} of {total} requests were not served")
+        self.failed = failed
+        self.total = total
--- a/benchmarks/process_benchmark.py
+++ b/benchmarks/process_benchmark.py
@@ -5,7 +5,8 @@
 import asyncio
 import signal
 import sys
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable, Coroutine
+from typing import TypeVar
 
 from benchmarks.command_line import BenchmarkOptions, BenchmarkResult, print_results
 from benchmarks.errors import BenchmarkError
@@ -17,8 +18,11 @@
 """Exit status after SIGINT or SIGTERM, as shells report an interrupted program."""
 
 
+Result = TypeVar("Result")
+
+
 def run_process_benchmark(
-    program: str, measure: Callable[[int], Awaitable[BenchmarkResult]], options: BenchmarkOptions
+    program: str, measure: Callable[[int], Coroutine[None, None, BenchmarkResult]], options: BenchmarkOptions
 ) -> int:
     """Measure each length of the endpoint list, and print the results. Returns the exit status.
 
@@ -27,8 +31,22 @@
         measure: measures one length, and stops its sidecar process when it is cancelled.
         options: the options of the command line.
     """
+
+    def run() -> None:
+        print_results(lambda entries: run_measurement(measure(entries)), options)
+
+    return report_failure(program, run)
+
+
+def report_failure(program: str, run: Callable[[], None]) -> int:
+    """Run a benchmark. Returns the exit status, and prints one line if the benchmark fails or is interrupted.
+
+    Args:
+        program: the name of the benchmark in error messages.
+        run: measures and prints the results.
+    """
     try:
-        print_results(lambda entries: asyncio.run(_measure_until_terminated(measure, entries)), options)
+        run()
     except BenchmarkError as error:
         print(f"{program}: {error}", file=sys.stderr)
         return EXIT_FAILURE
@@ -38,11 +56,14 @@
     return 0
 
 
-async def _measure_until_terminated(
-    measure: Callable[[int], Awaitable[BenchmarkResult]], entries: int
-) -> BenchmarkResult:
-    """Measure, and also stop the sidecar on SIGTERM; on SIGINT `asyncio.run` does so."""
+def run_measurement(measurement: Coroutine[None, None, Result]) -> Result:
+    """Run a measurement in an event loop; SIGINT and SIGTERM cancel it."""
+    return asyncio.run(_cancel_on_sigterm(measurement))
+
+
+async def _cancel_on_sigterm(measurement: Coroutine[None, None, Result]) -> Result:
+    """Run a measurement that SIGTERM cancels; on SIGINT `asyncio.run` does so."""
     task = asyncio.current_task()
     if task is not None:
         asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
-    return await measure(entries)
+    return await measurement
--- a/benchmarks/sidecar_process.py
+++ b/benchmarks/sidecar_process.py
@@ -54,11 +54,20 @@
 
 
 class SidecarProcess:
-    """An asynchronous context manager that runs a sidecar, which starts with an empty endpoint list."""
+    """An asynchronous context manager that runs a sidecar, which starts with an empty endpoint list.
 
-    def __init__(self, discovery_port: int) -> None:
+    Args:
+        discovery_port: The port of discovery on 127.0.0.1.
+        checkout: The directory of the checkout whose sidecar runs.
+
+    Attributes:
+        port: The port at which the sidecar serves.
+    """
+
+    def __init__(self, discovery_port: int, checkout: Path = REPOSITORY_ROOT) -> None:
+        self.port = _free_port()
         self._discovery_port = discovery_port
-        self._port = _free_port()
+        self._checkout = checkout
         self._cleanup = contextlib.AsyncExitStack()
         self._process: asyncio.subprocess.Process | None = None
 
@@ -72,7 +81,7 @@
                 sys.executable,
                 "-m",
                 "balancer",
-                cwd=REPOSITORY_ROOT,
+                cwd=self._checkout,
                 env=os.environ | {"PROXY_CONFIG": str(file)},
             )
             cleanup.push_async_callback(_stop, self._process)
@@ -119,7 +128,7 @@
 
     async def _is_ready(self) -> bool:
         try:
-            reader, writer = await asyncio.open_connection("127.0.0.1", self._port)
+            reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
         except OSError:
             return False
         try:
@@ -137,7 +146,7 @@
     def _configuration(self) -> dict[str, object]:
         return {
             "name": "n0",
-            "listen": f"127.0.0.1:{self._port}",
+            "listen": f"127.0.0.1:{self.port}",
             "discovery": f"127.0.0.1:{self._discovery_port}",
             "seed": "1f",
             "limits": {"sockets": 1024, "memory_mb": 192},
