Collect candidates for an eviction only above the limit on connections

Cause: each accepted connection copied the list of all connections without a request, also below the limit, where nothing is evicted.

Change: the excess is looked at first. What is evicted stays the same.

--- a/balancer/sidecar/downstream/connection_registry.py
+++ b/balancer/sidecar/downstream/connection_registry.py
@@ -92,6 +92,8 @@
             now_seconds: the event loop's time.
             grace_seconds: how long a connection may go without a complete request before it is preferred.
         """
+        if self.excess <= 0:
+            return []
         candidates = EvictionCandidates(
             lingering=self._lingering,
             without_request=[other for other in self._without_request if other is not new_connection],
@@ -99,7 +101,7 @@
             new=new_connection,
         )
         evictions: list[Eviction] = []
-        for eviction in islice(eviction_order(candidates, now_seconds, grace_seconds), max(0, self.excess)):
+        for eviction in islice(eviction_order(candidates, now_seconds, grace_seconds), self.excess):
             evictions.append(eviction)
             if eviction.action is not EvictionAction.ABORT:
                 break
