Benchmark of a request: measure both checkouts even if they are the same

Cause: the costs were kept by checkout, so a checkout compared with itself was measured twice, one figure was dropped, and the ratio was always 1.

--- a/tests/benchmarks/test_request_cost.py
+++ b/tests/benchmarks/test_request_cost.py
@@ -12,7 +12,7 @@
 from benchmarks.account_server_stand_in import AccountServers
 from benchmarks.discovery_stand_in import DiscoveryStandIn
 from benchmarks.open_loop_load import OpenLoopLoad, arrival_times
-from benchmarks.request_cost import PairCost, median_pair
+from benchmarks.request_cost import PairCost, RequestCostOptions, measure_pair, median_pair
 from benchmarks.sidecar_process import REPOSITORY_ROOT
 from tests.benchmarks.runner import run
 
@@ -70,6 +70,25 @@
     run(test)
 
 
+@pytest.mark.parametrize(("index", "first"), [(0, "baseline"), (1, "current")])
+def test_checkouts_are_measured_in_alternating_order(
+    index: int, first: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Guards against: a checkout that is compared with itself is measured once, and the ratio is always 1.
+    costs = iter([100.0, 150.0])
+
+    async def measure_checkout(*_arguments: object) -> float:
+        return next(costs)
+
+    async def test() -> None:
+        options = RequestCostOptions(REPOSITORY_ROOT, 100.0, 1.0, 1, 1, as_json=False)
+        pair = await measure_pair(options, index)
+        assert pair == (PairCost(100.0, 150.0) if first == "baseline" else PairCost(150.0, 100.0))
+
+    monkeypatch.setattr(request_cost, "_measure_checkout", measure_checkout)
+    run(test)
+
+
 @pytest.mark.parametrize(
     ("arguments", "message"),
     [
