Soak: one function that reads slowly, one list of servers without a fault

The client and the proxy each paused and resumed reading in the same way, and the early rejections listed the servers without a fault twice. Behaviour is the same.

--- a/soak/clients/connection.py
+++ b/soak/clients/connection.py
@@ -11,7 +11,7 @@
 from soak.clients.response_parser import Response, ResponseParser
 from soak.history.clock import HarnessClock
 from soak.history.events import ClientRequest, ConnectionEnd
-from soak.network.sockets import Address, make_narrow, reset_transport
+from soak.network.sockets import Address, limit_read_rate, make_narrow, reset_transport
 
 SLOW_READ_BYTES_PER_SECOND = 64_000
 """How many bytes a client reads in a second that reads slowly."""
@@ -84,7 +84,8 @@
 
     def data_received(self, data: bytes) -> None:
         """Record the responses that are complete."""
-        self._limit_reading(len(data))
+        if self.reads_slowly and self._transport is not None:
+            limit_read_rate(self._transport, len(data), SLOW_READ_BYTES_PER_SECOND)
         if not self.first_bytes:
             self.first_bytes = data[:FIRST_BYTES_LENGTH]
         self._parser.feed(data)
@@ -145,17 +146,6 @@
         done, _ = await asyncio.wait((self._lost,), timeout=timeout_seconds)
         return bool(done)
 
-    def _limit_reading(self, byte_count: int) -> None:
-        """Pause after bytes have been read, if the client reads slowly."""
-        if self.reads_slowly and self._transport is not None and not self._transport.is_closing():
-            self._transport.pause_reading()
-            pause_seconds = byte_count / SLOW_READ_BYTES_PER_SECOND
-            asyncio.get_running_loop().call_later(pause_seconds, self._resume_reading)
-
-    def _resume_reading(self) -> None:
-        if self._transport is not None and not self._transport.is_closing():
-            self._transport.resume_reading()
-
     def _close(self, by_reset: bool) -> None:
         self.is_open = False
         for pending in self._pending:
--- a/soak/fault_injection/account_server_faults.py
+++ b/soak/fault_injection/account_server_faults.py
@@ -60,32 +60,24 @@
 
     async def _send_duplicate_responses(self, fault: PlannedFault) -> str:
         """Make all servers without another fault send duplicate responses."""
-        servers = await self._run_with_fault(fault, ServerFault.DUPLICATE_RESPONSE)
+        servers = self._servers_without_fault()
+        await _run_with_fault(servers, fault.seconds, ServerFault.DUPLICATE_RESPONSE)
         return f"{len(servers)} servers"
 
     async def _reject_early(self, fault: PlannedFault) -> str:
         """Make all servers without another fault reject long requests early, and read them slowly."""
-        servers = [server for server in self._fleet.servers if server.fault == ServerFault.NONE]
+        servers = self._servers_without_fault()
         for server in servers:
             server.proxy.set_mode(ProxyMode(slow_read_bytes_per_second=SLOW_READ_BYTES_PER_SECOND))
-        await self._run_with_fault(fault, ServerFault.REJECT_EARLY)
+        await _run_with_fault(servers, fault.seconds, ServerFault.REJECT_EARLY)
         # Some bytes are read slowly after the fault, too, so that connections that were kept carry requests.
         await asyncio.sleep(SLOW_READ_EXTRA_SECONDS)
         for server in servers:
             server.proxy.set_mode(ProxyMode())
         return f"{len(servers)} servers"
 
-    async def _run_with_fault(self, fault: PlannedFault, server_fault: ServerFault) -> list[AccountServer]:
-        """Give all servers without another fault this one for the duration of a planned fault."""
-        servers = [server for server in self._fleet.servers if server.fault == ServerFault.NONE]
-        for server in servers:
-            server.fault = server_fault
-        await asyncio.sleep(fault.seconds)
-        for server in servers:
-            if server.fault == server_fault:
-                server.fault = ServerFault.NONE
-                server.record_fault_end()
-        return servers
+    def _servers_without_fault(self) -> list[AccountServer]:
+        return [server for server in self._fleet.servers if server.fault == ServerFault.NONE]
 
     async def _restart(self, fault: PlannedFault) -> str:
         """Crash a server, and start it again as a new process that warms up."""
@@ -113,3 +105,14 @@
 
 def _describe_stopped_server(server: AccountServer) -> str:
     return f"{server.identity.name}, which did not run"
+
+
+async def _run_with_fault(servers: list[AccountServer], seconds: float, fault: ServerFault) -> None:
+    """Give servers a fault for some time; one that has another fault by then keeps that."""
+    for server in servers:
+        server.fault = fault
+    await asyncio.sleep(seconds)
+    for server in servers:
+        if server.fault == fault:
+            server.fault = ServerFault.NONE
+            server.record_fault_end()
--- a/soak/network/proxied_connection.py
+++ b/soak/network/proxied_connection.py
@@ -10,7 +10,7 @@
 from soak.history.clock import HarnessClock
 from soak.network.arrival_log import ArrivalLog
 from soak.network.proxy_mode import ProxyModeSwitch
-from soak.network.sockets import Address, reset_transport
+from soak.network.sockets import Address, limit_read_rate, reset_transport
 
 MAX_PIECE_PAUSE_SECONDS = 0.004
 """Longest pause, in seconds, between two pieces of data; a request of 20 KB still meets its deadline."""
@@ -163,13 +163,7 @@
         bytes_per_second = self._state.mode_switch.mode.slow_read_bytes_per_second
         if bytes_per_second and self._state.is_narrow and self._sidecar is not None:
             self._arrivals.was_read_slowly = True
-            self._sidecar.pause_reading()
-            loop = asyncio.get_running_loop()
-            loop.call_later(len(data) / bytes_per_second, self._resume_reading)
-
-    def _resume_reading(self) -> None:
-        if self._sidecar is not None and not self._sidecar.is_closing():
-            self._sidecar.resume_reading()
+            limit_read_rate(self._sidecar, len(data), bytes_per_second)
 
     def on_server_data(self, data: bytes) -> None:
         """Forward data from the server."""
--- a/soak/network/sockets.py
+++ b/soak/network/sockets.py
@@ -34,3 +34,15 @@
     """
     unconnected.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, NARROW_BUFFER_BYTES)
     unconnected.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, ETHERNET_SEGMENT_BYTES)
+
+
+def limit_read_rate(transport: asyncio.Transport, byte_count: int, bytes_per_second: int) -> None:
+    """Read nothing for as long as reading this many bytes, which have just arrived, takes at a rate."""
+    if not transport.is_closing():
+        transport.pause_reading()
+        asyncio.get_running_loop().call_later(byte_count / bytes_per_second, _resume_reading, transport)
+
+
+def _resume_reading(transport: asyncio.Transport) -> None:
+    if not transport.is_closing():
+        transport.resume_reading()
