Count what a response holds in memory, not only the bytes of its body

Cause: ResponseParser.on_body kept each piece as an object of its own and reserved only the bytes in it. Headers of an unfinished response were not counted, nor the bytes that httptools buffers of an unfinished header, and trailers were bound only by the limit of the whole response.

--- a/balancer/sidecar/http/response_parser.py
+++ b/balancer/sidecar/http/response_parser.py
@@ -1,7 +1,7 @@
 """Parses the responses of account servers, and enforces the limits on them.
 
 There are limits on the head, the body and the bytes on the wire of each response. A `BufferBudget` limits the
-bytes that the bodies of all responses in flight buffer together.
+memory that all responses in flight take together, however small the pieces are in which they arrive.
 """
 
 from __future__ import annotations
@@ -23,6 +23,12 @@
 MAX_WIRE_BYTES_PER_BODY_BYTE = 2
 """Limit on the bytes on the wire for each byte of the body limit: chunked encoding adds bytes to a body."""
 
+HEADER_OVERHEAD_BYTES = 160
+"""Memory of a stored header beyond its bytes: two bytes objects, a tuple and its place in the list."""
+
+MAX_HEADERS = MAX_HEAD_BYTES // len(b"n:\r\n")
+"""Limit on the number of headers: a head within its limit in bytes has no more (RFC 9112, section 5)."""
+
 FRAMING_HEADERS = frozenset((b"content-length", b"transfer-encoding"))
 """Headers that determine where a body ends."""
 
@@ -56,7 +62,7 @@
 
 
 class ResponseTooLargeError(ResponseError):
-    """The head, the body or the entire response exceeds its limit.
+    """The head, the trailers, the body or the entire response exceeds its limit.
 
     Attributes:
         size_bytes: the size of the part, as stated or as received so far.
@@ -69,6 +75,18 @@
         self.max_bytes = max_bytes
 
 
+class TooManyHeadersError(ResponseError):
+    """The response has more headers than a head within its limit can have.
+
+    Attributes:
+        max_headers: the limit.
+    """
+
+    def __init__(self, max_headers: int) -> None:
+        super().__init__(f"response has more than {max_headers} headers")
+        self.max_headers = max_headers
+
+
 class BufferBudgetExceededError(ResponseError):
     """The buffer budget of all responses in flight has no capacity for further bytes of this one.
 
@@ -112,18 +130,23 @@
         self._response: HttpResponse | None = None
         self._status = 0
         self._headers: Headers = []
-        self._body_chunks: list[bytes] = []
+        self._body = bytearray()
         self._max_received_bytes = MAX_HEAD_BYTES
         """Limit on `received_bytes`; it grows once the head is complete."""
         self._header_bytes = 0
         """Size of the headers of the current head, then of the trailers."""
-        self._body_bytes = 0
+        self._is_head_complete = False
+        """Whether the head of the final response is complete."""
+        self._accounted_header_count = 0
+        """Number of headers whose memory is reserved in the budget."""
+        self._trailer_bytes = 0
+        """Number of bytes since the last byte of the body; httptools buffers incomplete trailers."""
         self._is_close_delimited = False
         self.received_bytes = 0
         self.keeps_alive = False
 
     def release_buffer(self) -> None:
-        """Release the bytes of the body that are reserved in the budget."""
+        """Release the bytes that are reserved for the response in the budget."""
         self.budget.release(self._reserved_bytes)
         self._reserved_bytes = 0
 
@@ -136,6 +159,7 @@
         # httptools buffers an incomplete header and skips chunk extensions, and calls no callback for either.
         # The number of raw bytes is therefore limited as well.
         self.received_bytes += len(data)
+        earlier_body_bytes = len(self._body)
         error: ResponseError | None = None
         try:
             self._http_parser.feed_data(data)
@@ -147,8 +171,32 @@
             if self._response is None:
                 raise error
             self.keeps_alive = False
+        if self._response is None:
+            self._account_for_head(len(data) if len(self._body) == earlier_body_bytes else 0)
         return self._response
 
+    def _account_for_head(self, size_bytes: int) -> None:
+        """Reserve memory for the head or the trailers of an incomplete response. Raises ResponseError.
+
+        Args:
+            size_bytes: the number of bytes just received, if none of them belongs to the body.
+        """
+        header_count = len(self._headers) - self._accounted_header_count
+        self._accounted_header_count += header_count
+        self._reserve(size_bytes + header_count * HEADER_OVERHEAD_BYTES)
+        if not size_bytes:
+            self._trailer_bytes = 0
+        elif self._is_head_complete:
+            self._trailer_bytes += size_bytes
+            if self._trailer_bytes > MAX_HEAD_BYTES:
+                raise ResponseTooLargeError(self._trailer_bytes, MAX_HEAD_BYTES)
+
+    def _reserve(self, size_bytes: int) -> None:
+        """Reserve bytes in the budget until `release_buffer`. Raises BufferBudgetExceededError."""
+        if not self.budget.reserve(size_bytes):
+            raise BufferBudgetExceededError(size_bytes, self.budget)
+        self._reserved_bytes += size_bytes
+
     def response_at_end_of_connection(self) -> HttpResponse | None:
         """Return the response that the peer's close completes, or None if it completes none."""
         if not self._is_close_delimited:
@@ -156,7 +204,7 @@
         return self._build_response()
 
     def _build_response(self) -> HttpResponse:
-        return HttpResponse(self._status, self._headers, b"".join(self._body_chunks))
+        return HttpResponse(self._status, self._headers, bytes(self._body))
 
     # ---- callbacks of httptools
 
@@ -172,6 +220,8 @@
         self._header_bytes += len(name) + len(value)
         if self._header_bytes > MAX_HEAD_BYTES:
             raise ResponseTooLargeError(self._header_bytes, MAX_HEAD_BYTES)
+        if len(self._headers) >= MAX_HEADERS:
+            raise TooManyHeadersError(MAX_HEADERS)
         self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
@@ -182,6 +232,7 @@
         self._header_bytes = 0
         if self._status < FIRST_FINAL_STATUS:
             return
+        self._is_head_complete = True
         self._max_received_bytes = MAX_HEAD_BYTES + MAX_WIRE_BYTES_PER_BODY_BYTE * self._max_body_bytes
         lengths = [value for name, value in self._headers if name in FRAMING_HEADERS]
         if lengths:
@@ -206,17 +257,14 @@
             self._response = HttpResponse(self._status, self._headers, b"")
 
     def on_body(self, body: bytes) -> None:
-        """Buffer a part of the body."""
+        """Buffer a part of the body in one byte array: an object for each part takes far more memory."""
         if self._response is not None:
             return  # the body of a second response, or of one that is complete with its head
-        size_bytes = len(body)
-        self._body_bytes += size_bytes
-        if self._body_bytes > self._max_body_bytes:
-            raise ResponseTooLargeError(self._body_bytes, self._max_body_bytes)
-        if not self.budget.reserve(size_bytes):
-            raise BufferBudgetExceededError(size_bytes, self.budget)
-        self._reserved_bytes += size_bytes
-        self._body_chunks.append(body)
+        body_bytes = len(self._body) + len(body)
+        if body_bytes > self._max_body_bytes:
+            raise ResponseTooLargeError(body_bytes, self._max_body_bytes)
+        self._reserve(len(body))
+        self._body += body
 
     def on_message_complete(self) -> None:
         """Complete the response, unless the message is an interim response or a second one."""
@@ -224,6 +272,7 @@
             return
         if self._status < FIRST_FINAL_STATUS:
             self._headers = []
+            self._accounted_header_count = 0
         else:
             self._response = self._build_response()
             # After this callback, httptools has discarded the length and always returns False.
--- a/tests/sidecar/http/test_response_parser.py
+++ b/tests/sidecar/http/test_response_parser.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import tracemalloc
+from collections.abc import Callable, Iterator
+
 import httptools
 import pytest
 
@@ -13,6 +16,7 @@
     MalformedResponseError,
     ResponseParser,
     ResponseTooLargeError,
+    TooManyHeadersError,
 )
 from tests.sidecar.messages import ok_response
 
@@ -20,6 +24,8 @@
 COMPLETE = b"HTTP/1.1 200 OK\r\nX-Shard: 7\r\nContent-Length: 4\r\n\r\ndone"
 CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 WITHOUT_LENGTH = b"HTTP/1.1 200 OK\r\n\r\n"
+UNCOUNTED_BYTES = 16 * 1024
+"""Memory that a parser may take beyond its share of the budget, for its own objects."""
 
 
 def parser_awaiting_response(budget_bytes: int = 10 * MAX_BODY_BYTES) -> ResponseParser:
@@ -156,3 +162,99 @@
 def test_trailers_larger_than_head_limit_raise_error() -> None:
     with pytest.raises(ResponseTooLargeError):
         parser_awaiting_response().feed(CHUNKED + b"0\r\nA: " + b"x" * MAX_HEAD_BYTES + b"\r\n\r\n")
+
+
+def held_bytes(fill: Callable[[], object]) -> int:
+    """Return how many bytes of memory stay allocated after this call."""
+    tracemalloc.start()
+    try:
+        result = fill()
+        held, _peak = tracemalloc.get_traced_memory()
+        del result
+    finally:
+        tracemalloc.stop()
+    return held
+
+
+def chunks_of(size_bytes: int) -> Iterator[bytes]:
+    """Yield the head of a chunked response, then 40,000 bytes in chunks of this size, in small segments."""
+    yield CHUNKED
+    chunk = b"%x\r\n%s\r\n" % (size_bytes, b"x" * size_bytes)
+    segment = chunk * 100
+    for _ in range(40_000 // size_bytes // 100):
+        yield segment
+
+
+def unfinished_head() -> Iterator[bytes]:
+    yield b"HTTP/1.1 200 OK\r\n"
+    for _ in range(75):
+        yield b"a:\r\n" * 100
+
+
+def unfinished_trailers() -> Iterator[bytes]:
+    yield CHUNKED + b"4\r\ndone\r\n0\r\n"
+    for _ in range(75):
+        yield b"a:\r\n" * 100
+
+
+def unfinished_header() -> Iterator[bytes]:
+    yield b"HTTP/1.1 200 OK\r\nA: "
+    for _ in range(300):
+        yield b"x" * 100
+
+
+@pytest.mark.parametrize(
+    "segments",
+    [
+        list(chunks_of(1)),
+        list(chunks_of(4)),
+        list(chunks_of(16)),
+        list(unfinished_head()),
+        list(unfinished_trailers()),
+        list(unfinished_header()),
+    ],
+    ids=["chunks of 1", "chunks of 4", "chunks of 16", "head", "trailers", "header"],
+)
+def test_unfinished_response_in_small_pieces_holds_no_more_memory_than_is_counted(
+    segments: list[bytes],
+) -> None:
+    """Guards against a process killed for memory, as `review/7` shows: 14 times what the budget counted."""
+    budget = BufferBudget(10 * 1024 * 1024)
+    parser = ResponseParser(budget)
+
+    def receive() -> None:
+        parser.begin_response(1024 * 1024)
+        for segment in segments:
+            assert parser.feed(segment) is None
+
+    held = held_bytes(receive)
+    assert held > UNCOUNTED_BYTES  # the response is long enough to tell
+    # A growing byte array has an eighth in reserve.
+    assert held <= budget.used_bytes * 9 / 8 + UNCOUNTED_BYTES
+
+
+def test_head_with_more_headers_than_its_limit_in_bytes_allows_raises_error() -> None:
+    """Guards against one segment with far more headers than the limit on the bytes of a head allows."""
+    with pytest.raises(TooManyHeadersError):
+        parser_awaiting_response().feed(b"HTTP/1.1 200 OK\r\n" + b"a:\r\n" * 60_000)
+
+
+def test_trailers_that_never_end_raise_error() -> None:
+    """Guards against one trailer that grows up to the limit of the whole response, uncounted."""
+    parser = ResponseParser(BufferBudget(10 * 1024 * 1024))
+    parser.begin_response(1024 * 1024)
+    assert parser.feed(CHUNKED + b"4\r\ndone\r\n0\r\nA: ") is None
+    for _ in range(MAX_HEAD_BYTES // 1000):
+        assert parser.feed(b"x" * 1000) is None
+    with pytest.raises(ResponseTooLargeError) as caught:
+        parser.feed(b"x" * 1000)
+    assert caught.value.max_bytes == MAX_HEAD_BYTES
+
+
+def test_interim_responses_in_turn_release_the_count_of_their_headers() -> None:
+    parser = parser_awaiting_response()
+    for _ in range(3):
+        assert parser.feed(b"HTTP/1.1 103 Early Hints\r\nLink: x\r\nLink: y\r\n\r\n") is None
+    response = parser.feed(COMPLETE)
+    assert response is not None
+    assert response.body == b"done"
