Drop a response when its bytes are released in the buffer budget

A connection that rests keeps the body and the headers of its last response until its next request, while the budget counts none of it.

Cause: ResponseParser.release_buffer released the bytes in the budget only; the response, its body and its headers stayed until begin_response.

Evidence: 501,199 bytes stayed allocated for a response of 500,000 (tracemalloc), in the test that failed before this change; at most 16 KiB may stay.

Change: release_buffer drops what it releases.

--- a/balancer/sidecar/http/response_parser.py
+++ b/balancer/sidecar/http/response_parser.py
@@ -146,9 +146,16 @@
         self.keeps_alive = False
 
     def release_buffer(self) -> None:
-        """Release the bytes that are reserved for the response in the budget."""
+        """Drop what is stored of the response, and release the bytes that are reserved for it in the budget.
+
+        No more bytes may be fed until `begin_response`. A connection may rest for long after its response.
+        """
         self.budget.release(self._reserved_bytes)
         self._reserved_bytes = 0
+        self._body = bytearray()
+        self._headers = []
+        self._response = None
+        self._is_close_delimited = False
 
     def feed(self, data: bytes) -> HttpResponse | None:
         """Parse bytes that have been received. Returns the response once it is complete.
--- a/tests/sidecar/http/test_response_parser.py
+++ b/tests/sidecar/http/test_response_parser.py
@@ -233,6 +233,21 @@
     assert held <= budget.used_bytes * 9 / 8 + UNCOUNTED_BYTES
 
 
+def test_released_parser_keeps_nothing_of_the_response() -> None:
+    """Guards against resting connections that each keep their last response, which no budget counts."""
+    parser = ResponseParser(BufferBudget(1024 * 1024))
+
+    def receive() -> None:
+        parser.begin_response(1024 * 1024)
+        body = b"x" * 500_000
+        assert parser.feed(b"HTTP/1.1 200 OK\r\nContent-Length: 500000\r\n\r\n" + body) is not None
+        parser.release_buffer()
+
+    assert held_bytes(receive) <= UNCOUNTED_BYTES
+    assert parser.budget.used_bytes == 0
+    assert parser.keeps_alive
+
+
 def test_head_with_more_headers_than_its_limit_in_bytes_allows_raises_error() -> None:
     """Guards against one segment with far more headers than the limit on the bytes of a head allows."""
     with pytest.raises(TooManyHeadersError):
