Keep one arrival time of a request that is still arriving

Cause: RequestReader stored an arrival time for each 10 ms in which bytes had come, until the request was complete, though only that of its last byte counts.

Change: an incomplete request keeps the last arrival time alone.

--- a/balancer/sidecar/downstream/request_reader.py
+++ b/balancer/sidecar/downstream/request_reader.py
@@ -97,6 +97,14 @@
 
     def next_request(self) -> ReceivedRequest | None:
         """Remove and return the first request, or None until it is complete. Raises HttpRequestError."""
+        request = self._take_complete_request()
+        if request is None:
+            # The request ends with bytes that are still to come, so the earlier arrival times have no use.
+            while len(self._segments) > 1:
+                self._segments.popleft()
+        return request
+
+    def _take_complete_request(self) -> ReceivedRequest | None:
         buffer = self._buffer
         head = self._head or self._read_head()
         if head is None:
--- a/tests/sidecar/downstream/test_request_reader.py
+++ b/tests/sidecar/downstream/test_request_reader.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from balancer.sidecar.downstream.request_reader import ARRIVAL_RESOLUTION_SECONDS, RequestReader
+from tests.sidecar.memory import held_bytes
 from tests.sidecar.messages import request_bytes
 
 
@@ -49,3 +50,21 @@
     reader.clear()
     reader.feed(request_bytes(), 2.0)
     assert arrival_times(reader) == [2.0]
+
+
+def test_request_that_arrives_byte_by_byte_holds_little_more_memory_than_its_bytes() -> None:
+    """Guards against an arrival time in memory for each small piece of a request that arrives slowly."""
+    reader = RequestReader()
+    body = b"x" * 2000
+    raw = request_bytes("post", body=body)
+
+    def receive_all_but_the_last_byte() -> None:
+        for index in range(len(raw) - 1):
+            reader.feed(raw[index : index + 1], 100.0 + index)
+            assert reader.next_request() is None
+
+    assert held_bytes(receive_all_but_the_last_byte) <= 2 * len(raw) + 4096
+    reader.feed(raw[-1:], 9000.0)
+    request = reader.next_request()
+    assert request is not None
+    assert (request.body, request.arrived_at_seconds) == (body, 9000.0)
--- a/tests/sidecar/http/test_response_parser.py
+++ b/tests/sidecar/http/test_response_parser.py
@@ -2,8 +2,7 @@
 
 from __future__ import annotations
 
-import tracemalloc
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 
 import httptools
 import pytest
@@ -18,6 +17,7 @@
     ResponseTooLargeError,
     TooManyHeadersError,
 )
+from tests.sidecar.memory import held_bytes
 from tests.sidecar.messages import ok_response
 
 MAX_BODY_BYTES = 1000
@@ -164,18 +164,6 @@
         parser_awaiting_response().feed(CHUNKED + b"0\r\nA: " + b"x" * MAX_HEAD_BYTES + b"\r\n\r\n")
 
 
-def held_bytes(fill: Callable[[], object]) -> int:
-    """Return how many bytes of memory stay allocated after this call."""
-    tracemalloc.start()
-    try:
-        result = fill()
-        held, _peak = tracemalloc.get_traced_memory()
-        del result
-    finally:
-        tracemalloc.stop()
-    return held
-
-
 def chunks_of(size_bytes: int) -> Iterator[bytes]:
     """Yield the head of a chunked response, then 40,000 bytes in chunks of this size, in small segments."""
     yield CHUNKED
