Start no attempt for a client that may have left behind unread bytes

Cause: the end of a stream comes behind all bytes before it. While reading is paused (full pipeline, or bytes after the last request) the receive buffer fills up and the end waits at the client's machine, so polling the socket shows an open connection.

Before the change two of the new tests failed (2 attempts for 1 request, 20 for 16); the test of requests behind a pipeline passed before as well.

--- a/balancer/sidecar/downstream/client_transport.py
+++ b/balancer/sidecar/downstream/client_transport.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import select
 import socket
 from typing import cast
@@ -70,6 +71,18 @@
         readable_poll.register(self._file_descriptor, select.POLLIN)
         return bool(readable_poll.poll(0))
 
+    def read_into(self, buffer: memoryview) -> int:
+        """Read bytes from the socket directly, and return their number; 0 if there are none or it is closed.
+
+        Only while reading is paused, as the event loop reads otherwise.
+        """
+        if not self.is_open():
+            return 0
+        try:
+            return os.readv(self._file_descriptor, [buffer])
+        except OSError:  # includes BlockingIOError; a reset stays visible to `is_peer_closed`
+            return 0
+
     @property
     def unsent_byte_count(self) -> int:
         """Return how many written bytes the kernel has not taken yet; an abort drops them."""
--- a/balancer/sidecar/downstream/connection.py
+++ b/balancer/sidecar/downstream/connection.py
@@ -14,6 +14,7 @@
 from balancer.sidecar.downstream.exchange import Exchange, ExchangeQueue
 from balancer.sidecar.downstream.flow_control import FlowControl
 from balancer.sidecar.downstream.interfaces import ConnectionManager
+from balancer.sidecar.downstream.read_ahead import ReadAhead
 from balancer.sidecar.downstream.request_reader import (
     ARRIVAL_RESOLUTION_SECONDS,
     ReceivedRequest,
@@ -56,6 +57,7 @@
         "_is_processing_requests",
         "_manager",
         "_metrics",
+        "_read_ahead",
         "_reader",
         "_transport",
         "_turns",
@@ -77,6 +79,7 @@
         self._waiting_since_seconds = 0.0
         self.lifecycle = ConnectionLifecycle()
         self.flow_control = FlowControl(self._transport, manager, unread_since_seconds)
+        self._read_ahead = ReadAhead(self._transport, self.flow_control, self._reader, manager.read_buffer)
         self.response_progress = ResponseProgress(self._transport)
         self.has_sent_request = False
 
@@ -123,8 +126,13 @@
 
     def is_disconnected(self) -> bool:
         """Return whether the client has closed its side, according to the socket."""
+        self._read_ahead.read(self.lifecycle.phase)
         return self._transport.is_peer_closed()
 
+    def may_be_disconnected(self) -> bool:
+        """Return whether the client may have left some time ago, behind bytes that are still unread."""
+        return self._read_ahead.is_end_hidden()
+
     def has_unread_bytes(self) -> bool:
         """Return whether bytes have arrived that have not been read yet."""
         return self._transport.has_unread_bytes()
--- a/balancer/sidecar/downstream/exchange.py
+++ b/balancer/sidecar/downstream/exchange.py
@@ -24,6 +24,9 @@
     def is_disconnected(self) -> bool:
         """Return whether the client has closed its side."""
 
+    def may_be_disconnected(self) -> bool:
+        """Return whether the client may have left although its connection seems to be open."""
+
 
 class Exchange:
     """One request and its response; implements `ResponseSink` for the dispatcher.
@@ -63,6 +66,10 @@
         """Return whether the client has disconnected and no longer waits for the response."""
         return self._owner.is_disconnected()
 
+    def may_be_disconnected(self) -> bool:
+        """Return whether the client may have left although its connection seems to be open."""
+        return self._owner.may_be_disconnected()
+
 
 class ExchangeQueue(deque[Exchange]):
     """The exchanges of a connection whose responses have not been sent, in the order of the requests."""
--- a/balancer/sidecar/downstream/flow_control.py
+++ b/balancer/sidecar/downstream/flow_control.py
@@ -50,16 +50,30 @@
         """Return whether nothing is read from the client for now."""
         return self._transport.is_reading_paused
 
+    def earliest_arrival_seconds(self) -> float:
+        """Return the earliest time at which the bytes that are read next may have arrived."""
+        if self._unread_since_seconds is None:
+            return self._clock.now_seconds()
+        return self._unread_since_seconds
+
     def arrival_time_seconds(self) -> float:
         """Return the arrival time of the bytes just read; the earliest possible time if it is unknown."""
-        now_seconds = self._clock.now_seconds()
-        if self._unread_since_seconds is None:
-            return now_seconds
-        arrived_at_seconds = self._unread_since_seconds
-        if not self._transport.has_unread_bytes():
+        arrived_at_seconds = self.earliest_arrival_seconds()
+        if self._unread_since_seconds is not None and not self._transport.has_unread_bytes():
             self._unread_since_seconds = None
         return arrived_at_seconds
 
+    def seconds_unread(self) -> float:
+        """Return for how many seconds at most bytes have been waiting in the socket; 0 if none are."""
+        if self._unread_since_seconds is None or not self._transport.has_unread_bytes():
+            return 0.0
+        return self._clock.now_seconds() - self._unread_since_seconds
+
+    def record_read_ahead(self) -> None:
+        """Record that bytes have been read while reading is paused, all of them or a part."""
+        if not self._transport.has_unread_bytes():
+            self._unread_since_seconds = self._clock.now_seconds()
+
     def record_unread_bytes(self) -> None:
         """Record that the bytes still unread arrived no later than now: a read may return only a part."""
         if self._unread_since_seconds is None and self._transport.has_unread_bytes():
--- a/balancer/sidecar/downstream/interfaces.py
+++ b/balancer/sidecar/downstream/interfaces.py
@@ -45,6 +45,8 @@
 class ConnectionManager(TimeSource, TurnScheduler, Protocol):
     """The part of the listener that its connections use."""
 
+    read_buffer: memoryview
+    """The buffer for one read from a client."""
     is_draining: bool
     """Whether each connection is closed after the response that leaves it idle."""
 
--- a/balancer/sidecar/downstream/listener.py
+++ b/balancer/sidecar/downstream/listener.py
@@ -20,6 +20,9 @@
 from balancer.sidecar.requests.client_request import ClientRequest
 from balancer.sidecar.runtime.timers import OneShotTimer
 
+READ_BUFFER_BYTES = 16 * 1024
+"""Size of the buffer for one read from a client."""
+
 
 class Listener:
     """Admits clients' connections, up to a limit, and enforces the time limits on each of them.
@@ -31,6 +34,7 @@
         dispatcher: takes the valid requests.
         timeouts: the time limits of the connections.
         now_seconds: returns the event loop's time, in seconds.
+        read_buffer: the buffer for one read from a client.
         is_draining: whether each connection is closed after the response that leaves it idle.
     """
 
@@ -45,6 +49,7 @@
         self.timeouts = timeouts
         self.now_seconds = loop.time
         self._loop = loop
+        self.read_buffer = memoryview(bytearray(READ_BUFFER_BYTES))
         self.is_draining = False
         self._is_shutting_down = False
         self._validator = RequestValidator(config)
--- a/balancer/sidecar/downstream/request_reader.py
+++ b/balancer/sidecar/downstream/request_reader.py
@@ -70,6 +70,11 @@
         """Return whether bytes are buffered that may hold or complete a request for `next_request`."""
         return bool(self._buffer)
 
+    @property
+    def buffered_byte_count(self) -> int:
+        """Return how many bytes are buffered."""
+        return len(self._buffer)
+
     @property
     def last_arrival_seconds(self) -> float:
         """Return when the last bytes arrived that are not consumed; some must be buffered."""
--- a/balancer/sidecar/requests/attempt_guard.py
+++ b/balancer/sidecar/requests/attempt_guard.py
@@ -50,6 +50,8 @@
     """The request may have been executed, and the endpoint might execute it again."""
     CLIENT_DISCONNECTED = "client_left"
     """The client has disconnected, and no event has reported it yet."""
+    CLIENT_UNCERTAIN = "client_uncertain"
+    """So many bytes of the client are unread that it may have left; the request gets its final response."""
 
 
 class AttemptGuard:
@@ -100,7 +102,7 @@
         if not self._is_retry_allowed(request, endpoint_id, now_ns):
             return AttemptRefusal.RETRY_FORBIDDEN
         # This check is the last one because it costs a system call.
-        return AttemptRefusal.CLIENT_DISCONNECTED if request.is_abandoned() else None
+        return _refusal_for_client(request)
 
     def record_refusal(
         self, refusal: AttemptRefusal, request: InFlightRequest, endpoint_id: EndpointId, now_ns: int
@@ -177,6 +179,15 @@
         return self._classes[request.client_request.class_index]
 
 
+def _refusal_for_client(request: InFlightRequest) -> AttemptRefusal | None:
+    """Return why an attempt may not start if its client has disconnected, or may have."""
+    if request.is_abandoned():
+        return AttemptRefusal.CLIENT_DISCONNECTED
+    if request.may_be_abandoned():
+        return AttemptRefusal.CLIENT_UNCERTAIN
+    return None
+
+
 def _deduplication_end_ns(request: InFlightRequest, request_class: RequestClass) -> int:
     """Return the time until which endpoints drop duplicates of a request that may have been executed."""
     return request.executed_at_ns + request_class.deduplication_window_ns
--- a/balancer/sidecar/requests/attempt_runner.py
+++ b/balancer/sidecar/requests/attempt_runner.py
@@ -152,7 +152,7 @@
         # closes the connection, so no byte of the returned message is sent.
         if request.is_abandoned():
             self._disconnects.on_client_disconnected(request.request_id)
-        if request.answered and request.attempt is not None:
+        if request.attempt is not None and (request.answered or request.may_be_abandoned()):
             request.attempt.abort(AttemptOutcome.NOT_SENT)
         return request.encode(self._now_ns())
 
--- a/balancer/sidecar/requests/client_request.py
+++ b/balancer/sidecar/requests/client_request.py
@@ -33,6 +33,9 @@
     def is_disconnected(self) -> bool:
         """Return whether the client has closed the connection or its sending side of it."""
 
+    def may_be_disconnected(self) -> bool:
+        """Return whether the client may have left although its connection seems to be open."""
+
 
 class ClientRequest(NamedTuple):
     """A validated request of a client."""
--- a/balancer/sidecar/requests/in_flight_request.py
+++ b/balancer/sidecar/requests/in_flight_request.py
@@ -62,6 +62,10 @@
         """
         return not self.answered and self.response_sink.is_disconnected()
 
+    def may_be_abandoned(self) -> bool:
+        """Return whether the response is pending but the client may have left without a sign of it."""
+        return not self.answered and self.response_sink.may_be_disconnected()
+
     def record_outcome(self, outcome: AttemptOutcome) -> None:
         """Record the outcome of the current attempt, which has ended."""
         self.attempt = None
--- a/tests/sidecar/downstream/test_client_disconnect.py
+++ b/tests/sidecar/downstream/test_client_disconnect.py
@@ -21,6 +21,7 @@
     connect_socket,
     reset_on_close,
     run_sidecar_without_sweeps,
+    set_time,
 )
 from tests.sidecar.event_loop import async_test, wait_until
 from tests.sidecar.messages import ok_response, request_bytes
@@ -211,3 +212,103 @@
             await wait_until(lambda: not sidecar.dispatcher.request_registry.in_flight)
             assert len(posts) == 1
             assert disconnected_count(sidecar) == 1
+
+
+MUCH_BYTES = 8_000_000
+"""More bytes than the sockets of both sides take, so that the client's close waits behind unsent bytes."""
+
+
+def fill_socket(client: socket, data: bytes) -> None:
+    """Send as much of this as the sockets of both sides take while the sidecar does not read."""
+    client.setblocking(False)
+    view = memoryview(data)
+    with contextlib.suppress(BlockingIOError):
+        while view:
+            view = view[client.send(view) :]
+    assert view, "the sockets have taken all bytes, so the close is visible"
+
+
+async def fill_connection(
+    sidecar: Sidecar, client: socket, is_last: bool, attempt_count: Callable[[], int]
+) -> None:
+    """Start attempts for a client that has sent far more than the sidecar reads.
+
+    Args:
+        sidecar: the sidecar.
+        client: the socket of the client.
+        is_last: whether the client asks for a close after one request, and sends bytes that are no request;
+            otherwise it sends a full pipeline and many further requests.
+        attempt_count: returns the number of attempts so far.
+    """
+    request_count = 1 if is_last else MAX_PIPELINED_REQUESTS
+    if is_last:
+        client.sendall(request_bytes(extra_headers=CLOSE_HEADER))
+    else:
+        client.sendall(b"".join(request_bytes() for _ in range(request_count)))
+    await wait_until(lambda: attempt_count() == request_count)
+    further_request_count = MUCH_BYTES // len(request_bytes())
+    further_requests = b"".join(request_bytes() for _ in range(further_request_count))
+    much = b"x" * MUCH_BYTES if is_last else further_requests
+    connection = only_connection(sidecar)
+    while not connection.flow_control.is_reading_paused or not connection.has_unread_bytes():
+        fill_socket(client, much)
+        await asyncio.sleep(0)
+    fill_socket(client, much)
+
+
+@pytest.mark.parametrize("is_last", [True, False], ids=["last request", "pipeline"])
+@pytest.mark.parametrize("how", [Disconnect.CLOSE, Disconnect.RESET])
+@async_test
+async def test_request_is_not_retried_after_client_with_much_unread_has_closed(
+    is_last: bool, how: Disconnect
+) -> None:
+    """Guards against requests that are sent on after their client has left with much still unread.
+
+    The close waits behind bytes that the client's machine cannot send while the sidecar does not read.
+    """
+    responses_released = asyncio.Event()
+
+    async def decline_when_released(_request: ReceivedRequest) -> bytes:
+        await responses_released.wait()
+        return DECLINED_RESPONSE
+
+    async with run_sidecar_with_two_endpoints(decline_when_released) as (sidecar, attempt_count):
+        with connect_socket(sidecar) as client:
+            await fill_connection(sidecar, client, is_last, attempt_count)
+            request_count = attempt_count()
+            disconnect(client, how)
+            set_time(sidecar, sidecar.listener.now_seconds() + 0.1)
+            responses_released.set()
+            await wait_until(lambda: not sidecar.dispatcher.request_registry.in_flight)
+            assert attempt_count() == request_count
+
+
+@async_test
+async def test_request_behind_a_pipeline_is_not_sent_after_its_client_with_much_unread_has_closed() -> None:
+    """Guards against requests that are sent on one by one as earlier ones of the same client are answered."""
+    responses_released = asyncio.Event()
+
+    async def respond_when_released(_request: ReceivedRequest) -> bytes:
+        await responses_released.wait()
+        return ok_response()
+
+    async with run_sidecar_with_two_endpoints(respond_when_released) as (sidecar, attempt_count):
+        with connect_socket(sidecar) as client:
+            await fill_connection(sidecar, client, is_last=False, attempt_count=attempt_count)
+            disconnect(client, Disconnect.CLOSE)
+            set_time(sidecar, sidecar.listener.now_seconds() + 0.1)
+            responses_released.set()
+            await wait_until(lambda: not len(sidecar.listener))
+            await wait_until(lambda: not sidecar.dispatcher.request_registry.in_flight)
+            assert attempt_count() == MAX_PIPELINED_REQUESTS
+
+
+@async_test
+async def test_client_with_much_unread_that_stays_gets_every_answer() -> None:
+    """A client that may have left is answered all the same, as it may as well be there."""
+    async with run_endpoint(answer_ok) as endpoint, run_sidecar_without_sweeps(endpoint.address) as sidecar:
+        client = await sidecar.connect_client()
+        client.writer.write(b"".join(request_bytes() for _ in range(5000)))
+        statuses = [(await client.read_response()).status for _ in range(5000)]
+        assert set(statuses) <= {200, 503}
+        assert statuses.count(200) >= MAX_PIPELINED_REQUESTS
--- a/tests/sidecar/requests/test_attempt_guard.py
+++ b/tests/sidecar/requests/test_attempt_guard.py
@@ -54,15 +54,20 @@
 
 
 class StubSink:
-    """A response sink that implements only the check of whether the client has disconnected."""
+    """A response sink that implements only the checks of whether the client has disconnected."""
 
     def __init__(self) -> None:
         self.client_disconnected = False
+        self.client_uncertain = False
 
     def is_disconnected(self) -> bool:
         """Return the value that the test has set."""
         return self.client_disconnected
 
+    def may_be_disconnected(self) -> bool:
+        """Return the value that the test has set."""
+        return self.client_uncertain
+
 
 @dataclass(slots=True)
 class GuardedRequest:
@@ -159,6 +164,15 @@
     assert not disconnected.request.answered
 
 
+@async_test
+async def test_attempt_may_not_start_for_client_that_may_have_left() -> None:
+    uncertain = guarded_request()
+    uncertain.sink.client_uncertain = True
+    assert uncertain.refusal() == AttemptRefusal.CLIENT_UNCERTAIN
+    uncertain.request.answered = True
+    assert uncertain.refusal() == AttemptRefusal.ANSWERED
+
+
 @pytest.mark.parametrize("outcome", list(AttemptOutcome))
 @async_test
 async def test_request_that_is_not_idempotent_is_retried_only_if_never_executed(
