Bound the memory of requests, and of responses that wait for their client

Cause: only responses that arrive from account servers were counted. One read returned up to 256,000 bytes; a request that arrives, requests in flight with their state, and responses once they had arrived were counted nowhere.

Change: one budget for all messages, half of the memory limit or less if that leaves under 40 MiB for the process; requests may take half of it. A request without memory is rejected at once; one that still arrives gets a 503 and its connection ends. A response counts until the kernel has taken it. One read from a client returns 16 KiB.

Two tests that lift the limit on responses lift the limit on all messages too.

--- a/balancer/sidecar/configuration.py
+++ b/balancer/sidecar/configuration.py
@@ -62,8 +62,8 @@
     """
     max_upstream_connections: int
     """The limit on open connections to endpoints."""
-    memory_limit_bytes: int
-    """The memory that the process may use."""
+    message_buffer_bytes: int
+    """The memory that the messages of clients and endpoints may take."""
     gossip_listen_address: Address | None
     """The address at which gossip of other sidecars is received; None if there is no gossip."""
     gossip_addresses: tuple[Address, ...]
@@ -128,7 +128,7 @@
         seed=_read_seed(top),
         max_downstream_connections=resources.max_downstream_connections,
         max_upstream_connections=resources.max_upstream_connections,
-        memory_limit_bytes=resources.memory_limit_bytes,
+        message_buffer_bytes=resources.message_buffer_bytes,
         gossip_listen_address=_read_optional_address(top, "peer_listen"),
         gossip_addresses=_read_addresses(top, "peers"),
         gossip_broadcast_address=_read_optional_address(top, "peers_all"),
--- a/balancer/sidecar/downstream/acceptor.py
+++ b/balancer/sidecar/downstream/acceptor.py
@@ -30,7 +30,7 @@
 timeouts.
 """
 
-ProtocolFactory: TypeAlias = Callable[[float | None], asyncio.Protocol]
+ProtocolFactory: TypeAlias = Callable[[float | None], asyncio.BaseProtocol]
 """Creates the protocol of a connection; `Acceptor` describes its argument."""
 
 log = logging.getLogger(__name__)
@@ -132,7 +132,9 @@
         self._opening_tasks.add(task)
         task.add_done_callback(self._opening_tasks.discard)
 
-    async def _attach(self, connection: socket.socket, make_protocol: Callable[[], asyncio.Protocol]) -> None:
+    async def _attach(
+        self, connection: socket.socket, make_protocol: Callable[[], asyncio.BaseProtocol]
+    ) -> None:
         connection.setblocking(False)
         try:
             # Small writes must not wait for the acknowledgement of earlier ones.
--- a/balancer/sidecar/downstream/connection.py
+++ b/balancer/sidecar/downstream/connection.py
@@ -23,6 +23,7 @@
 from balancer.sidecar.downstream.request_turns import MAX_REQUESTS_PER_TURN, RequestTurns
 from balancer.sidecar.downstream.response import CONTINUE_RESPONSE, encode_response, request_error_response
 from balancer.sidecar.downstream.response_progress import ResponseProgress
+from balancer.sidecar.downstream.stored_messages import StoredMessages
 from balancer.sidecar.http.request import HttpRequestError
 from balancer.sidecar.runtime.metrics import Invariant, Metric
 
@@ -32,7 +33,7 @@
 """Path of a readiness check, which the sidecar answers without the dispatcher."""
 
 
-class DownstreamConnection(asyncio.Protocol):
+class DownstreamConnection(asyncio.BufferedProtocol):
     """One connection of a client, from its first byte until both sides are closed.
 
     It accepts requests until it is closed or its last request has arrived. Then it lingers (RFC 9112, section
@@ -59,6 +60,7 @@
         "_metrics",
         "_read_ahead",
         "_reader",
+        "_stored_messages",
         "_transport",
         "_turns",
         "_waiting_since_seconds",
@@ -74,12 +76,15 @@
         self._transport = ClientTransport()
         self._reader = RequestReader()
         self._exchanges = ExchangeQueue()
+        self._stored_messages = StoredMessages(manager.dispatcher.budgets)
         self._turns = RequestTurns(manager, self._process_requests)
         self._is_processing_requests = False
         self._waiting_since_seconds = 0.0
         self.lifecycle = ConnectionLifecycle()
         self.flow_control = FlowControl(self._transport, manager, unread_since_seconds)
-        self._read_ahead = ReadAhead(self._transport, self.flow_control, self._reader, manager.read_buffer)
+        self._read_ahead = ReadAhead(
+            self._transport, self.flow_control, self._reader, self._stored_messages, manager.read_buffer
+        )
         self.response_progress = ResponseProgress(self._transport)
         self.has_sent_request = False
 
@@ -150,6 +155,7 @@
         """Restart the current wait if the client has read a part of its responses since the last check."""
         if self.response_progress.check():
             self._restart_wait()
+        self._record_stored_responses()
 
     def _restart_wait(self) -> None:
         self._waiting_since_seconds = self._manager.now_seconds()
@@ -163,6 +169,14 @@
         self._metrics.count(Metric.DOWNSTREAM_CONNECTIONS)
         self._manager.on_connection_opened(self)
 
+    def get_buffer(self, _size_hint: int) -> memoryview:
+        """Return the buffer for the next read, which all connections share."""
+        return self._manager.read_buffer
+
+    def buffer_updated(self, size_bytes: int) -> None:
+        """Take the bytes of one read out of the buffer."""
+        self.data_received(bytes(self._manager.read_buffer[:size_bytes]))
+
     def data_received(self, data: bytes) -> None:
         """Accept the requests that are complete with this data."""
         if self.lifecycle.phase is not ConnectionPhase.ACCEPTING_REQUESTS:
@@ -191,6 +205,7 @@
         self._transport.detach()
         self._manager.on_connection_closed(self)
         self._abandon_requests()
+        self._stored_messages.clear()
 
     def pause_writing(self) -> None:
         """Accept no more requests while the client does not read its responses."""
@@ -202,6 +217,7 @@
         """Continue with the requests that were read while writing was blocked."""
         self.flow_control.is_write_blocked = False
         self._restart_wait()
+        self._record_stored_responses()
         self._process_requests()
 
     def _update_reading(self) -> None:
@@ -223,8 +239,23 @@
             self.reject_request(error)
         finally:
             self._is_processing_requests = False
+        self._count_stored_requests()
         self._update_reading()
 
+    def _count_stored_requests(self) -> None:
+        """Count the bytes that are left in the buffer; reject a request that arrives if they do not fit.
+
+        Requests that wait for their turn or for a place in the pipeline are not rejected: they are in memory
+        already, and no more of them are read.
+        """
+        size_bytes = self._reader.buffered_byte_count
+        if self._stored_messages.try_store_requests(size_bytes):
+            return
+        if self._can_accept_request() and not self._turns.is_waiting:
+            self._metrics.count(Metric.MEMORY_REJECTIONS)
+            self.reject_request(HttpRequestError(HTTPStatus.SERVICE_UNAVAILABLE, "too many requests"))
+        self._stored_messages.record_requests(self._reader.buffered_byte_count)
+
     def _process_turn(self) -> None:
         """Accept requests as long as `_can_accept_request` allows it. Raises HttpRequestError."""
         for _ in range(MAX_REQUESTS_PER_TURN):
@@ -258,6 +289,7 @@
         if head.method == READINESS_METHOD and head.path == READINESS_PATH:
             self._open_exchange(is_last=not head.keeps_alive).respond(self._manager.readiness_response())
             return
+        self._stored_messages.record_requests(self._reader.buffered_byte_count)
         client_request = self._manager.validate_request(head, request.body)
         waited_seconds = self._manager.now_seconds() - request.arrived_at_seconds
         if waited_seconds < ARRIVAL_RESOLUTION_SECONDS:
@@ -292,6 +324,7 @@
         """Abandon every request that has no response, as the client has disconnected."""
         self.lifecycle.stop_accepting_requests()
         self._reader.clear()
+        self._stored_messages.record_requests(0)
         for request_id in self._exchanges.abandon():
             self._manager.dispatcher.on_client_disconnected(request_id)
 
@@ -307,8 +340,13 @@
             self._transport.write(encode_response(response, close=is_last))
             if is_last:
                 self.close(CloseReason.LAST_RESPONSE if exchange.is_last else CloseReason.DRAINING)
+        self._record_stored_responses()
         self._process_requests()
 
+    def _record_stored_responses(self) -> None:
+        unsent_bytes = self._transport.unsent_byte_count
+        self._stored_messages.record_responses(self._exchanges.response_bytes + unsent_bytes)
+
     # ---- closing
 
     def close(self, reason: CloseReason) -> None:
--- a/balancer/sidecar/downstream/exchange.py
+++ b/balancer/sidecar/downstream/exchange.py
@@ -81,6 +81,11 @@
         """Return whether no further request may be accepted until a response has been sent."""
         return len(self) >= MAX_PIPELINED_REQUESTS
 
+    @property
+    def response_bytes(self) -> int:
+        """Return how many bytes the responses have that wait for earlier ones."""
+        return sum(len(exchange.response.body) for exchange in self if exchange.response is not None)
+
     def first_response(self) -> HttpResponse | None:
         """Return the response to the oldest request, or None if there is none yet."""
         return self[0].response if self else None
--- a/balancer/sidecar/downstream/interfaces.py
+++ b/balancer/sidecar/downstream/interfaces.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING, Protocol
 
 from balancer.sidecar.downstream.request_turns import TurnScheduler
+from balancer.sidecar.http.buffer_budget import MessageBudgets
 from balancer.sidecar.http.message import HttpResponse
 from balancer.sidecar.http.request import RequestHead
 from balancer.sidecar.requests.client_request import ClientRequest, ResponseSink
@@ -21,14 +22,19 @@
     """Whether the endpoint list has ever been non-empty."""
     metrics: Metrics
     """The counters of the sidecar."""
+    budgets: MessageBudgets
+    """The limits on the memory of messages."""
 
     def is_duplicate(self, client_request_id: bytes, /) -> bool:
         """Return whether a request with this id is in flight or may have been executed already."""
 
-    def submit(self, response_sink: ResponseSink, request: ClientRequest, waited_seconds: float, /) -> int:
+    def submit(
+        self, response_sink: ResponseSink, request: ClientRequest, waited_seconds: float, /
+    ) -> int | None:
         """Accept a request that arrived this many seconds ago, and return the dispatcher's id of it.
 
-        The response may be sent before this method returns.
+        The result is None if there is no memory for the request, which is rejected then. The response may be
+        sent before this method returns.
         """
 
     def on_client_disconnected(self, request_id: int, /) -> None:
@@ -46,7 +52,7 @@
     """The part of the listener that its connections use."""
 
     read_buffer: memoryview
-    """The buffer for one read from a client."""
+    """The buffer into which each connection reads, one after the other."""
     is_draining: bool
     """Whether each connection is closed after the response that leaves it idle."""
 
--- a/balancer/sidecar/downstream/listener.py
+++ b/balancer/sidecar/downstream/listener.py
@@ -21,7 +21,10 @@
 from balancer.sidecar.runtime.timers import OneShotTimer
 
 READ_BUFFER_BYTES = 16 * 1024
-"""Size of the buffer for one read from a client."""
+"""Number of bytes that one read from a client may return.
+
+Reading can pause only between two reads, so each connection may hold this many bytes that wait.
+"""
 
 
 class Listener:
@@ -34,7 +37,7 @@
         dispatcher: takes the valid requests.
         timeouts: the time limits of the connections.
         now_seconds: returns the event loop's time, in seconds.
-        read_buffer: the buffer for one read from a client.
+        read_buffer: the buffer into which each connection reads, one after the other.
         is_draining: whether each connection is closed after the response that leaves it idle.
     """
 
--- a/balancer/sidecar/downstream/read_ahead.py
+++ b/balancer/sidecar/downstream/read_ahead.py
@@ -11,6 +11,7 @@
 from balancer.sidecar.downstream.connection_lifecycle import ConnectionPhase
 from balancer.sidecar.downstream.flow_control import FlowControl
 from balancer.sidecar.downstream.request_reader import RequestReader
+from balancer.sidecar.downstream.stored_messages import StoredMessages
 
 MAX_READ_AHEAD_BYTES = 256 * 1024
 """Number of bytes of further requests that a connection stores to look for the end behind them."""
@@ -29,21 +30,24 @@
         transport: the transport of the connection.
         flow_control: tells whether reading is paused, and since when bytes may be unread.
         reader: stores the bytes of further requests.
+        stored_messages: counts their memory.
         buffer: the buffer for one read.
     """
 
-    __slots__ = ("_buffer", "_flow_control", "_reader", "_transport")
+    __slots__ = ("_buffer", "_flow_control", "_reader", "_stored_messages", "_transport")
 
     def __init__(
         self,
         transport: ClientTransport,
         flow_control: FlowControl,
         reader: RequestReader,
+        stored_messages: StoredMessages,
         buffer: memoryview,
     ) -> None:
         self._transport = transport
         self._flow_control = flow_control
         self._reader = reader
+        self._stored_messages = stored_messages
         self._buffer = buffer
 
     def read(self, phase: ConnectionPhase) -> None:
@@ -62,14 +66,22 @@
         return self._flow_control.seconds_unread() > MAX_SECONDS_UNREAD
 
     def _store(self) -> None:
-        while self._reader.buffered_byte_count < MAX_READ_AHEAD_BYTES:
+        while self._may_store_more():
             arrived_at_seconds = self._flow_control.earliest_arrival_seconds()
             size_bytes = self._transport.read_into(self._buffer)
             if not size_bytes:
                 break
             self._reader.feed(bytes(self._buffer[:size_bytes]), arrived_at_seconds)
+        self._stored_messages.record_requests(self._reader.buffered_byte_count)
         self._flow_control.record_read_ahead()
 
+    def _may_store_more(self) -> bool:
+        """Return whether there is room for another read."""
+        stored_bytes = self._reader.buffered_byte_count
+        if stored_bytes >= MAX_READ_AHEAD_BYTES:
+            return False
+        return self._stored_messages.try_store_requests(stored_bytes + len(self._buffer))
+
     def _discard(self) -> None:
         discarded_bytes = 0
         while discarded_bytes < MAX_DISCARDED_BYTES_PER_CHECK:
--- a/balancer/sidecar/requests/client_request.py
+++ b/balancer/sidecar/requests/client_request.py
@@ -6,6 +6,12 @@
 
 from balancer.sidecar.http.message import HttpResponse
 
+REQUEST_OVERHEAD_BYTES = 4 * 1024
+"""Memory of a request in flight beside its message: its state, its timers and its attempt."""
+
+COPIES_IN_FLIGHT = 2
+"""How often the message of a request in flight may be stored."""
+
 
 class ResponseSink(Protocol):
     """Receives the final response to one request.
@@ -57,3 +63,11 @@
     head: bytes
     """The request line and the headers to forward, without `Req-Deadline` and the empty line."""
     body: bytes
+
+    @property
+    def memory_bytes(self) -> int:
+        """Return how much memory the request takes while it is in flight, in bytes.
+
+        The message is stored once here and, while an endpoint reads it slowly, once at its connection.
+        """
+        return REQUEST_OVERHEAD_BYTES + COPIES_IN_FLIGHT * (len(self.head) + len(self.body))
--- a/balancer/sidecar/requests/dispatcher.py
+++ b/balancer/sidecar/requests/dispatcher.py
@@ -23,6 +23,7 @@
 from balancer.sidecar.configuration import SidecarConfiguration
 from balancer.sidecar.discovery.endpoint_list import EndpointListUpdate
 from balancer.sidecar.discovery.start_times import StartTimeTranslator
+from balancer.sidecar.http.buffer_budget import MessageBudgets
 from balancer.sidecar.requests.action_executor import ActionExecutor
 from balancer.sidecar.requests.attempt_guard import AttemptGuard
 from balancer.sidecar.requests.attempt_runner import AttemptRunner
@@ -56,6 +57,7 @@
     Attributes:
         clock: The clock of all components.
         metrics: The counters of the sidecar.
+        budgets: The limits on the memory of messages.
         upstream: The connections to the endpoints.
         request_registry: The requests in flight.
         has_endpoints: Whether the endpoint list has ever been non-empty.
@@ -79,8 +81,9 @@
         driver = PolicyDriver(policy, self._executor, now_ns)
         self._events = EventQueue(driver.handle)
 
-        self.upstream = UpstreamManager(config, loop, now_ns)
-        self.request_registry = RequestRegistry(config.settings, loop, now_ns)
+        self.budgets = MessageBudgets(config.message_buffer_bytes)
+        self.upstream = UpstreamManager(config, loop, now_ns, self.budgets.responses)
+        self.request_registry = RequestRegistry(config.settings, loop, now_ns, self.budgets.requests)
         start_times = StartTimeTranslator(now_ns)
         guard = AttemptGuard(config.settings, self.metrics)
         final_responses = FinalResponses(self.request_registry, guard, self.metrics)
@@ -137,8 +140,10 @@
         """Return whether a request with this id is in flight or must not be executed again."""
         return self.request_registry.is_duplicate(client_request_id)
 
-    def submit(self, sink: ResponseSink, client_request: ClientRequest, waited_seconds: float = 0.0) -> int:
-        """Start to process a request, and return its request id.
+    def submit(
+        self, sink: ResponseSink, client_request: ClientRequest, waited_seconds: float = 0.0
+    ) -> int | None:
+        """Start to process a request, and return its request id; None if there is no memory for it.
 
         The sink gets exactly one final response, perhaps before this method returns. It gets none if
         `on_client_disconnected` reports first that the client has disconnected.
--- a/balancer/sidecar/requests/request_intake.py
+++ b/balancer/sidecar/requests/request_intake.py
@@ -30,13 +30,20 @@
         self._events = events
         self._metrics = metrics
 
-    def submit(self, sink: ResponseSink, client_request: ClientRequest, waited_seconds: float) -> int:
-        """Start to process a request that arrived this long ago, and return its request id."""
+    def submit(self, sink: ResponseSink, client_request: ClientRequest, waited_seconds: float) -> int | None:
+        """Start to process a request that arrived this long ago, and return its request id.
+
+        If there is no memory for it, it is rejected at once, and the result is None.
+        """
         now_ns = self._now_ns()
         timeout_ns = client_request.timeout_ns - int(waited_seconds * SECOND_NS)
         expires_at_ns = self._deadlines.expires_at_ns(timeout_ns, now_ns)
         request = self._request_registry.add(sink, client_request, expires_at_ns)
         self._metrics.count(Metric.REQUESTS)
+        if request is None:
+            self._metrics.count(Metric.MEMORY_REJECTIONS)
+            sink.reject(retry_after_ns=0)
+            return None
         self._deadlines.start(request, now_ns)
         self._events.dispatch(
             RequestReceived(
--- a/balancer/sidecar/requests/request_registry.py
+++ b/balancer/sidecar/requests/request_registry.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 
 from balancer.policy_api import Idempotency, RequestClass, Settings
+from balancer.sidecar.http.buffer_budget import BufferBudget
 from balancer.sidecar.requests.client_request import ClientRequest, ResponseSink
 from balancer.sidecar.requests.in_flight_request import InFlightRequest
 from balancer.sidecar.runtime.timers import OneShotTimer
@@ -23,11 +24,17 @@
         settings: The settings of the sidecar.
         loop: The event loop of the requests' timers.
         now_ns: The sidecar's clock.
+        buffer_budget: The limit on the memory of all requests.
     """
 
     def __init__(
-        self, settings: Settings, loop: asyncio.AbstractEventLoop, now_ns: Callable[[], int]
+        self,
+        settings: Settings,
+        loop: asyncio.AbstractEventLoop,
+        now_ns: Callable[[], int],
+        buffer_budget: BufferBudget,
     ) -> None:
+        self._buffer_budget = buffer_budget
         self._classes = settings.classes
         self._loop = loop
         self._now_ns = now_ns
@@ -43,8 +50,10 @@
 
     def add(
         self, response_sink: ResponseSink, client_request: ClientRequest, expires_at_ns: int
-    ) -> InFlightRequest:
-        """Add a request under the next request id."""
+    ) -> InFlightRequest | None:
+        """Add a request under the next request id. Returns None if there is no memory for it."""
+        if not self._buffer_budget.reserve(client_request.memory_bytes):
+            return None
         self._last_request_id += 1
         request = InFlightRequest(
             self._last_request_id,
@@ -80,6 +89,7 @@
         request.deadline_timer.cancel()
         if self.in_flight.pop(request.request_id, None) is None:
             return
+        self._buffer_budget.release(request.client_request.memory_bytes)
         client_request_id = request.client_request.client_request_id
         self._client_ids_in_flight.discard(client_request_id)
         if request.may_have_run and self.class_of(request).idempotency != Idempotency.IDEMPOTENT:
--- a/balancer/sidecar/runtime/metrics.py
+++ b/balancer/sidecar/runtime/metrics.py
@@ -41,6 +41,8 @@
     """Connections of clients that the sidecar closed; labelled by the reason."""
     TURNS_DEFERRED = "turns_deferred"
     """How often the further requests of one client have waited, so that others are served in between."""
+    MEMORY_REJECTIONS = "memory_rejections"
+    """Requests that were rejected because there was no memory for them."""
     INVALID_REQUESTS = "requests_refused"
     """Invalid requests; labelled by the status code of the response."""
     ENDPOINT_UPDATES = "endpoint_updates"
--- a/balancer/sidecar/runtime/resource_limits.py
+++ b/balancer/sidecar/runtime/resource_limits.py
@@ -18,14 +18,23 @@
 BYTES_PER_MEBIBYTE = 1024 * 1024
 """Converts the configured memory limit to bytes."""
 
+PROCESS_MEMORY_BYTES = 40 * BYTES_PER_MEBIBYTE
+"""Memory that the process needs beside messages, for the interpreter, the connections and the heap."""
+
+LARGEST_MESSAGE_MEMORY_DIVISOR = 2
+"""The memory limit divided by this is the most that messages may take."""
+
+SMALLEST_MESSAGE_MEMORY_DIVISOR = 8
+"""The memory limit divided by this is left for messages, however little memory there is."""
+
 
 @dataclass(frozen=True, slots=True)
 class ResourceLimits:
-    """The limits on the connections and the memory of a sidecar."""
+    """The limits on the connections of a sidecar, and on the memory of their messages."""
 
     max_downstream_connections: int
     max_upstream_connections: int
-    memory_limit_bytes: int
+    message_buffer_bytes: int
 
 
 def resource_limits(max_descriptors: object, memory_mebibytes: object) -> ResourceLimits:
@@ -41,10 +50,17 @@
     return ResourceLimits(
         max_downstream_connections=max_downstream_connections,
         max_upstream_connections=_max_upstream_connections(descriptors, max_downstream_connections),
-        memory_limit_bytes=_memory_limit_bytes(memory_mebibytes),
+        message_buffer_bytes=message_buffer_bytes(_memory_limit_bytes(memory_mebibytes)),
     )
 
 
+def message_buffer_bytes(memory_limit_bytes: int) -> int:
+    """Return how much memory messages may take under this memory limit of the process."""
+    largest = memory_limit_bytes // LARGEST_MESSAGE_MEMORY_DIVISOR
+    smallest = memory_limit_bytes // SMALLEST_MESSAGE_MEMORY_DIVISOR
+    return max(smallest, min(largest, memory_limit_bytes - PROCESS_MEMORY_BYTES))
+
+
 def _max_descriptors(configured: object) -> int:
     """Return how many descriptors this process may have open."""
     limit = configured if isinstance(configured, int) and configured > 0 else MAX_DESCRIPTORS
--- a/balancer/sidecar/upstream/manager.py
+++ b/balancer/sidecar/upstream/manager.py
@@ -26,12 +26,6 @@
 The rest is a margin, because the endpoint measures the timeout with its own clock.
 """
 
-RESPONSE_BUFFER_MEMORY_DIVISOR = 4
-"""The memory limit divided by this is the limit for all response bodies in flight.
-
-The rest of the process needs the remaining memory.
-"""
-
 
 class UpstreamManager:
     """Owns every connection to an endpoint, and creates the attempts and health checks that use them.
@@ -42,11 +36,12 @@
         config: The configuration of the sidecar.
         loop: The event loop.
         now_ns: Returns the time of the sidecar's clock.
+        buffer_budget: The limit on the memory of all responses that arrive.
 
     Attributes:
         connect: Opens every connection. It is `open_connection`, unless a test replaces it.
         max_connections: The limit on open connections.
-        buffer_budget: The limit on the bytes that all response bodies in flight may take.
+        buffer_budget: The limit on the memory of all responses that arrive.
         background_attempts: The attempts whose outcome is reported but which have not ended.
     """
 
@@ -55,12 +50,13 @@
         config: SidecarConfiguration,
         loop: asyncio.AbstractEventLoop,
         now_ns: Callable[[], int],
+        buffer_budget: BufferBudget,
     ) -> None:
         self.loop = loop
         self.now_ns = now_ns
         self.connect: Connector = self.open_connection
         self.max_connections = config.max_upstream_connections
-        self.buffer_budget = BufferBudget(config.memory_limit_bytes // RESPONSE_BUFFER_MEMORY_DIVISOR)
+        self.buffer_budget = buffer_budget
         self.background_attempts: set[Attempt] = set()
         self._max_idle_ns = int(config.connection_idle_timeout_ns * USABLE_IDLE_TIME_SHARE)
         self._connect_timeout_seconds = config.connect_timeout_ns / SECOND_NS
--- a/tests/sidecar/downstream/test_client_disconnect.py
+++ b/tests/sidecar/downstream/test_client_disconnect.py
@@ -197,7 +197,8 @@
         return DECLINED_RESPONSE
 
     async with run_sidecar_with_two_endpoints(respond_with_large_body_and_decline_posts) as (sidecar, _):
-        sidecar.dispatcher.upstream.buffer_budget.max_bytes = 1 << 30
+        sidecar.dispatcher.budgets.total.max_bytes = 1 << 30
+        sidecar.dispatcher.budgets.responses.max_bytes = 1 << 30
         with connect_socket(sidecar) as client:
             gets = [request_bytes() for _ in range(MAX_PIPELINED_REQUESTS - 1)]
             client.sendall(b"".join(gets) + request_bytes("post", body=b"x", extra_headers=extra_headers))
--- a/tests/sidecar/downstream/test_listener.py
+++ b/tests/sidecar/downstream/test_listener.py
@@ -242,7 +242,8 @@
         run_sidecar_without_sweeps(endpoint.address, limits=LIMITS) as sidecar,
     ):
         assert sidecar.config.max_downstream_connections == MAX_CONNECTIONS
-        sidecar.dispatcher.upstream.buffer_budget.max_bytes = 1 << 30
+        sidecar.dispatcher.budgets.total.max_bytes = 1 << 30
+        sidecar.dispatcher.budgets.responses.max_bytes = 1 << 30
         sidecar.dispatcher.upstream.max_connections = 8  # one for each request of a client
         with contextlib.ExitStack() as clients:
             for _ in range(30):
--- a/tests/sidecar/downstream/test_pipelining.py
+++ b/tests/sidecar/downstream/test_pipelining.py
@@ -8,6 +8,7 @@
 from typing import NamedTuple
 
 from balancer.sidecar.downstream.exchange import MAX_PIPELINED_REQUESTS
+from balancer.sidecar.downstream.listener import READ_BUFFER_BYTES
 from tests.sidecar.client import Client
 from tests.sidecar.downstream.harness import (
     run_client_session,
@@ -139,3 +140,21 @@
         statuses = [(await pipeline.client.read_response())[0] for _ in range(MAX_PIPELINED_REQUESTS + 1)]
         assert statuses == [200] * MAX_PIPELINED_REQUESTS + [503]
         assert len(pipeline.endpoint.received_requests) == MAX_PIPELINED_REQUESTS
+
+
+@async_test
+async def test_one_read_returns_a_limited_number_of_bytes() -> None:
+    """Guards against hundreds of clients that each make the sidecar hold as much as one read returns."""
+    async with run_client_session() as session:
+        read_sizes: list[int] = []
+        process = session.connection.data_received
+
+        def record_size(data: bytes) -> None:
+            read_sizes.append(len(data))
+            process(data)
+
+        session.connection.data_received = record_size  # type: ignore[method-assign]
+        session.client.sendall(request_bytes("post", body=b"x" * 60_000))
+        await wait_until(lambda: session.endpoint.received_requests and session.connection.is_idle)
+        assert max(read_sizes) <= READ_BUFFER_BYTES
+        assert sum(read_sizes) > 60_000
--- a/tests/sidecar/upstream/harness.py
+++ b/tests/sidecar/upstream/harness.py
@@ -20,6 +20,7 @@
 from balancer.policy_api import AttemptOutcome, EndpointUpdateKind
 from balancer.sidecar.configuration import SidecarConfiguration, parse_configuration
 from balancer.sidecar.discovery.endpoint_list import derive_endpoint_id
+from balancer.sidecar.http.buffer_budget import BufferBudget
 from balancer.sidecar.http.message import HttpResponse
 from balancer.sidecar.http.outbound_connection import OutboundConnection
 from balancer.sidecar.upstream.attempt import Attempt, AttemptState, CompletionCallback
@@ -241,7 +242,8 @@
 ) -> UpstreamSetup:
     """Return an upstream side that knows the endpoint at this address; by default its clock is stopped."""
     config = parse_configuration(configuration(address))
-    upstream = UpstreamManager(config, loop or asyncio.get_running_loop(), now_ns)
+    budget = BufferBudget(config.message_buffer_bytes)
+    upstream = UpstreamManager(config, loop or asyncio.get_running_loop(), now_ns, budget)
     upstream.update_endpoints(config.cached_endpoints.endpoints, is_snapshot=True)
     [pool] = upstream.pools.values()
     return UpstreamSetup(config, upstream, pool)
