--- a/balancer/sidecar/downstream/exchange.py
+++ b/balancer/sidecar/downstream/exchange.py
@@ -84,6 +84,8 @@
     @property
     def response_bytes(self) -> int:
         """Return how many bytes the responses have that wait for earlier ones."""
+        if not self:
+            return 0
         return sum(len(exchange.response.body) for exchange in self if exchange.response is not None)
 
     def first_response(self) -> HttpResponse | None:
--- a/balancer/sidecar/http/buffer_budget.py
+++ b/balancer/sidecar/http/buffer_budget.py
@@ -60,6 +60,8 @@
 
     def try_resize(self, size_bytes: int) -> bool:
         """Change the share to this size. Returns False, and changes nothing, if that does not fit."""
+        if size_bytes == self.size_bytes:
+            return True
         if size_bytes > self.size_bytes and not self._budget.reserve(size_bytes - self.size_bytes):
             return False
         if size_bytes < self.size_bytes:
