Keep no reference from the turns of a connection back to the connection

Cause: RequestTurns stored a bound method of its connection. The cycle kept each closed connection in memory until the garbage collector found it.

Change: the function is passed when a turn is scheduled and dropped with it.

The new test failed before.

--- a/balancer/sidecar/downstream/connection.py
+++ b/balancer/sidecar/downstream/connection.py
@@ -77,7 +77,7 @@
         self._reader = RequestReader()
         self._exchanges = ExchangeQueue()
         self._stored_messages = StoredMessages(manager.dispatcher.budgets)
-        self._turns = RequestTurns(manager, self._process_requests)
+        self._turns = RequestTurns(manager)
         self._is_processing_requests = False
         self._waiting_since_seconds = 0.0
         self.lifecycle = ConnectionLifecycle()
@@ -268,7 +268,7 @@
             self._handle_request(request)
         if self._can_accept_request():
             self._metrics.count(Metric.TURNS_DEFERRED)
-            self._turns.schedule_next()
+            self._turns.schedule_next(self._process_requests)
 
     def _can_accept_request(self) -> bool:
         """Return whether a further request may be accepted now, if the buffer has one."""
--- a/balancer/sidecar/downstream/request_turns.py
+++ b/balancer/sidecar/downstream/request_turns.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
+from functools import partial
 from typing import Protocol
 
 MAX_REQUESTS_PER_TURN = 4
@@ -29,14 +30,12 @@
 
     Args:
         scheduler: schedules the next turn.
-        process_requests: processes the requests of one turn.
     """
 
-    __slots__ = ("_next_turn", "_process_requests", "_scheduler")
+    __slots__ = ("_next_turn", "_scheduler")
 
-    def __init__(self, scheduler: TurnScheduler, process_requests: Callable[[], None]) -> None:
+    def __init__(self, scheduler: TurnScheduler) -> None:
         self._scheduler = scheduler
-        self._process_requests = process_requests
         self._next_turn: asyncio.Handle | None = None
 
     @property
@@ -44,10 +43,13 @@
         """Return whether requests that have been read wait for the next turn."""
         return self._next_turn is not None
 
-    def schedule_next(self) -> None:
-        """Process further requests in the next iteration of the event loop."""
+    def schedule_next(self, process_requests: Callable[[], None]) -> None:
+        """Call this function, which processes further requests, in the next iteration of the event loop.
+
+        It is not stored for longer: a reference back to the connection would keep a closed one in memory.
+        """
         if self._next_turn is None:
-            self._next_turn = self._scheduler.call_soon(self._begin)
+            self._next_turn = self._scheduler.call_soon(partial(self._begin, process_requests))
 
     def cancel(self) -> None:
         """Cancel the next turn, as the connection is lost."""
@@ -55,6 +57,6 @@
             self._next_turn.cancel()
             self._next_turn = None
 
-    def _begin(self) -> None:
+    def _begin(self, process_requests: Callable[[], None]) -> None:
         self._next_turn = None
-        self._process_requests()
+        process_requests()
--- a/tests/sidecar/downstream/test_request_turns.py
+++ b/tests/sidecar/downstream/test_request_turns.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import weakref
 from collections.abc import AsyncIterator
 from typing import NamedTuple
 
@@ -39,6 +40,12 @@
     """The responses so far."""
 
 
+class ObservableConnection(DownstreamConnection):
+    """A connection to which a weak reference is possible."""
+
+    __slots__ = ("__weakref__",)
+
+
 def record_readiness_responses(sidecar: Sidecar) -> list[HttpResponse]:
     """Return a list to which each response to a readiness check is added."""
     responses: list[HttpResponse] = []
@@ -116,3 +123,13 @@
         await wait_until(lambda: not flood.connection.is_connected)
         assert not flood.connection.has_waiting_requests
         assert len(flood.responses) < FLOOD_LENGTH
+
+
+@async_test
+async def test_turns_keep_no_reference_to_a_closed_connection() -> None:
+    """Guards against closed connections that stay in memory until the garbage collector finds their cycle."""
+    async with run_sidecar_without_sweeps() as sidecar:
+        connection = ObservableConnection(sidecar.listener)
+        reference = weakref.ref(connection)
+        del connection
+        assert reference() is None
